--- /dev/null
+++ b/ashtray/__init__.py
@@ -0,0 +1,3 @@
+"""ashtray: a cluster scheduler whose controllers keep all they know in a small consistent store."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/ashtray/__main__.py
@@ -0,0 +1,3 @@
+from ashtray.cli import entry
+
+entry()
--- /dev/null
+++ b/ashtray/config/settings.py
@@ -0,0 +1,128 @@
+"""The settings file that the platform hands over."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+
+Share = Annotated[float, msgspec.Meta(gt=0)]
+Amount = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class SettingsError(Exception):
+    """A settings file that cannot be used; the text names the file and the field."""
+
+
+class Peer(msgspec.Struct, frozen=True):
+    host_name: str
+    peer_addr: str
+    domain: str = ""
+
+
+class Services(msgspec.Struct, frozen=True):
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct, frozen=True):
+    """A team's guarantee and limit; 0 means none."""
+
+    name: str
+    cpus: Amount = 0.0
+    cpus_max: Amount = 0.0
+    gpus: Amount = 0.0
+    gpus_max: Amount = 0.0
+
+
+class Objective(msgspec.Struct, frozen=True):
+    kind: str
+    job_class: str | None = msgspec.field(default=None, name="class")
+    within_s: float | None = None
+    share: float | None = None
+
+
+class WorkerTimes(msgspec.Struct, frozen=True):
+    report_s: Share
+    lease_s: Share
+    gang_wait_s: Share
+    gang_peer_s: Share
+    cancel_s: Share
+
+
+class StateLimits(msgspec.Struct, frozen=True):
+    rps: Share
+    write_rps: Share
+    value_kb: Share
+    txn_ops: Annotated[int, msgspec.Meta(ge=4)]
+
+
+class CloudLimits(msgspec.Struct, frozen=True):
+    rps: Share
+    list_lag_s: Amount
+
+
+class Quota(msgspec.Struct, frozen=True):
+    cpu_share: Share = 1.0
+    ram_mb: Share = 1024.0
+    sockets: Annotated[int, msgspec.Meta(gt=0)] = 1024
+
+
+class Cluster(msgspec.Struct, frozen=True):
+    zones: list[str]
+    workers: WorkerTimes
+    state: StateLimits
+    cloud: CloudLimits
+    nodes: int = 1
+    clock_off_ms: Amount = 1000.0
+    teams: list[Team] = msgspec.field(default_factory=list)
+    objectives: list[Objective] = msgspec.field(default_factory=list)
+    quota: Quota = msgspec.field(default_factory=Quota)
+
+
+class Settings(msgspec.Struct, frozen=True):
+    host_name: str
+    api_addr: str
+    cluster_listen: str
+    services: Services
+    cluster: Cluster
+    domain: str = ""
+    others: list[Peer] = msgspec.field(default_factory=list)
+    operators_file: str | None = None
+
+
+def _check_address(file: Path, field: str, value: str) -> None:
+    host, colon, port = value.rpartition(":")
+    if not (colon and host and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        raise SettingsError(f"{file}: {field}: expected HOST:PORT, got {value!r}")
+
+
+def load_settings(path: str) -> Settings:
+    """Read and check the settings file; raises `SettingsError` with one line."""
+    file = Path(path)
+    try:
+        raw = tomllib.loads(file.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(f"{file}: {error.strerror or error}") from None
+    except UnicodeDecodeError:
+        raise SettingsError(f"{file}: not UTF-8 text") from None
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f"{file}: not TOML: {error}") from None
+    try:
+        settings = msgspec.convert(raw, Settings)
+    except msgspec.ValidationError as error:
+        reason, _, where = str(error).partition(" - at `$")
+        field = where.rstrip("`").lstrip(".")
+        if "missing required field" in reason:
+            name = reason.rsplit("`", 2)[1]
+            field = f"{field}.{name}" if field else name
+            reason = "missing"
+        raise SettingsError(f"{file}: {field}: {reason}") from None
+    addresses = [("api_addr", settings.api_addr), ("cluster_listen", settings.cluster_listen)]
+    addresses += [("services.cloud", settings.services.cloud), ("services.state", settings.services.state)]
+    addresses += [(f"others[{n}].peer_addr", peer.peer_addr) for n, peer in enumerate(settings.others)]
+    for field, value in addresses:
+        _check_address(file, field, value)
+    return settings
--- /dev/null
+++ b/ashtray/controller.py
@@ -0,0 +1,138 @@
+"""The controller's core: the slices put together.  Inputs go in; what to send and answer comes out."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from ashtray.config.operators import Knobs
+from ashtray.config.settings import Settings
+from ashtray.fleet.runner import ROUND_US, Runner
+from ashtray.jobs.model import JOB_ID
+from ashtray.jobs.service import JobDesk
+from ashtray.kernel import SECOND_US, Kernel, Output, Reply
+from ashtray.peers.presence import Peers, Presence
+from ashtray.placement.picture import Picture
+from ashtray.placement.placer import Placer
+from ashtray.store.client import StoreClient
+from ashtray.store.follower import Follower
+from ashtray.workers.desk import Desk
+
+UNWELL_US = 5 * SECOND_US
+
+
+class Controller:
+    def __init__(self, settings: Settings, knobs: Knobs, rng: random.Random, verbose: bool = False) -> None:
+        self.settings = settings
+        self.knobs = knobs
+        self.teams = {team.name: team for team in settings.cluster.teams}
+        self.kernel = Kernel(rng, verbose)
+        self.picture = Picture()
+        self.store = StoreClient(self.kernel, settings.services.state, settings.cluster.state, self._sharers)
+        self.follower = Follower(self.kernel, self.store, "now/", self.picture, self._changed)
+        self.presence = Presence(self)
+        self.peers = Peers(self)
+        self.desk = Desk(self)
+        self.jobs = JobDesk(self)
+        self.placer = Placer(self)
+        self.runner = Runner(self)
+
+    def _sharers(self) -> int:
+        # Until the picture is read, assume that everybody is there.
+        return len(self.presence.live()) if self.follower.loaded else self.settings.cluster.nodes
+
+    def _changed(self) -> None:
+        self.placer.changed()
+        self.desk.tend_all()
+
+    def start(self, now_us: int, wall_us: int) -> list[Output]:
+        kernel = self.kernel
+        kernel.advance(now_us, wall_us)
+        for bucket in (self.store.requests, self.store.changes, self.runner.bucket):
+            bucket.at_us = kernel.now_us
+        kernel.spawn(self.follower.run())
+        kernel.spawn(self.presence.run())
+        kernel.spawn(self.placer.run())
+        for peer in self.peers.peers.values():
+            kernel.spawn(self.peers.run(peer))
+        kernel.forever(self.runner.round, ROUND_US)
+        kernel.forever(self.desk.sweep, 20 * SECOND_US)
+        return kernel.run()
+
+    def wake(self, now_us: int, wall_us: int) -> list[Output]:
+        self.kernel.advance(now_us, wall_us)
+        return self.kernel.run()
+
+    def reply(self, now_us: int, wall_us: int, call_id: int, reply: Reply) -> list[Output]:
+        self.kernel.advance(now_us, wall_us)
+        self.kernel.reply(call_id, reply)
+        return self.kernel.run()
+
+    def request(
+        self, now_us: int, wall_us: int, request_id: int, method: str, path: str, body: Any, readable: bool = True
+    ) -> list[Output]:
+        """A request from a user, a worker or a health check; `readable` says that its body is MessagePack."""
+        self.kernel.advance(now_us, wall_us)
+        self._route(request_id, method, path, body, readable)
+        return self.kernel.run()
+
+    def peer_request(
+        self, now_us: int, wall_us: int, request_id: int, method: str, path: str, body: Any, readable: bool = True
+    ) -> list[Output]:
+        """A request from another controller."""
+        self.kernel.advance(now_us, wall_us)
+        if path == "/peer/word" and method == "POST":
+            self.peers.on_word(request_id, body)
+        elif path == "/peer/request" and method == "POST" and isinstance(body, dict):
+            self._route(
+                request_id, str(body.get("method")), str(body.get("path")), body.get("body"), True, handed=True
+            )
+        else:
+            self.kernel.answer(request_id, 404, {"error": "no such path"})
+        return self.kernel.run()
+
+    def _route(
+        self, request_id: int, method: str, path: str, body: Any, readable: bool, handed: bool = False
+    ) -> None:
+        kernel = self.kernel
+        path = path.partition("?")[0]
+        parts = path.strip("/").split("/")
+        allowed = "POST"
+        if path == "/hello" and not handed:
+            if method == "POST":
+                self.desk.on_report(request_id, body if readable else None)
+                return
+        elif path == "/up" and not handed:
+            allowed = "GET"
+            if method in ("GET", "HEAD"):
+                self._up(request_id)
+                return
+        elif path == "/submissions":
+            if method == "POST":
+                self.jobs.submit(request_id, body if readable else None, handed)
+                return
+        elif parts[0] == "submissions" and (len(parts) == 2 or (len(parts) == 3 and parts[2] == "abort")):
+            allowed = "POST" if len(parts) == 3 else "GET"
+            if method == allowed:
+                if not JOB_ID.fullmatch(parts[1]):
+                    kernel.answer(request_id, 400, {"error": "a job id is job- and digits"})
+                elif len(parts) == 3:
+                    self.jobs.abort(request_id, parts[1], handed)
+                else:
+                    self.jobs.poll(request_id, parts[1], handed)
+                return
+        else:
+            kernel.answer(request_id, 404, {"error": "no such path"})
+            return
+        kernel.answer(request_id, 405, {"error": f"use {allowed}"})
+
+    def _up(self, request_id: int) -> None:
+        """Well, unless it has never read the state, or has lost it for a while and a peer has not."""
+        ready = self.follower.loaded or self.follower.read_us > 0
+        cut_us = self.kernel.now_us - self.follower.read_us
+        if not ready or not self.presence.incarnation:
+            self.kernel.answer(request_id, 503, {"error": "starting"}, 1)
+        elif cut_us > UNWELL_US and self.presence.better_connected() is not None:
+            self.kernel.answer(request_id, 503, {"error": "cut off from the state service"}, 1)
+        else:
+            self.kernel.answer(request_id, 200, {"status": "up"})
--- /dev/null
+++ b/ashtray/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: the only place with sockets, timers and clocks."""
--- /dev/null
+++ b/ashtray/daemon/server.py
@@ -0,0 +1,146 @@
+"""Runs the core: carries its outputs out and brings it its inputs."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from typing import Any
+
+import aiohttp
+import msgspec
+import uvloop
+from aiohttp import web
+from yarl import URL
+
+from ashtray.config.operators import Knobs
+from ashtray.config.settings import Settings
+from ashtray.controller import Controller
+from ashtray.jobs.messages import MAX_BODY
+from ashtray.kernel import Answer, Call, Log, Output, Reply, Send
+
+log = logging.getLogger("ashtray")
+_LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+_HEADERS = {"Content-Type": "application/msgpack"}
+
+
+class Daemon:
+    def __init__(self, settings: Settings, knobs: Knobs) -> None:
+        self.settings = settings
+        self.core = Controller(settings, knobs, random.Random(), log.isEnabledFor(logging.DEBUG))
+        self.loop = asyncio.get_running_loop()
+        self._wake: asyncio.TimerHandle | None = None
+        self._wake_us: int | None = None
+        self._answers: dict[int, asyncio.Future[Answer]] = {}
+        self._next_request = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        sockets = settings.cluster.quota.sockets
+        # Half of the sockets are for those who call, a quarter for calls: the rest is a reserve.
+        connector = aiohttp.TCPConnector(limit=max(sockets // 4, 8), keepalive_timeout=30, use_dns_cache=False)
+        self.client = aiohttp.ClientSession(
+            connector=connector, auto_decompress=False, skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )  # fmt: skip
+
+    def now(self) -> tuple[int, int]:
+        return int(self.loop.time() * 1_000_000), time.time_ns() // 1000
+
+    def carry_out(self, outputs: list[Output]) -> None:
+        for output in outputs:
+            if isinstance(output, Send):
+                task = self.loop.create_task(self._send(output.call_id, output.call))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            elif isinstance(output, Answer):
+                future = self._answers.pop(output.request_id, None)
+                if future is not None and not future.done():
+                    future.set_result(output)
+            elif isinstance(output, Log):
+                log.log(_LEVELS[output.level], output.line)
+        wake_us = self.core.kernel.next_wake_us()
+        if wake_us != self._wake_us:
+            if self._wake is not None:
+                self._wake.cancel()
+            self._wake_us = wake_us
+            if wake_us is not None:
+                self._wake = self.loop.call_at(wake_us / 1_000_000 + 0.0005, self._on_wake)
+
+    def _on_wake(self) -> None:
+        self._wake = self._wake_us = None
+        self.carry_out(self.core.wake(*self.now()))
+
+    async def _send(self, call_id: int, call: Call) -> None:
+        reply = await self._call(call)
+        self.carry_out(self.core.reply(*self.now(), call_id, reply))
+
+    async def _call(self, call: Call) -> Reply:
+        data = None if call.body is None else msgspec.msgpack.encode(call.body)
+        timeout = aiohttp.ClientTimeout(total=call.timeout_us / 1_000_000)
+        url = URL(f"http://{call.address}{call.path}", encoded=True)
+        try:
+            async with self.client.request(
+                call.method, url, data=data, headers=_HEADERS if data else None, timeout=timeout, allow_redirects=False
+            ) as response:
+                raw = await response.read()
+                return Reply(response.status, msgspec.msgpack.decode(raw) if raw else None)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return Reply(0, refused=True)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, msgspec.DecodeError):
+            return Reply(0)
+
+    async def handle(self, request: web.BaseRequest, from_peer: bool) -> web.StreamResponse:
+        readable, body = True, None
+        if request.can_read_body:
+            if request.content_length is not None and request.content_length > MAX_BODY and not from_peer:
+                return self._response(Answer(0, 400, {"error": "the body is over 64 KiB"}), close=True)
+            try:
+                raw = await request.read()
+                body = msgspec.msgpack.decode(raw)
+                readable = len(raw) <= MAX_BODY or from_peer
+            except (web.HTTPRequestEntityTooLarge, ValueError, msgspec.DecodeError, RecursionError):
+                readable = False
+        self._next_request += 1
+        request_id = self._next_request
+        future: asyncio.Future[Answer] = self.loop.create_future()
+        self._answers[request_id] = future
+        take = self.core.peer_request if from_peer else self.core.request
+        self.carry_out(take(*self.now(), request_id, request.method, request.path, body, readable))
+        try:
+            return self._response(await future)
+        finally:
+            self._answers.pop(request_id, None)
+
+    def _response(self, answer: Answer, close: bool = False) -> web.StreamResponse:
+        headers = dict(_HEADERS)
+        if answer.retry_after_s is not None:
+            headers["Retry-After"] = str(answer.retry_after_s)
+        response = web.Response(
+            status=answer.status, body=msgspec.msgpack.encode(answer.body), headers=headers
+        )
+        if close:
+            response.force_close()
+        return response
+
+    async def serve(self) -> None:
+        async def public(request: web.BaseRequest) -> web.StreamResponse:
+            return await self.handle(request, from_peer=False)
+
+        async def peer(request: web.BaseRequest) -> web.StreamResponse:
+            return await self.handle(request, from_peer=True)
+
+        for handler, address in ((public, self.settings.api_addr), (peer, self.settings.cluster_listen)):
+            host, _, port = address.rpartition(":")
+            server = web.Server(handler, access_log=None, keepalive_timeout=90)
+            await self.loop.create_server(server, host, int(port), backlog=256)
+        log.info("listening on %s", self.settings.api_addr)
+        self.carry_out(self.core.start(*self.now()))
+        await asyncio.Event().wait()
+
+
+async def _main(settings: Settings, knobs: Knobs) -> None:
+    await Daemon(settings, knobs).serve()
+
+
+def run(settings: Settings, knobs: Knobs) -> Any:
+    return uvloop.run(_main(settings, knobs))
--- /dev/null
+++ b/ashtray/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Machines: renting, returning and giving up on them."""
--- /dev/null
+++ b/ashtray/fleet/runner.py
@@ -0,0 +1,389 @@
+"""The fleet's runner: one controller at a time rents and returns machines.
+
+Two at once would cost money only: no rule depends on there being one.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from ashtray.fleet.messages import BerthList, deletion, parse_types, rental
+from ashtray.jobs.model import LIVE, Job
+from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Sleep
+from ashtray.placement.picture import FLEET, MEMBER, TYPES, Machine, MachineRecord, MachineType
+from ashtray.placement.plan import Plan, queue
+from ashtray.placement.rules import Room
+from ashtray.store.client import Bucket, Txn, Urgency
+
+if TYPE_CHECKING:
+    from ashtray.controller import Controller
+
+CLOUD_US = 5 * SECOND_US
+LIST_US = 2 * SECOND_US
+ROUND_US = SECOND_US // 2
+TYPES_US = 60 * SECOND_US
+
+Kind = tuple[str, str, bool]
+"""Type, zone and whether spot."""
+
+
+@dataclass
+class Coming:
+    """A machine that was rented or listed and has not reported yet."""
+
+    kind: Kind
+    since_us: int
+    up: bool = False
+    up_us: int = 0
+
+
+class Runner:
+    def __init__(self, ctl: Controller) -> None:
+        self.ctl = ctl
+        self.kernel = ctl.kernel
+        self.running = False
+        self.coming: dict[str, Coming] = {}
+        self.listed: dict[str, str] = {}
+        self.gone: dict[str, int] = {}
+        """Machines that were deleted, and when: a late list may still show them."""
+        self.idle_since: dict[str, int] = {}
+        self.known_since: dict[str, int] = {}
+        self.blocked: dict[Kind, tuple[int, int]] = {}
+        """Kinds without capacity: until when not to ask, and how often it was refused."""
+        self.listed_us = 0
+        self.started_us = 0
+        self.bucket = Bucket(ctl.settings.cluster.cloud.rps * 0.8, 1.0, self.kernel.now_us)
+        self.pause_until_us = 0
+        self._seq = 0
+        self._types_us = -TYPES_US
+        self._ending: set[str] = set()
+
+    # The cloud
+
+    def _cloud(self, method: str, path: str, body: Any = None) -> Fiber[Reply]:
+        while True:
+            self.bucket.refill(self.kernel.now_us)
+            if self.bucket.has(1):
+                break
+            yield Sleep(self.bucket.wait_us(1))
+        self.bucket.level -= 1
+        reply: Reply = yield Call(self.ctl.settings.services.cloud, method, path, body, CLOUD_US)
+        trouble = reply.status in (0, 429) or (reply.status == 503 and (reply.body or {}).get("error") == "trouble")
+        if trouble:
+            self.pause_until_us = self.kernel.now_us + int(self.kernel.rng.uniform(0.5, 1.5) * SECOND_US)
+            self.kernel.log("debug", f"cloud: {method} {path}: {reply.status}")
+        return reply
+
+    def watch_types(self) -> Fiber[None]:
+        """Learn the machine types; the runner also writes them down for controllers that cannot ask."""
+        picture = self.ctl.picture
+        due = self.kernel.now_us - self._types_us >= TYPES_US
+        if not self.ctl.follower.loaded or not (due and (self.running or not picture.types)):
+            return
+        reply = yield from self._cloud("GET", "/machine_types")
+        if reply.status != 200:
+            return
+        try:
+            types = parse_types(reply.body)
+        except (msgspec.ValidationError, KeyError, TypeError):
+            self.kernel.log("error", "the cloud's machine types cannot be read")
+            return
+        self._types_us = self.kernel.now_us
+        if types != picture.types:
+            txn = Txn().guard(TYPES, picture.version(TYPES))
+            txn.put(TYPES, {name: msgspec.to_builtins(kind) for name, kind in types.items()})
+            yield from self.ctl.follower.commit(txn, Urgency.BOOKKEEPING)
+
+    # Who runs the fleet
+
+    def lead(self) -> Fiber[None]:
+        """Hold the fleet's key, under the presence's lease, or see whether it is free."""
+        picture, presence = self.ctl.picture, self.ctl.presence
+        lease = presence.lease
+        now = self.kernel.now_us
+        fresh = now - self.ctl.follower.read_us < 3 * SECOND_US
+        mine = picture.fleet is not None and picture.fleet[0].get("incarnation") == presence.incarnation
+        if not fresh or lease is None or (picture.fleet is not None and not mine):
+            if self.running and fresh:
+                self.running = False
+            return
+        if not mine:
+            txn = Txn().guard(FLEET, 0)
+            txn.put(FLEET, {"host": self.ctl.settings.host_name, "incarnation": presence.incarnation}, lease)
+            mine = yield from self.ctl.follower.commit(txn, Urgency.BOOKKEEPING)
+        if mine and not self.running:
+            self.running = True
+            self.started_us = self.kernel.now_us
+            self.coming.clear()
+            self.listed_us = 0
+            self.idle_since.clear()
+            self.known_since.clear()
+            self.kernel.log("info", "runs the fleet")
+
+    def round(self) -> Fiber[None]:
+        if not self.ctl.follower.loaded or not self.ctl.presence.incarnation:
+            return
+        yield from self.lead()
+        if self.kernel.now_us >= self.pause_until_us:
+            yield from self.watch_types()
+        if not self.running or self.kernel.now_us < self.pause_until_us:
+            return
+        if self.kernel.now_us - self.listed_us >= LIST_US:
+            yield from self._list()
+        if not self.listed_us:
+            return
+        yield from self._give_up()
+        yield from self._finish()
+        if self.kernel.now_us >= self.pause_until_us:
+            yield from self._rent()
+
+    def _list(self) -> Fiber[None]:
+        after = ""
+        seen: dict[str, str] = {}
+        began_us = self.kernel.now_us
+        while True:
+            reply = yield from self._cloud("GET", f"/rentals?after={after}&page=500")
+            if reply.status != 200:
+                return
+            try:
+                page = msgspec.convert(reply.body, BerthList)
+            except msgspec.ValidationError:
+                return
+            for berth in page.berths:
+                seen[berth.name_id] = berth.status
+                after = berth.name_id
+                if berth.name_id in self.gone:
+                    continue
+                coming = self.coming.get(berth.name_id)
+                if coming is None and berth.name_id not in self.ctl.picture.machines:
+                    since = began_us - int(berth.age_s * SECOND_US)
+                    coming = Coming((berth.hull, berth.yard, berth.loaners), since)
+                    self.coming[berth.name_id] = coming
+                if coming is not None and berth.status == "running" and not coming.up:
+                    coming.up, coming.up_us = True, began_us
+            if not page.truncated or not page.berths:
+                break
+        self.listed = seen
+        self.listed_us = began_us
+
+    # Giving up and returning
+
+    def _silent_us(self, name: str) -> int:
+        """For how long nobody has heard a worker, as far as this controller can tell."""
+        now = self.kernel.now_us
+        heard = max(self.ctl.peers.last_heard_us(name), self.known_since.setdefault(name, now))
+        return max(min(now, max(self.ctl.peers.all_word_us(), now - 30 * SECOND_US)) - heard, 0)
+
+    def _give_up(self) -> Fiber[None]:
+        """Delete what never came up, what fell silent, what failed, and what stands idle."""
+        now = self.kernel.now_us
+        picture = self.ctl.picture
+        times = self.ctl.settings.cluster.workers
+        lost: list[str] = []
+        for name, coming in list(self.coming.items()):
+            if name in picture.machines:
+                del self.coming[name]
+                continue
+            kind = picture.types.get(coming.kind[0])
+            boot_us = kind.boot_us if kind is not None else 60 * SECOND_US
+            late = now - coming.since_us > boot_us * self.ctl.knobs.boot_patience + 5 * SECOND_US
+            mute = coming.up and now - coming.up_us > int(times.lease_s * SECOND_US)
+            vanished = name not in self.listed and now - coming.since_us > self._lag_us()
+            if (late and not coming.up) or mute or vanished or self.listed.get(name) == "failed":
+                self.kernel.log("info", f"{name} never reported: given up")
+                lost.append(name)
+        lease_us = int(times.lease_s * SECOND_US)
+        silent = [n for n in picture.machines if self._silent_us(n) > lease_us + 4 * SECOND_US]
+        # When most of the fleet falls silent at once, the fault is likelier on this side.
+        if len(silent) > max(2, len(picture.machines) // 2):
+            silent = [n for n in silent if self._silent_us(n) > 3 * lease_us]
+        for name, machine in picture.machines.items():
+            failed = self.listed.get(name) == "failed"
+            missing = name not in self.listed and now - self.known_since.setdefault(name, now) > self._lag_us()
+            missing = missing and self._silent_us(name) > 6 * SECOND_US
+            if failed or missing or name in silent:
+                self.kernel.log("info", f"{name} is {'failed' if failed else 'missing' if missing else 'silent'}")
+                lost.append(name)
+            elif not machine.holds:
+                self.idle_since.setdefault(name, now)
+                idle_us = now - self.idle_since[name]
+                if machine.record.retiring or idle_us > int(self.ctl.knobs.idle_s * SECOND_US):
+                    lost.append(name)
+            else:
+                self.idle_since.pop(name, None)
+        for name in lost:
+            if name in picture.machines:
+                yield from self._retire(name)
+            else:
+                self._ending.add(name)
+
+    def _lag_us(self) -> int:
+        return int((2 * self.ctl.settings.cluster.cloud.list_lag_s + 5) * SECOND_US)
+
+    def _retire(self, name: str) -> Fiber[None]:
+        """Mark a machine as being returned, so that nobody places on it any more."""
+        picture = self.ctl.picture
+        machine = picture.machines.get(name)
+        if machine is None:
+            return
+        if not machine.record.retiring:
+            group = picture.groups[machine.group]
+            idle = not machine.holds
+            record = group.copy()
+            record.machines[name].retiring = True
+            txn = Txn().guard(group.key, group.version).put(group.key, msgspec.to_builtins(record))
+            if not (yield from self.ctl.follower.commit(txn, Urgency.BOOKKEEPING)):
+                return
+            self.kernel.log("info", f"{name} is to be returned{' (idle)' if idle else ''}")
+        self._ending.add(name)
+
+    def _finish(self) -> Fiber[None]:
+        """Delete what is to end; when the cloud has said yes, free what was on it."""
+        names = sorted(self._ending)[:100]
+        if not names:
+            return
+        reply = yield from self._cloud("POST", "/rentals/delete", deletion(names))
+        if reply.status != 200:
+            return
+        for name in names:
+            self.gone[name] = self.kernel.now_us
+            self.coming.pop(name, None)
+            self.idle_since.pop(name, None)
+            for _ in range(8):
+                if (yield from self._free(name)):
+                    self._ending.discard(name)
+                    break
+                yield from self.ctl.follower.barrier()
+        horizon = self.kernel.now_us - 10 * self._lag_us()
+        self.gone = {name: at for name, at in self.gone.items() if at > horizon}
+
+    def _free(self, name: str) -> Fiber[bool]:
+        """Take a machine that is surely gone out of its group, with all that it held."""
+        picture = self.ctl.picture
+        machine = picture.machines.get(name)
+        if machine is None:
+            return True
+        if not machine.record.retiring:
+            # Adopted after it was marked: it is gone all the same, but placing must stop first.
+            yield from self._retire(name)
+            return False
+        group = picture.groups[machine.group]
+        record = group.copy()
+        del record.machines[name]
+        txn = Txn().guard(group.key, group.version)
+        if record.machines:
+            txn.put(group.key, msgspec.to_builtins(record))
+        else:
+            txn.remove(group.key)
+        txn.remove(MEMBER + name)
+        for job, attempt in self._broken_gangs(machine):
+            txn.guard(LIVE + job.id, job.version).put(LIVE + job.id, job.value(broken=attempt))
+        good = yield from self.ctl.follower.commit(txn, Urgency.FREE)
+        if good:
+            self.known_since.pop(name, None)
+            self.kernel.log("info", f"{name} is gone")
+            self.ctl.peers.hint()
+        return bool(good)
+
+    def _broken_gangs(self, machine: Machine) -> list[tuple[Job, int]]:
+        broken = []
+        for hold in machine.holds:
+            job = self.ctl.picture.jobs.get(hold.job)
+            if job is not None and job.spec.kind == "gang" and hold.attempt > job.record.broken:
+                broken.append((job, hold.attempt))
+        return broken
+
+    # Renting
+
+    def _blocked(self, kind: Kind) -> bool:
+        return self.blocked.get(kind, (0, 0))[0] > self.kernel.now_us
+
+    def _room(self, name: str, kind: Kind) -> Room:
+        """An empty machine that is not there yet."""
+        spec = self.ctl.picture.types[kind[0]]
+        machine = Machine(name, name, kind[0], kind[1], MachineRecord("", kind[2]))
+        return Room(machine, spec, spec.cpus, spec.gpus, spec.memory_gb)
+
+    def _offers(self, job: Job) -> list[tuple[float, Kind]]:
+        """What could be rented for a job, the cheapest for each of its tasks first."""
+        spec = job.spec
+        offers = []
+        for kind in self.ctl.picture.types.values():
+            if spec.types and kind.name not in spec.types:
+                continue
+            fits = kind.fits(spec.cpus, spec.gpus, spec.memory_gb)
+            if not fits:
+                continue
+            for zone in kind.zones:
+                if spec.zone not in (None, zone):
+                    continue
+                for spot in (True, False) if spec.spot else (False,):
+                    if not self._blocked((kind.name, zone, spot)):
+                        price = kind.spot_price if spot else kind.price
+                        offers.append((price / min(fits, spec.tasks), (kind.name, zone, spot)))
+        return sorted(offers)
+
+    def wishes(self) -> dict[Kind, int]:
+        """What is to be rented so that every job that waits gets room."""
+        ctl = self.ctl
+        plan = Plan(ctl.picture, ctl.teams, ctl.knobs, self.kernel.rng)
+        for name, coming in self.coming.items():
+            kind: MachineType | None = ctl.picture.types.get(coming.kind[0])
+            if kind is not None and name not in self._ending and name not in ctl.picture.machines:
+                plan.rooms.append(self._room(name, coming.kind))
+        wishes: dict[Kind, int] = {}
+        for job in queue(ctl.picture, ctl.teams, self.kernel.wall_us):
+            left = len(plan.wanted(job, self.kernel.wall_us))
+            if not left:
+                continue
+            placed = sum(n for _, n in plan.place(job, left, 10_000, 0.0))
+            left -= placed
+            if not left:
+                continue
+            offers = self._offers(job)
+            if not offers:
+                continue
+            kind_key = offers[0][1]
+            fits = ctl.picture.types[kind_key[0]].fits(job.spec.cpus, job.spec.gpus, job.spec.memory_gb)
+            number = -(-left // fits)
+            wishes[kind_key] = wishes.get(kind_key, 0) + number
+            for n in range(number):
+                plan.rooms.append(self._room(f"wish-{len(plan.rooms)}-{n}", kind_key))
+            plan.place(job, left, 10_000, 0.0)
+        return wishes
+
+    def _rent(self) -> Fiber[None]:
+        # Until the list has caught up with a former runner's rentals, the same need would be met twice.
+        if self.kernel.now_us - self.started_us < self._settle_us():
+            return
+        for kind, number in self.wishes().items():
+            self._seq += 1
+            request = f"{self.ctl.settings.host_name}-{self.ctl.presence.incarnation}-{self._seq}"
+            number = min(number, 50)
+            asked_us = self.kernel.now_us
+            reply = yield from self._cloud("POST", "/rentals", rental(request, *kind, number))
+            if reply.status == 0:
+                # Whether it was executed shows in a repetition, which rents nothing twice.
+                reply = yield from self._cloud("POST", "/rentals", rental(request, *kind, number))
+            names = reply.body.get("berths", []) if reply.status == 200 else []
+            for name in names:
+                self.coming.setdefault(name, Coming(kind, asked_us))
+            what = f"{'spot ' if kind[2] else ''}{kind[0]} in {kind[1]}"
+            if reply.status == 200:
+                self.kernel.log("info", f"rented {len(names)} of {number} {what}")
+            short = reply.status == 200 and len(names) < number
+            if short or (reply.status == 503 and (reply.body or {}).get("error") == "no capacity"):
+                times = self.blocked.get(kind, (0, 0))[1] + 1
+                pause = min(5 * 2 ** min(times, 4), 40) * SECOND_US
+                self.blocked[kind] = (self.kernel.now_us + pause, times)
+                self.kernel.log("info", f"no capacity for {what}")
+            elif names:
+                self.blocked.pop(kind, None)
+
+    def _settle_us(self) -> int:
+        """A new runner that finds machines about waits for the list; the first of all need not."""
+        others = self.ctl.picture.machines or self.listed
+        return self._lag_us() if others else 0
--- /dev/null
+++ b/ashtray/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: acceptance, polls, cancellation and their records."""
--- /dev/null
+++ b/ashtray/jobs/model.py
@@ -0,0 +1,92 @@
+"""What a job is, and the record kept of it in the state service."""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+
+import msgspec
+
+from ashtray.runs import decode_runs, encode_runs
+
+LIVE = "now/job/"
+OVER = "over/"
+MAX_TASKS = 100_000
+JOB_ID = re.compile(r"job-[0-9]{1,60}")
+PRIORITIES = ("production", "high", "normal", "low")
+
+
+class JobSpec(msgspec.Struct, omit_defaults=True):
+    """A job as its user described it."""
+
+    job_class: str
+    team: str
+    kind: str
+    priority: int
+    tasks: int
+    cpus: float
+    gpus: float
+    memory_gb: float
+    image: str
+    image_gb: float
+    types: list[str] | None = None
+    zone: str | None = None
+    same_zone: bool = False
+    spread: bool = False
+    spot: bool = False
+    estimate_us: int = 0
+    checkpoint_us: int = 0
+    save_us: int = 0
+    deadline_us: int | None = None
+
+
+class JobRecord(msgspec.Struct, omit_defaults=True):
+    """The record of a job that is not over yet."""
+
+    spec: JobSpec
+    owner: str
+    """The controller that accepted it."""
+    accepted_us: int
+    attempt: int = 0
+    """The last attempt number given out."""
+    finished: str = ""
+    broken: int = 0
+    """A gang's attempts up to this one have failed: what is left of them is to be stopped."""
+    errors: int = 0
+    """Task failures since a task last completed."""
+    error_us: int = 0
+
+
+class Job:
+    """A live job in the picture."""
+
+    __slots__ = ("id", "record", "spec", "version", "finished")
+
+    def __init__(self, job_id: str, value: Any, version: int) -> None:
+        self.id = job_id
+        self.record = msgspec.convert(value, JobRecord)
+        self.spec = self.record.spec
+        self.version = version
+        self.finished = decode_runs(self.record.finished)
+
+    def value(
+        self, *, finished: set[int] | None = None, attempt: int | None = None, broken: int | None = None,
+        errors: int | None = None, error_us: int | None = None, owner: str | None = None,
+    ) -> Any:
+        """The record with some fields replaced, ready to be written."""
+        old = self.record
+        record = JobRecord(
+            old.spec,
+            old.owner if owner is None else owner,
+            old.accepted_us,
+            old.attempt if attempt is None else attempt,
+            old.finished if finished is None else encode_runs(finished),
+            old.broken if broken is None else broken,
+            old.errors if errors is None else errors,
+            old.error_us if error_us is None else error_us,
+        )
+        return msgspec.to_builtins(record)
+
+    def over(self, status: str, done: int) -> Any:
+        """The short record that is kept for ever once the job is over."""
+        return {"status": status, "done": done}
--- /dev/null
+++ b/ashtray/jobs/service.py
@@ -0,0 +1,173 @@
+"""The users' requests: submissions, polls and cancellations."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from ashtray.jobs.messages import Malformed, parse_submission, state_body
+from ashtray.jobs.model import LIVE, OVER, JobRecord, JobSpec
+from ashtray.kernel import SECOND_US, Call, Fiber, Reply
+from ashtray.store.client import Txn, Urgency
+from ashtray.teams.limits import can_ever_run
+
+if TYPE_CHECKING:
+    from ashtray.controller import Controller
+
+MAX_OVER = 20_000
+MAX_BACKLOG = 150
+
+
+class JobDesk:
+    def __init__(self, ctl: Controller) -> None:
+        self.ctl = ctl
+        self.kernel = ctl.kernel
+        self._over: dict[str, Any] = {}
+        """Final states read lately; they never change."""
+        self.waiting = 0
+
+    def _busy(self, request_id: int) -> bool:
+        if self.ctl.store.backlog() < MAX_BACKLOG:
+            return False
+        self.kernel.answer(request_id, 429, {"error": "too much to do"}, 2)
+        return True
+
+    def _unready(self, request_id: int, handed: bool, method: str, path: str, body: Any) -> bool:
+        """Without the state service: hand on to a peer that has it, or say when to come back."""
+        follower = self.ctl.follower
+        if follower.loaded and follower.failed_since_us is None and self.ctl.presence.incarnation:
+            return False
+        peer = None if handed else self.ctl.presence.better_connected()
+        if peer is None:
+            self.kernel.answer(request_id, 503, {"error": "the state service does not answer"}, 1)
+        else:
+            self.kernel.spawn(self._hand_on(request_id, peer, method, path, body))
+        return True
+
+    def _hand_on(self, request_id: int, peer: str, method: str, path: str, body: Any) -> Fiber[None]:
+        address = self.ctl.peers.peers[peer].address
+        request = {"method": method, "path": path, "body": body}
+        reply: Reply = yield Call(address, "POST", "/peer/request", request, 1_800_000)
+        if reply.status in (200, 201, 400, 404, 422):
+            self.kernel.answer(request_id, reply.status, reply.body)
+        else:
+            self.kernel.answer(request_id, 503, {"error": "the state service does not answer"}, 1)
+
+    def submit(self, request_id: int, body: Any, handed: bool = False) -> None:
+        try:
+            job_id, spec = parse_submission(body)
+        except Malformed as error:
+            self.kernel.answer(request_id, 400, {"error": str(error)})
+            return
+        if not self._unready(request_id, handed, "POST", "/submissions", body) and not self._busy(request_id):
+            self.kernel.spawn(self._submit(request_id, job_id, spec))
+
+    def refusal(self, spec: JobSpec) -> str | None:
+        """Why a job can never run, if so."""
+        team = self.ctl.teams.get(spec.team)
+        if team is None:
+            return f"unknown team {spec.team}"
+        if not can_ever_run(team, spec):
+            return f"over the limit of team {spec.team}"
+        zones = set(self.ctl.settings.cluster.zones)
+        for kind in self.ctl.picture.types.values():
+            allowed = not spec.types or kind.name in spec.types
+            there = spec.zone is None or spec.zone in kind.zones or (not kind.zones and spec.zone in zones)
+            if allowed and there and kind.fits(spec.cpus, spec.gpus, spec.memory_gb):
+                return None
+        return "no allowed machine type fits a task"
+
+    def _submit(self, request_id: int, job_id: str, spec: JobSpec) -> Fiber[None]:
+        ctl = self.ctl
+        reason = self.refusal(spec) if ctl.picture.types else "types"
+        if reason is not None:
+            # A job that is known already gets its state, whatever would be said of it now.
+            status, body = yield from self._look_up(job_id)
+            if status == 404 and ctl.picture.types:
+                self.kernel.answer(request_id, 422, {"error": reason})
+            elif status == 404:
+                self.kernel.answer(request_id, 503, {"error": "the machine types are not known yet"}, 1)
+            else:
+                self._answer(request_id, status, body)
+            return
+        record = JobRecord(spec, ctl.settings.host_name, self.kernel.wall_us)
+        txn = Txn().guard(LIVE + job_id, 0).guard(OVER + job_id, 0)
+        txn.put(LIVE + job_id, msgspec.to_builtins(record))
+        reply = yield from ctl.store.commit(txn, Urgency.ACCEPT)
+        if reply.status == 200:
+            ctl.picture.put(LIVE + job_id, txn.puts[LIVE + job_id], reply.body["ledger"])
+            what = f"{spec.kind} of {spec.tasks}, {spec.job_class}, {spec.team}"
+            self.kernel.log("info", f"{job_id} accepted ({what})")
+            self.kernel.answer(request_id, 201, state_body(job_id, "pending"))
+            ctl.placer.changed()
+        elif reply.status == 409:
+            status, body = yield from self._look_up(job_id)
+            self._answer(request_id, status if status != 404 else 503, body)
+        else:
+            # It may have been accepted all the same: the retry will find out.
+            self._answer(request_id, 429 if reply.status == 429 else 503, {"error": "not accepted yet"})
+
+    def _answer(self, request_id: int, status: int, body: Any) -> None:
+        self.kernel.answer(request_id, status, body, 1 if status in (429, 503) else None)
+
+    def _look_up(self, job_id: str) -> Fiber[tuple[int, Any]]:
+        """A job's state as of a moment after the question came."""
+        over = self._over.get(job_id)
+        if over is None:
+            if not (yield from self.ctl.follower.barrier()):
+                return 503, {"error": "the state service does not answer"}
+            job = self.ctl.picture.jobs.get(job_id)
+            if job is not None:
+                running = len(self.ctl.picture.placed(job_id))
+                status = "running" if running else "pending"
+                return 200, state_body(job_id, status, len(job.finished), running)
+            reply = yield from self.ctl.store.read(OVER + job_id)
+            if reply.status == 404:
+                return 404, {"error": "no such job"}
+            if reply.status != 200:
+                return 503, {"error": "the state service does not answer"}
+            over = reply.body["value"]
+            if len(self._over) >= MAX_OVER:
+                del self._over[next(iter(self._over))]
+            self._over[job_id] = over
+        return 200, state_body(job_id, over["status"], over["done"], 0)
+
+    def poll(self, request_id: int, job_id: str, handed: bool = False) -> None:
+        if job_id in self._over:
+            over = self._over[job_id]
+            self.kernel.answer(request_id, 200, state_body(job_id, over["status"], over["done"], 0))
+        elif not self._unready(request_id, handed, "GET", f"/submissions/{job_id}", None):
+            self.kernel.spawn(self._poll(request_id, job_id))
+
+    def _poll(self, request_id: int, job_id: str) -> Fiber[None]:
+        status, body = yield from self._look_up(job_id)
+        self._answer(request_id, status, body)
+
+    def abort(self, request_id: int, job_id: str, handed: bool = False) -> None:
+        if not self._unready(request_id, handed, "POST", f"/submissions/{job_id}/abort", None):
+            self.kernel.spawn(self._abort(request_id, job_id))
+
+    def _abort(self, request_id: int, job_id: str) -> Fiber[None]:
+        deadline_us = self.kernel.now_us + 3 * SECOND_US
+        while self.kernel.now_us < deadline_us:
+            status, body = yield from self._look_up(job_id)
+            if status != 200 or body["status"] in ("done", "cancelled"):
+                break
+            job = self.ctl.picture.jobs.get(job_id)
+            if job is None:
+                continue
+            txn = Txn().guard(LIVE + job_id, job.version).remove(LIVE + job_id)
+            txn.put(OVER + job_id, job.over("cancelled", len(job.finished)))
+            if (yield from self.ctl.follower.commit(txn, Urgency.CANCEL)):
+                self.kernel.log("info", f"{job_id} cancelled")
+                self.kernel.answer(request_id, 200, state_body(job_id, "cancelled"))
+                self.ctl.peers.hint()
+                return
+        else:
+            status, body = 503, {"error": "not cancelled yet"}
+        if status == 200:
+            body = state_body(job_id, body["status"])
+        self._answer(request_id, status, body)
+
+
--- /dev/null
+++ b/ashtray/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The other controllers: presence, steering and handing on."""
--- /dev/null
+++ b/ashtray/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement: the picture, the ordered rules, commits and the queue."""
--- /dev/null
+++ b/ashtray/placement/placer.py
@@ -0,0 +1,163 @@
+"""The placer: gives this controller's jobs their places, one conditional transaction each."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ashtray.jobs.model import LIVE, Job
+from ashtray.kernel import SECOND_US, Fiber, Signal, Sleep, Wait
+from ashtray.placement.picture import EPS, TEAM, HoldRecord
+from ashtray.placement.plan import Choice, Plan, queue
+from ashtray.runs import encode_runs
+from ashtray.store.client import Txn, Urgency
+from ashtray.teams.limits import has_limit, tasks_within
+
+if TYPE_CHECKING:
+    from ashtray.controller import Controller
+
+RETRY_US = SECOND_US
+
+
+class Placer:
+    def __init__(self, ctl: Controller) -> None:
+        self.ctl = ctl
+        self.window: deque[bool] = deque(maxlen=ctl.knobs.window)
+        """For the last commits, whether each failed."""
+        self.kick = Signal()
+        self._seen = -1
+
+    def widen(self) -> float:
+        """The chance of a pick among the best few: it rises with conflicts, up to a cap."""
+        if not self.window:
+            return 0.0
+        return min(sum(self.window) / len(self.window), self.ctl.knobs.widen_cap)
+
+    def run(self) -> Fiber[None]:
+        while True:
+            yield Wait(self.kick, RETRY_US)
+            if self.ctl.follower.loaded and self.ctl.presence.incarnation:
+                self._seen = self.ctl.picture.changes
+                yield from self._round()
+                yield Sleep(20_000)
+
+    def changed(self) -> None:
+        if self.ctl.picture.changes != self._seen:
+            self.ctl.kernel.fire(self.kick)
+
+    def mine(self, job: Job) -> bool:
+        return self.ctl.presence.owner_of(job.id, job.record.owner) == self.ctl.settings.host_name
+
+    def _round(self) -> Fiber[None]:
+        ctl = self.ctl
+        plan = Plan(ctl.picture, ctl.teams, ctl.knobs, ctl.kernel.rng)
+        jobs = queue(ctl.picture, ctl.teams, ctl.kernel.wall_us)
+        while jobs and not self.mine(jobs[-1]):
+            jobs.pop()
+        most = ctl.settings.cluster.state.txn_ops - 2
+        for job in jobs:
+            tasks = plan.wanted(job, ctl.kernel.wall_us)
+            if not tasks:
+                continue
+            mine = self.mine(job)
+            choices = plan.place(job, len(tasks), most, self.widen() if mine else 0.0)
+            if not choices or not mine:
+                continue
+            placed = yield from self._commit(job, tasks, choices)
+            if not placed:
+                # The picture was too late: start anew on the fresh one.
+                ctl.kernel.fire(self.kick)
+                self._seen = -1
+                return
+
+    def _commit(self, job: Job, tasks: list[int], choices: list[Choice]) -> Fiber[bool]:
+        ctl = self.ctl
+        for attempt in range(ctl.knobs.retries):
+            now = ctl.picture.jobs.get(job.id)
+            if now is None or (attempt and now.record.attempt != job.record.attempt):
+                return False
+            txn = self._transaction(now, tasks, choices)
+            if txn is None:
+                return False
+            good = yield from ctl.follower.commit(txn, Urgency.PLACE)
+            self.window.append(not good)
+            if good:
+                where = ", ".join(f"{n} on {room.machine.name}" for room, n in choices)
+                ctl.kernel.log("info", f"{job.id} attempt {now.record.attempt + 1}: {where}")
+                ctl.peers.hint()
+                return True
+            yield Sleep(int(ctl.kernel.rng.uniform(0.0, 0.02) * min(2**attempt, 16) * SECOND_US))
+            if not (yield from ctl.follower.barrier()):
+                return False
+        return False
+
+    def _transaction(self, job: Job, tasks: list[int], choices: list[Choice]) -> Txn | None:
+        """The commit for a choice, checked against the versions that it will be guarded by."""
+        ctl = self.ctl
+        spec = job.spec
+        picture = ctl.picture
+        if any(n in job.finished for n in tasks) or picture.placed(job.id) & set(tasks):
+            return None
+        if spec.kind == "gang" and job.id in picture.held:
+            return None
+        txn = Txn().guard(LIVE + job.id, job.version)
+        team = ctl.teams.get(spec.team)
+        count = sum(n for _, n in choices)
+        if team is not None and has_limit(team):
+            cpus, gpus = picture.team_usage(team.name)
+            if tasks_within(team, cpus, gpus, spec) < count:
+                return None
+            usage = {"cpus": cpus + count * spec.cpus, "gpus": gpus + count * spec.gpus}
+            txn.guard(TEAM + team.name, picture.version(TEAM + team.name)).put(TEAM + team.name, usage)
+        zones: dict[str, int] = {}
+        for (name, _), hold in picture.held.get(job.id, {}).items():
+            zones[picture.machines[name].zone] = zones.get(picture.machines[name].zone, 0) + len(hold.tasks)
+        left = list(tasks)
+        records = {}
+        for room, n in choices:
+            machine = picture.machines.get(room.machine.name)
+            if machine is None or machine.record.retiring:
+                return None
+            kind = room.type
+            if (
+                machine.cpus + n * spec.cpus > kind.cpus + EPS
+                or machine.gpus + n * spec.gpus > kind.gpus + EPS
+                or machine.memory_gb + n * spec.memory_gb > kind.memory_gb + EPS
+            ):
+                return None
+            zones[machine.zone] = zones.get(machine.zone, 0) + n
+            group = picture.groups[machine.group]
+            if group.key not in records:
+                records[group.key] = group.copy()
+                txn.guard(group.key, group.version)
+            record = records[group.key].machines[machine.name]
+            record.holds.append(
+                HoldRecord(
+                    job.id, job.record.attempt + 1, encode_runs(left[:n]), spec.team, spec.cpus, spec.gpus,
+                    spec.memory_gb, ctl.kernel.wall_us,
+                )  # fmt: skip
+            )
+            del left[:n]
+            record.images = cached(record.images, spec.image, spec.image_gb, kind.cache_gb)
+        if spec.same_zone and len(zones) > 1:
+            return None
+        if spec.spread and max(zones.values()) > (spec.tasks + 1) // 2:
+            return None
+        txn.put(LIVE + job.id, job.value(attempt=job.record.attempt + 1))
+        for key, changed in records.items():
+            txn.put(key, msgspec.to_builtins(changed))
+        limit = ctl.settings.cluster.state.value_kb * 1024 * 0.95
+        if any(len(msgspec.json.encode(value)) > limit for value in txn.puts.values()):
+            ctl.kernel.log("error", f"{job.id}: a record would grow over its limit")
+            return None
+        return txn
+
+
+def cached(images: list[tuple[str, float]], image: str, size: float, cache_gb: float) -> list[tuple[str, float]]:
+    """A machine's cached images after it has used one, the latest last."""
+    kept = [*(entry for entry in images if entry[0] != image), (image, size)]
+    while len(kept) > 1 and sum(gb for _, gb in kept) > cache_gb:
+        kept.pop(0)
+    return kept
--- /dev/null
+++ b/ashtray/placement/rules.py
@@ -0,0 +1,155 @@
+"""The ordered rules: validators drop machines, preferences rank what is left.  Lower scores are better."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ashtray.config.operators import Knobs
+from ashtray.jobs.model import JobSpec
+from ashtray.placement.picture import EPS, Machine, MachineType
+
+
+@dataclass(slots=True)
+class Room:
+    """A machine with the room that is left on it in the plan being made."""
+
+    machine: Machine
+    type: MachineType
+    cpus: float
+    gpus: float
+    memory_gb: float
+
+    def fits(self, spec: JobSpec) -> int:
+        """How many tasks of a job fit."""
+        count = spec.tasks
+        if spec.cpus > 0:
+            count = min(count, int((self.cpus + EPS) // spec.cpus))
+        if spec.gpus > 0:
+            count = min(count, int((self.gpus + EPS) // spec.gpus))
+        if spec.memory_gb > 0:
+            count = min(count, int((self.memory_gb + EPS) // spec.memory_gb))
+        return count
+
+    def take(self, spec: JobSpec, count: int) -> None:
+        self.cpus -= count * spec.cpus
+        self.gpus -= count * spec.gpus
+        self.memory_gb -= count * spec.memory_gb
+
+
+@dataclass(slots=True)
+class Ask:
+    """One job's wish for a machine, with what its other tasks already settle."""
+
+    spec: JobSpec
+    zone: str | None = None
+    """The zone that its tasks must share, when one of them has a place."""
+    zone_room: dict[str, int] | None = None
+    """With `spread`: how many more of its tasks each zone may take; others take `spread_most`."""
+    spread_most: int = 0
+    avoid: set[str] = field(default_factory=set)
+    scarcity: tuple[float, float, float] = (1.0, 1.0, 1.0)
+
+    def zone_allows(self, zone: str) -> int:
+        if self.zone_room is None:
+            return self.spec.tasks
+        return self.zone_room.get(zone, self.spread_most)
+
+
+@dataclass(frozen=True, slots=True)
+class Validator:
+    name: str
+    reason: str
+    holds: Callable[[Room, Ask], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class Preference:
+    name: str
+    reason: str
+    score: Callable[[Room, Ask, Knobs], float]
+
+
+VALIDATORS = [
+    Validator("staying", "the machine is being returned", lambda r, a: not r.machine.record.retiring),
+    Validator("type", "its type is not allowed", lambda r, a: not a.spec.types or r.type.name in a.spec.types),
+    Validator("zone", "its zone is not allowed", lambda r, a: a.spec.zone in (None, r.machine.zone)),
+    Validator("kind", "the job may not use spot machines", lambda r, a: a.spec.spot or not r.machine.record.spot),
+    Validator("same-zone", "other tasks are in another zone", lambda r, a: a.zone in (None, r.machine.zone)),
+    Validator("spread", "half of the tasks are there", lambda r, a: a.zone_allows(r.machine.zone) > 0),
+    Validator("avoid", "the job failed there", lambda r, a: r.machine.name not in a.avoid),
+    Validator("room", "too little room", lambda r, a: r.fits(a.spec) > 0),
+]
+
+
+def _trust(room: Room, ask: Ask, knobs: Knobs) -> float:
+    return min(room.machine.record.errors, 3)
+
+
+def _image(room: Room, ask: Ask, knobs: Knobs) -> float:
+    if ask.spec.image in room.machine.images or ask.spec.image_gb <= 0:
+        return 0
+    seconds = ask.spec.image_gb / max(room.type.fetch_gb_per_s, 0.001)
+    return math.ceil(min(seconds / 5.0, 6.0))
+
+
+def _scarce(room: Room, ask: Ask, knobs: Knobs) -> float:
+    return 1 if room.type.gpus > 0 and ask.spec.gpus == 0 else 0
+
+
+def _spot(room: Room, ask: Ask, knobs: Knobs) -> float:
+    return 0 if room.machine.record.spot == ask.spec.spot else 1
+
+
+def packing_score(room: Room, ask: Ask) -> float:
+    """Best fit: scarcity times what stays free, scaled to 0..1 by the size of the machine."""
+    left = whole = 0.0
+    for weight, free, need, size in (
+        (ask.scarcity[0], room.cpus, ask.spec.cpus, room.type.cpus),
+        (ask.scarcity[1], room.gpus, ask.spec.gpus, room.type.gpus),
+        (ask.scarcity[2], room.memory_gb, ask.spec.memory_gb, room.type.memory_gb),
+    ):
+        if size > 0:
+            left += weight * max(free - need, 0.0) / size
+            whole += weight
+    return left / whole if whole else 0.0
+
+
+def _packing(room: Room, ask: Ask, knobs: Knobs) -> float:
+    return math.ceil(packing_score(room, ask) * knobs.buckets)
+
+
+PREFERENCES = {
+    rule.name: rule
+    for rule in (
+        Preference("trust", "tasks failed there lately", _trust),
+        Preference("image", "it would have to fetch the image", _image),
+        Preference("scarce", "its GPUs are kept for jobs that need them", _scarce),
+        Preference("spot", "cheap machines are for the jobs that may use them", _spot),
+        Preference("packing", "it would leave more room unused", _packing),
+    )
+}
+
+
+def valid(room: Room, ask: Ask) -> bool:
+    return all(rule.holds(room, ask) for rule in VALIDATORS)
+
+
+def choose(rooms: list[Room], ask: Ask, knobs: Knobs, rng: random.Random, widen: float) -> Room | None:
+    """Filter, rank strictly, and pick a random one of the best, or, seldom, of the best few."""
+    left = [room for room in rooms if valid(room, ask)]
+    if not left:
+        return None
+    rules = [PREFERENCES[name] for name in knobs.rules]
+    if widen > 0 and rng.random() < widen:
+        left.sort(key=lambda room: tuple(rule.score(room, ask, knobs) for rule in rules))
+        return rng.choice(left[: knobs.top])
+    for rule in rules:
+        if len(left) == 1:
+            break
+        scores = [rule.score(room, ask, knobs) for room in left]
+        best = min(scores)
+        left = [room for room, score in zip(left, scores, strict=True) if score <= best]
+    return rng.choice(left)
--- /dev/null
+++ b/ashtray/store/follower.py
@@ -0,0 +1,134 @@
+"""Keeps a picture of everything under one prefix, and proves to callers how fresh it is."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from ashtray.kernel import SECOND_US, Fiber, Kernel, Signal, Sleep, Wait
+from ashtray.store.client import StoreClient, Txn, Urgency
+
+IDLE_US = 200_000
+BUSY_US = 80_000
+
+
+class Mirror(Protocol):
+    """What a follower fills."""
+
+    def clear(self) -> None: ...
+
+    def put(self, key: str, value: Any, version: int) -> None: ...
+
+    def remove(self, key: str, version: int) -> None: ...
+
+
+class Follower:
+    """Reads the prefix once, then asks again and again what has changed since.
+
+    A round that begins after a caller asked is that caller's barrier: whatever was true when it asked is in
+    the picture afterwards.  One round serves all callers that wait.
+    """
+
+    def __init__(
+        self, kernel: Kernel, store: StoreClient, prefix: str, mirror: Mirror, changed: Callable[[], None]
+    ) -> None:
+        self.kernel = kernel
+        self.store = store
+        self.prefix = prefix
+        self.mirror = mirror
+        self.changed = changed
+        self.revision = 0
+        self.loaded = False
+        self.read_us = -(10**15)
+        """When the last round that succeeded began."""
+        self.failed_since_us: int | None = None
+        self._waiters: list[Signal] = []
+        self._kick = Signal()
+
+    def run(self) -> Fiber[None]:
+        while True:
+            waiters, self._waiters = self._waiters, []
+            began_us = self.kernel.now_us
+            good = yield from self._round()
+            if good:
+                self.read_us = began_us
+                if self.failed_since_us is not None:
+                    self.kernel.log("info", "state service answers again")
+                self.failed_since_us = None
+                self.changed()
+            elif self.failed_since_us is None:
+                self.failed_since_us = began_us
+                self.kernel.log("error", "state service does not answer")
+            for signal in waiters:
+                self.kernel.fire(signal, "fresh" if good else "failed")
+            if not good:
+                yield Sleep(int(self.kernel.rng.uniform(0.2, 0.4) * SECOND_US))
+            elif self._waiters:
+                yield Sleep(BUSY_US)
+            else:
+                woken = yield Wait(self._kick, IDLE_US)
+                if woken:
+                    yield Sleep(max(0, BUSY_US - (self.kernel.now_us - began_us)))
+
+    def _round(self) -> Fiber[bool]:
+        if not self.loaded and not (yield from self._load()):
+            return False
+        reply = yield from self.store.follow(self.prefix, self.revision)
+        if reply.status == 410:
+            self.loaded = False
+            return (yield from self._load())
+        if reply.status != 200:
+            return False
+        for change in reply.body["log"]:
+            if "put" in change:
+                self.mirror.put(change["put"], change["value"], change["stamp"])
+            else:
+                self.mirror.remove(change["remove"], change["stamp"])
+        self.revision = max(self.revision, reply.body["ledger"])
+        return True
+
+    def _load(self) -> Fiber[bool]:
+        self.mirror.clear()
+        revision: int | None = None
+        after: str | None = None
+        while True:
+            reply = yield from self.store.page(self.prefix, after)
+            if reply.status != 200:
+                return False
+            # Pages are read one after the other: following on from the first one's revision mends the rest.
+            revision = reply.body["ledger"] if revision is None else revision
+            for item in reply.body["items"]:
+                self.mirror.put(item["k"], item["value"], item["stamp"])
+                after = item["k"]
+            if not reply.body["truncated"] or not reply.body["items"]:
+                break
+        self.revision = revision
+        self.loaded = True
+        return True
+
+    def hint(self) -> None:
+        """Somebody changed something: look soon."""
+        self.kernel.fire(self._kick)
+
+    def barrier(self) -> Fiber[bool]:
+        """Wait for a round that begins after now; False when it fails."""
+        signal = Signal()
+        self._waiters.append(signal)
+        self.kernel.fire(self._kick)
+        outcome = yield Wait(signal, 3 * SECOND_US)
+        return bool(outcome == "fresh")
+
+    def commit(self, txn: Txn, urgency: Urgency) -> Fiber[bool]:
+        """Commit; on success the picture shows it at once.  False: conflict, refusal or outcome unknown."""
+        reply = yield from self.store.commit(txn, urgency)
+        if reply.status != 200:
+            return False
+        version = reply.body["ledger"]
+        for key, value in txn.puts.items():
+            if key.startswith(self.prefix):
+                self.mirror.put(key, value, version)
+        for key in txn.removes:
+            if key.startswith(self.prefix):
+                self.mirror.remove(key, version)
+        self.changed()
+        return True
--- /dev/null
+++ b/ashtray/teams/__init__.py
@@ -0,0 +1,1 @@
+"""Teams: guarantees and limits."""
--- /dev/null
+++ b/ashtray/teams/limits.py
@@ -0,0 +1,40 @@
+"""What a team may use, and what it is guaranteed."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from ashtray.config.settings import Team
+from ashtray.jobs.model import Job, JobSpec
+from ashtray.placement.picture import EPS
+
+
+def has_limit(team: Team) -> bool:
+    return team.cpus_max > 0 or team.gpus_max > 0
+
+
+def tasks_within(team: Team, cpus: float, gpus: float, spec: JobSpec) -> int:
+    """How many more tasks of a job the team's limit allows, with so much in use."""
+    count = spec.tasks
+    for limit, used, need in ((team.cpus_max, cpus, spec.cpus), (team.gpus_max, gpus, spec.gpus)):
+        if limit > 0 and need > 0:
+            count = min(count, int((limit - used + EPS) // need))
+    return max(count, 0)
+
+
+def can_ever_run(team: Team, spec: JobSpec) -> bool:
+    """Whether the job, alone, stays within its team's limit."""
+    return tasks_within(team, 0.0, 0.0, spec) >= (1 if spec.kind == "array" else spec.tasks)
+
+
+def within_guarantee(team: Team, jobs: Iterable[Job]) -> set[str]:
+    """The jobs, given in order of acceptance, that fit into the guarantee together with those before them."""
+    cpus = gpus = 0.0
+    inside: set[str] = set()
+    for job in jobs:
+        left = job.spec.tasks - len(job.finished)
+        cpus += left * job.spec.cpus
+        gpus += left * job.spec.gpus
+        if cpus <= team.cpus + EPS and gpus <= team.gpus + EPS:
+            inside.add(job.id)
+    return inside
--- /dev/null
+++ b/ashtray/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Workers: reports, ownership tokens, orders and folding of freed room."""
--- /dev/null
+++ b/ashtray/workers/messages.py
@@ -0,0 +1,97 @@
+"""The workers' wire: reports in, tokens and orders out."""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+from ashtray.kernel import SECOND_US
+
+U64 = Annotated[int, msgspec.Meta(ge=0)]
+_TASK = re.compile(r"(job-[0-9]{1,60})/([0-9]{1,6})")
+
+
+class PieceState(msgspec.Struct):
+    piece: str
+    attempt: U64 = msgspec.field(name="try")
+    status: Literal["fetching", "waiting", "running", "saving", "ended"]
+    cause: str | None = None
+    stored: bool | None = None
+
+
+class Hello(msgspec.Struct):
+    berth: Annotated[str, msgspec.Meta(min_length=1, max_length=100, pattern="^[!-~]+$")]
+    endpoint: Annotated[str, msgspec.Meta(max_length=100)]
+    hull: Annotated[str, msgspec.Meta(min_length=1, max_length=80, pattern="^[!-~]+$")]
+    yard: Annotated[str, msgspec.Meta(min_length=1, max_length=80, pattern="^[!-~]+$")]
+    loaners: bool
+    shift: U64
+    tick: U64
+    baton: U64
+    pieces: list[PieceState]
+    warning_s: Annotated[float, msgspec.Meta(ge=0)] | None = None
+
+
+class TaskState(msgspec.Struct):
+    """What a worker says of one task."""
+
+    state: str
+    cause: str | None
+
+
+TaskKey = tuple[str, int, int]
+"""Job, attempt and task number."""
+
+
+class Report(msgspec.Struct):
+    machine: str
+    address: str
+    type: str
+    zone: str
+    spot: bool
+    session: int
+    tick: int
+    token: int
+    notice_us: int | None
+    tasks: dict[TaskKey, TaskState]
+
+
+def parse_report(body: Any) -> Report | None:
+    """Check a decoded report; None when it is malformed."""
+    try:
+        hello = msgspec.convert(body, Hello)
+    except msgspec.ValidationError:
+        return None
+    tasks: dict[TaskKey, TaskState] = {}
+    for piece in hello.pieces:
+        match = _TASK.fullmatch(piece.piece)
+        if match is None:
+            return None
+        tasks[(match[1], piece.attempt, int(match[2]))] = TaskState(piece.status, piece.cause)
+    notice = hello.warning_s
+    return Report(
+        hello.berth, hello.endpoint, hello.hull, hello.yard, hello.loaners, hello.shift, hello.tick, hello.baton,
+        None if notice is None else int(min(notice, 1e9) * SECOND_US), tasks,
+    )  # fmt: skip
+
+
+def launch(key: TaskKey) -> dict[str, Any]:
+    return {"verb": "launch", "piece": f"{key[0]}/{key[2]}", "try": key[1]}
+
+
+def kill(key: TaskKey, grace_us: int) -> dict[str, Any]:
+    return {"verb": "kill", "piece": f"{key[0]}/{key[2]}", "try": key[1], "wind_down_s": grace_us / SECOND_US}
+
+
+def clear(key: TaskKey) -> dict[str, Any]:
+    return {"verb": "clear", "piece": f"{key[0]}/{key[2]}", "try": key[1]}
+
+
+def orders_body(token: int, session: int, orders: list[dict[str, Any]]) -> dict[str, Any]:
+    return {"baton": token, "shift": session, "orders": orders}
+
+
+def report_answer(token: int, orders: list[dict[str, Any]]) -> dict[str, Any]:
+    return {"baton": token, "orders": orders}
