--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -28,6 +28,7 @@
         self.teams = {team.name: team for team in settings.cluster.teams}
         self.kernel = Kernel(rng, verbose)
         self.picture = Picture()
+        self._seen = -1
         self.store = StoreClient(self.kernel, settings.services.state, settings.cluster.state, self._sharers)
         self.follower = Follower(self.kernel, self.store, "now/", self.picture, self._changed)
         self.presence = Presence(self)
@@ -42,8 +43,10 @@
         return len(self.presence.live()) if self.follower.loaded else self.settings.cluster.nodes
 
     def _changed(self) -> None:
-        self.placer.changed()
-        self.desk.tend_all()
+        if self.picture.changes != self._seen:
+            self._seen = self.picture.changes
+            self.placer.changed()
+            self.desk.tend_all()
 
     def start(self, now_us: int, wall_us: int) -> list[Output]:
         kernel = self.kernel
--- a/ashtray/daemon/server.py
+++ b/ashtray/daemon/server.py
@@ -80,8 +80,9 @@
         url = URL(f"http://{call.address}{call.path}", encoded=True)
         try:
             async with self.client.request(
-                call.method, url, data=data, headers=_HEADERS if data else None, timeout=timeout, allow_redirects=False
-            ) as response:
+                call.method, url, data=data, headers=_HEADERS if data else None, timeout=timeout,
+                allow_redirects=False,
+            ) as response:  # fmt: skip
                 raw = await response.read()
                 return Reply(response.status, msgspec.msgpack.decode(raw) if raw else None)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -10,7 +10,7 @@
 from ashtray.jobs.model import Job
 from ashtray.kernel import SECOND_US
 from ashtray.placement.picture import Picture
-from ashtray.placement.rules import Ask, Room, choose
+from ashtray.placement.rules import Ask, Room, rank
 from ashtray.teams.limits import tasks_within, within_guarantee
 
 Choice = tuple[Room, int]
@@ -135,18 +135,27 @@
         return team is None or tasks_within(team, *self.usage[team.name], job.spec) >= count
 
     def _choose(self, ask: Ask, count: int, max_groups: int, widen: float) -> list[Choice]:
+        """The best machines, or, seldom, a random one of the best few, until all tasks have room.
+
+        A job's own tasks do not change how the machines that are left rank, so they are ranked once.
+        """
         spec = ask.spec
         zone_room = dict(ask.zone_room) if ask.zone_room is not None else None
-        trial = Ask(spec, ask.zone, zone_room, ask.spread_most, set(ask.avoid), ask.scarcity)
-        rooms = [room for room in self.rooms if room.fits(spec) > 0]
+        trial = Ask(spec, ask.zone, zone_room, ask.spread_most, ask.avoid, ask.scarcity)
+        rooms = rank([room for room in self.rooms if room.fits(spec) > 0], trial, self.knobs, self.rng)
         groups: set[str] = set()
         choices: list[Choice] = []
         while count > 0 and rooms:
-            room = choose(rooms, trial, self.knobs, self.rng, widen)
-            if room is None:
-                break
+            pick = 0
+            if widen > 0 and self.rng.random() < widen:
+                pick = self.rng.randrange(min(self.knobs.top, len(rooms)))
+            room = rooms.pop(pick)
             zone = room.machine.zone
             n = min(count, room.fits(spec), trial.zone_allows(zone))
+            if n <= 0 or trial.zone not in (None, zone):
+                continue
+            if room.machine.group not in groups and len(groups) >= max_groups:
+                continue
             choices.append((room, n))
             count -= n
             groups.add(room.machine.group)
@@ -154,9 +163,6 @@
                 trial.zone = zone
             if trial.zone_room is not None:
                 trial.zone_room[zone] = trial.zone_allows(zone) - n
-            rooms.remove(room)
-            if len(groups) >= max_groups:
-                rooms = [r for r in rooms if r.machine.group in groups]
         return choices
 
     def take(self, job: Job, choices: Iterable[Choice]) -> None:
--- a/ashtray/placement/rules.py
+++ b/ashtray/placement/rules.py
@@ -137,19 +137,10 @@
     return all(rule.holds(room, ask) for rule in VALIDATORS)
 
 
-def choose(rooms: list[Room], ask: Ask, knobs: Knobs, rng: random.Random, widen: float) -> Room | None:
-    """Filter, rank strictly, and pick a random one of the best, or, seldom, of the best few."""
-    left = [room for room in rooms if valid(room, ask)]
-    if not left:
-        return None
+def rank(rooms: list[Room], ask: Ask, knobs: Knobs, rng: random.Random) -> list[Room]:
+    """Filter, then rank strictly; among equals the order is random."""
     rules = [PREFERENCES[name] for name in knobs.rules]
-    if widen > 0 and rng.random() < widen:
-        left.sort(key=lambda room: tuple(rule.score(room, ask, knobs) for rule in rules))
-        return rng.choice(left[: knobs.top])
-    for rule in rules:
-        if len(left) == 1:
-            break
-        scores = [rule.score(room, ask, knobs) for room in left]
-        best = min(scores)
-        left = [room for room, score in zip(left, scores, strict=True) if score <= best]
-    return rng.choice(left)
+    left = [room for room in rooms if valid(room, ask)]
+    rng.shuffle(left)
+    left.sort(key=lambda room: tuple(rule.score(room, ask, knobs) for rule in rules))
+    return left
--- /dev/null
+++ b/tests/test_formats.py
@@ -0,0 +1,130 @@
+"""Formats: runs of task numbers, submissions, reports, settings."""
+
+import math
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ashtray.config.settings import SettingsError, load_settings
+from ashtray.jobs.messages import Malformed, parse_submission
+from ashtray.jobs.model import Job, JobRecord
+from ashtray.runs import decode_runs, encode_runs
+from ashtray.workers.messages import parse_report
+
+SUBMISSION = {
+    "name_id": "job-1", "lane": "train", "crew": "vision", "shape": "gang", "urgency": "urgent", "pieces": 16,
+    "cpus": 8.0, "cards": 1.0, "memory_gb": 64.0, "bundle": "img", "image_gb": 6.2, "hulls": ["g8"], "yard": None,
+    "same_place": True, "spread": False, "loaners": True, "expect_s": 240.0, "snapshot_every_s": 30.0,
+    "snapshot_cost_s": 4.0, "due_s": 900.0,
+}  # fmt: skip
+REPORT = {
+    "berth": "vm-1", "endpoint": "10.0.0.9:9000", "hull": "g8", "yard": "a", "loaners": True, "shift": 1, "tick": 8,
+    "baton": 41, "warning_s": None,
+    "pieces": [{"piece": "job-4/3", "try": 2, "status": "running"},
+               {"piece": "job-3/0", "try": 1, "status": "ended", "cause": "done"}],
+}  # fmt: skip
+JUNK = st.none() | st.booleans() | st.text(max_size=5) | st.lists(st.integers(), max_size=2) | st.floats()
+
+
+@given(st.sets(st.integers(0, 99_999), max_size=200))
+def test_runs_come_back(numbers):
+    assert decode_runs(encode_runs(numbers)) == numbers
+
+
+def test_a_submission_is_read():
+    job_id, spec = parse_submission(SUBMISSION)
+    assert (job_id, spec.kind, spec.priority, spec.save_us) == ("job-1", "gang", 1, 4_000_000)
+    record = JobRecord(spec, "berth-0", 5)
+    assert Job(job_id, msgspec.to_builtins(record), 1).record == record
+
+
+@given(st.sampled_from(sorted(SUBMISSION)), JUNK)
+def test_a_submission_with_one_odd_field_is_refused_or_understood(field, junk):
+    try:
+        job_id, spec = parse_submission({**SUBMISSION, field: junk})
+    except Malformed as error:
+        assert str(error)
+    else:
+        assert spec.tasks >= 1
+        assert all(math.isfinite(n) and n >= 0 for n in (spec.cpus, spec.gpus, spec.memory_gb, spec.image_gb))
+
+
+@pytest.mark.parametrize("field", sorted(set(SUBMISSION) - {"hulls", "yard", "due_s"}))
+def test_a_submission_without_a_field_is_refused(field):
+    with pytest.raises(Malformed, match=field):
+        parse_submission({k: v for k, v in SUBMISSION.items() if k != field})
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [("pieces", 0), ("pieces", 100_001), ("pieces", 2.0), ("cpus", -1.0), ("cpus", math.nan), ("cards", math.inf),
+     ("shape", "ring"), ("urgency", "now"), ("name_id", "job-"), ("name_id", "job-1x"), ("due_s", -1.0)],
+)  # fmt: skip
+def test_invalid_fields_are_refused(field, value):
+    with pytest.raises(Malformed):
+        parse_submission({**SUBMISSION, field: value})
+
+
+def test_a_report_is_read():
+    report = parse_report(REPORT)
+    assert report is not None
+    assert report.tasks[("job-4", 2, 3)].state == "running"
+    assert report.tasks[("job-3", 1, 0)].cause == "done"
+
+
+@given(st.sampled_from(sorted(REPORT)), JUNK)
+def test_a_report_with_one_odd_field_is_refused_or_understood(field, junk):
+    report = parse_report({**REPORT, field: junk})
+    assert report is None or isinstance(report.tasks, dict)
+
+
+SETTINGS = """
+host_name = "berth-0"
+api_addr = "10.0.0.1:8080"
+cluster_listen = "10.0.0.1:8081"
+future = 1
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[cluster]
+zones = ["a"]
+[cluster.workers]
+report_s = 2.5
+lease_s = 18.0
+gang_wait_s = 35.0
+gang_peer_s = 4.0
+cancel_s = 43.0
+[cluster.state]
+rps = 100.0
+write_rps = 25.0
+value_kb = 32.0
+txn_ops = 16
+[cluster.cloud]
+rps = 5.0
+list_lag_s = 3.0
+"""
+
+
+def test_settings_are_read(tmp_path: Path):
+    file = tmp_path / "s.toml"
+    file.write_text(SETTINGS)
+    assert load_settings(str(file)).cluster.workers.lease_s == 18.0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [('host_name = "berth-0"', "", "host_name"), ("lease_s = 18.0", 'lease_s = "x"', "cluster.workers.lease_s"),
+     ("lease_s = 18.0", "", "cluster.workers.lease_s"), ("10.2.0.1:2379", "nowhere", "services.state"),
+     ("[services]", "[services", "not TOML"), ("rps = 100.0", "rps = -1.0", "cluster.state.rps")],
+)  # fmt: skip
+def test_settings_that_cannot_be_used_name_file_and_field(tmp_path: Path, old: str, new: str, named: str):
+    file = tmp_path / "s.toml"
+    file.write_text(SETTINGS.replace(old, new))
+    with pytest.raises(SettingsError) as caught:
+        load_settings(str(file))
+    assert str(file) in str(caught.value)
+    assert named in str(caught.value)
+    assert "\n" not in str(caught.value)
