Build transactions only when their budget is there; share the change budget by need

Now one fold covers all dirty groups, transactions are built when admitted, reads and changes wait apart, and shares follow need.

--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -29,7 +29,7 @@
         self.kernel = Kernel(rng, verbose)
         self.picture = Picture()
         self._seen = -1
-        self.store = StoreClient(self.kernel, settings.services.state, settings.cluster.state, self._sharers)
+        self.store = StoreClient(self.kernel, settings.services.state, settings.cluster.state)
         self.follower = Follower(self.kernel, self.store, "now/", self.picture, self._changed)
         self.presence = Presence(self)
         self.peers = Peers(self)
@@ -38,10 +38,6 @@
         self.placer = Placer(self)
         self.runner = Runner(self)
 
-    def _sharers(self) -> int:
-        # Until the picture is read, assume that everybody is there.
-        return len(self.presence.live()) if self.follower.loaded else self.settings.cluster.nodes
-
     def _changed(self) -> None:
         if self.picture.changes != self._seen:
             self._seen = self.picture.changes
@@ -51,13 +47,14 @@
     def start(self, now_us: int, wall_us: int) -> list[Output]:
         kernel = self.kernel
         kernel.advance(now_us, wall_us)
-        for bucket in (self.store.requests, self.store.changes, self.runner.bucket):
+        for bucket in (self.store.requests.bucket, self.store.changes.bucket, self.runner.bucket):
             bucket.at_us = kernel.now_us
         kernel.spawn(self.follower.run())
         kernel.spawn(self.presence.run())
         kernel.spawn(self.placer.run())
         for peer in self.peers.peers.values():
             kernel.spawn(self.peers.run(peer))
+        kernel.forever(self.peers.budget, SECOND_US)
         kernel.forever(self.runner.round, ROUND_US)
         kernel.forever(self.desk.sweep, 20 * SECOND_US)
         return kernel.run()
--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -93,9 +94,9 @@
             return
         self._types_us = self.kernel.now_us
         if types != picture.types:
-            txn = Txn().guard(TYPES, picture.version(TYPES))
-            txn.put(TYPES, {name: msgspec.to_builtins(kind) for name, kind in types.items()})
-            yield from self.ctl.follower.commit(txn, Urgency.BOOKKEEPING)
+            value = {name: msgspec.to_builtins(kind) for name, kind in types.items()}
+            txn = Txn().guard(TYPES, picture.version(TYPES)).put(TYPES, value)
+            yield from self.ctl.follower.commit(lambda: txn, 1, Urgency.BOOKKEEPING)
 
     # Who runs the fleet
 
@@ -113,7 +114,7 @@
         if not mine:
             txn = Txn().guard(FLEET, 0)
             txn.put(FLEET, {"host": self.ctl.settings.host_name, "incarnation": presence.incarnation}, lease)
-            mine = yield from self.ctl.follower.commit(txn, Urgency.BOOKKEEPING)
+            mine = bool((yield from self.ctl.follower.commit(lambda: txn, 1, Urgency.BOOKKEEPING)))
         if mine and not self.running:
             self.running = True
             self.started_us = self.kernel.now_us
@@ -225,21 +226,25 @@
 
     def _retire(self, name: str) -> Fiber[None]:
         """Mark a machine as being returned, so that nobody places on it any more."""
-        picture = self.ctl.picture
-        machine = picture.machines.get(name)
+        machine = self.ctl.picture.machines.get(name)
         if machine is None:
             return
+        idle = not machine.holds
         if not machine.record.retiring:
-            group = picture.groups[machine.group]
-            idle = not machine.holds
-            record = group.copy()
-            record.machines[name].retiring = True
-            txn = Txn().guard(group.key, group.version).put(group.key, msgspec.to_builtins(record))
-            if not (yield from self.ctl.follower.commit(txn, Urgency.BOOKKEEPING)):
+            if not (yield from self.ctl.follower.commit(partial(self._retirement, name, idle), 1, Urgency.PLACE)):
                 return
             self.kernel.log("info", f"{name} is to be returned{' (idle)' if idle else ''}")
         self._ending.add(name)
 
+    def _retirement(self, name: str, idle: bool) -> Txn | None:
+        machine = self.ctl.picture.machines.get(name)
+        if machine is None or machine.record.retiring or (idle and machine.holds):
+            return None
+        group = self.ctl.picture.groups[machine.group]
+        record = group.copy()
+        record.machines[name].retiring = True
+        return Txn().guard(group.key, group.version).put(group.key, msgspec.to_builtins(record))
+
     def _finish(self) -> Fiber[None]:
         """Delete what is to end; when the cloud has said yes, free what was on it."""
         names = sorted(self._ending)[:100]
@@ -270,7 +275,18 @@
             # Adopted after it was marked: it is gone all the same, but placing must stop first.
             yield from self._retire(name)
             return False
-        group = picture.groups[machine.group]
+        good = yield from self.ctl.follower.commit(partial(self._removal, name), 3, Urgency.FREE)
+        if good:
+            self.known_since.pop(name, None)
+            self.kernel.log("info", f"{name} is gone")
+            self.ctl.peers.hint()
+        return bool(good)
+
+    def _removal(self, name: str) -> Txn | None:
+        machine = self.ctl.picture.machines.get(name)
+        if machine is None or not machine.record.retiring:
+            return None
+        group = self.ctl.picture.groups[machine.group]
         record = group.copy()
         del record.machines[name]
         txn = Txn().guard(group.key, group.version)
@@ -281,12 +297,7 @@
         txn.remove(MEMBER + name)
         for job, attempt in self._broken_gangs(machine):
             txn.guard(LIVE + job.id, job.version).put(LIVE + job.id, job.value(broken=attempt))
-        good = yield from self.ctl.follower.commit(txn, Urgency.FREE)
-        if good:
-            self.known_since.pop(name, None)
-            self.kernel.log("info", f"{name} is gone")
-            self.ctl.peers.hint()
-        return bool(good)
+        return txn
 
     def _broken_gangs(self, machine: Machine) -> list[tuple[Job, int]]:
         broken = []
--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -92,11 +93,11 @@
                 self._answer(request_id, status, body)
             return
         record = JobRecord(spec, ctl.settings.host_name, self.kernel.wall_us)
-        txn = Txn().guard(LIVE + job_id, 0).guard(OVER + job_id, 0)
-        txn.put(LIVE + job_id, msgspec.to_builtins(record))
-        reply = yield from ctl.store.commit(txn, Urgency.ACCEPT)
+        value = msgspec.to_builtins(record)
+        txn = Txn().guard(LIVE + job_id, 0).guard(OVER + job_id, 0).put(LIVE + job_id, value)
+        _, reply = yield from ctl.store.commit(lambda: txn, 1, Urgency.ACCEPT)
         if reply.status == 200:
-            ctl.picture.put(LIVE + job_id, txn.puts[LIVE + job_id], reply.body["ledger"])
+            ctl.picture.put(LIVE + job_id, value, reply.body["ledger"])
             what = f"{spec.kind} of {spec.tasks}, {spec.job_class}, {spec.team}"
             self.kernel.log("info", f"{job_id} accepted ({what})")
             self.kernel.answer(request_id, 201, state_body(job_id, "pending"))
@@ -148,18 +149,20 @@
         if not self._unready(request_id, handed, "POST", f"/submissions/{job_id}/abort", None):
             self.kernel.spawn(self._abort(request_id, job_id))
 
+    def _cancellation(self, job_id: str) -> Txn | None:
+        job = self.ctl.picture.jobs.get(job_id)
+        if job is None:
+            return None
+        txn = Txn().guard(LIVE + job_id, job.version).remove(LIVE + job_id)
+        return txn.put(OVER + job_id, job.over("cancelled", len(job.finished)))
+
     def _abort(self, request_id: int, job_id: str) -> Fiber[None]:
         deadline_us = self.kernel.now_us + 3 * SECOND_US
         while self.kernel.now_us < deadline_us:
             status, body = yield from self._look_up(job_id)
             if status != 200 or body["status"] in ("done", "cancelled"):
                 break
-            job = self.ctl.picture.jobs.get(job_id)
-            if job is None:
-                continue
-            txn = Txn().guard(LIVE + job_id, job.version).remove(LIVE + job_id)
-            txn.put(OVER + job_id, job.over("cancelled", len(job.finished)))
-            if (yield from self.ctl.follower.commit(txn, Urgency.CANCEL)):
+            if (yield from self.ctl.follower.commit(partial(self._cancellation, job_id), 2, Urgency.CANCEL)):
                 self.kernel.log("info", f"{job_id} cancelled")
                 self.kernel.answer(request_id, 200, state_body(job_id, "cancelled"))
                 self.ctl.peers.hint()
--- a/ashtray/peers/presence.py
+++ b/ashtray/peers/presence.py
@@ -4,6 +4,7 @@
 
 import hashlib
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Sleep
@@ -40,8 +41,9 @@
                 reply: Reply = yield from ctl.store.open_lease(LEASE_US)
                 if reply.status == 200:
                     lease = reply.body["permit"]
-                    txn = Txn().put(key, {"host": ctl.settings.host_name}, lease)
-                    reply = yield from ctl.store.commit(txn, Urgency.KEEP_ALIVE)
+                    host = {"host": ctl.settings.host_name}
+                    sign_in = partial(Txn().put, key, host, lease)
+                    _, reply = yield from ctl.store.commit(sign_in, 1, Urgency.KEEP_ALIVE)
                     if reply.status == 200:
                         self.lease = lease
                         if not self.incarnation:
@@ -84,6 +86,8 @@
     address: str
     word_us: int = -(10**15)
     state_age_us: int = 10**15
+    need: float = 0.0
+    """Changes a second that it would like to make."""
     heard: dict[str, int] = field(default_factory=dict)
     """When it last heard each worker, in this controller's time."""
 
@@ -95,6 +99,8 @@
         self.ctl = ctl
         self.peers = {p.host_name: PeerState(p.host_name, p.peer_addr) for p in ctl.settings.others}
         self._hinted = False
+        self._used = 0
+        self._need = 0.0
 
     def run(self, peer: PeerState) -> Fiber[None]:
         while True:
@@ -106,9 +112,28 @@
         return {
             "host": ctl.settings.host_name,
             "state_age_us": min(ctl.kernel.now_us - ctl.follower.read_us, 10**15),
+            "need": self._need,
             "heard": ctl.desk.heard(),
         }
 
+    def budget(self) -> Fiber[None]:
+        """Share the state service's budgets with the other live controllers, the changes by need."""
+        ctl = self.ctl
+        used, self._used = ctl.store.used - self._used, ctl.store.used
+        self._need = 0.6 * self._need + 0.4 * (used + 2 * len(ctl.store.changes.waiting))
+        if not ctl.follower.loaded:
+            # Until the picture is read, assume that everybody is there.
+            each = 1 / max(ctl.settings.cluster.nodes, 1)
+            ctl.store.share(each, each)
+            return
+        live = ctl.presence.live()
+        floor = 0.15 * ctl.settings.cluster.state.write_rps
+        needs = [max(self.peers[host].need, floor) for host in live if host in self.peers]
+        mine = max(self._need, floor)
+        ctl.store.share(1 / len(live), mine / (mine + sum(needs)))
+        return
+        yield
+
     def _send(self, peer: PeerState, body: Any) -> Fiber[Reply]:
         reply: Reply = yield Call(peer.address, "POST", "/peer/word", body, SECOND_US)
         return reply
@@ -137,6 +162,7 @@
         else:
             peer.word_us = kernel.now_us
             peer.state_age_us = int(body.get("state_age_us", 10**15))
+            peer.need = float(body.get("need", 0.0))
             peer.heard = {str(name): kernel.now_us - int(age) for name, age in body.get("heard", {}).items()}
         kernel.answer(request_id, 200, {})
 
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -18,7 +19,8 @@
 if TYPE_CHECKING:
     from ashtray.controller import Controller
 
-RETRY_US = SECOND_US
+RETRY_US = SECOND_US // 2
+PARTIAL_US = 800_000
 
 
 class Placer:
@@ -28,6 +30,7 @@
         """For the last commits, whether each failed."""
         self.kick = Signal()
         self._seen = -1
+        self._partial_us: dict[str, int] = {}
 
     def widen(self) -> float:
         """The chance of a pick among the best few: it rises with conflicts, up to a cap."""
@@ -56,6 +59,7 @@
         jobs = queue(ctl.picture, ctl.teams, ctl.kernel.wall_us)
         while jobs and not self.mine(jobs[-1]):
             jobs.pop()
+        self._partial_us = {j: at for j, at in self._partial_us.items() if j in ctl.picture.jobs}
         most = ctl.settings.cluster.state.txn_ops - 2
         for job in jobs:
             tasks = plan.wanted(job, ctl.kernel.wall_us)
@@ -65,6 +69,11 @@
             choices = plan.place(job, len(tasks), most, self.widen() if mine else 0.0)
             if not choices or not mine:
                 continue
+            if sum(n for _, n in choices) < len(tasks):
+                # Room for a few of many tasks: several such commits are made one, for each costs changes.
+                if ctl.kernel.now_us - self._partial_us.get(job.id, 0) < PARTIAL_US:
+                    continue
+                self._partial_us[job.id] = ctl.kernel.now_us
             placed = yield from self._commit(job, tasks, choices)
             if not placed:
                 # The picture was too late: start anew on the fresh one.
@@ -74,18 +83,16 @@
 
     def _commit(self, job: Job, tasks: list[int], choices: list[Choice]) -> Fiber[bool]:
         ctl = self.ctl
+        changes = 2 + len({room.machine.group for room, _ in choices})
         for attempt in range(ctl.knobs.retries):
-            now = ctl.picture.jobs.get(job.id)
-            if now is None or (attempt and now.record.attempt != job.record.attempt):
+            build = partial(self._transaction, job, tasks, choices)
+            good = yield from ctl.follower.commit(build, changes, Urgency.PLACE)
+            if good is None:
                 return False
-            txn = self._transaction(now, tasks, choices)
-            if txn is None:
-                return False
-            good = yield from ctl.follower.commit(txn, Urgency.PLACE)
             self.window.append(not good)
             if good:
                 where = ", ".join(f"{n} on {room.machine.name}" for room, n in choices)
-                ctl.kernel.log("info", f"{job.id} attempt {now.record.attempt + 1}: {where}")
+                ctl.kernel.log("info", f"{job.id} attempt {job.record.attempt + 1}: {where}")
                 ctl.peers.hint()
                 return True
             yield Sleep(int(ctl.kernel.rng.uniform(0.0, 0.02) * min(2**attempt, 16) * SECOND_US))
@@ -93,9 +100,12 @@
                 return False
         return False
 
-    def _transaction(self, job: Job, tasks: list[int], choices: list[Choice]) -> Txn | None:
+    def _transaction(self, planned: Job, tasks: list[int], choices: list[Choice]) -> Txn | None:
         """The commit for a choice, checked against the versions that it will be guarded by."""
         ctl = self.ctl
+        job = ctl.picture.jobs.get(planned.id)
+        if job is None or job.record.attempt != planned.record.attempt:
+            return None
         spec = job.spec
         picture = ctl.picture
         if any(n in job.finished for n in tasks) or picture.placed(job.id) & set(tasks):
--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -20,8 +20,8 @@
 
     KEEP_ALIVE = 0
     CANCEL = 1
-    FREE = 2
-    ACCEPT = 3
+    ACCEPT = 2
+    FREE = 3
     PLACE = 4
     BOOKKEEPING = 5
 
@@ -48,81 +48,92 @@
         return int(max(short, 0.0) / self.rate * SECOND_US) + 1000
 
 
-class StoreClient:
-    """One controller's way to the state service."""
+class Lane:
+    """Requests of one sort that wait for their budget, the most urgent first."""
 
-    def __init__(
-        self, kernel: Kernel, address: str, limits: StateLimits, sharers: Callable[[], int], headroom: float = 0.9
-    ) -> None:
+    def __init__(self, kernel: Kernel, bucket: Bucket) -> None:
         self.kernel = kernel
-        self.address = address
-        self.limits = limits
-        self.sharers = sharers
-        self.headroom = headroom
-        self.requests = Bucket(limits.rps * headroom, 1.0, kernel.now_us)
-        self.changes = Bucket(limits.write_rps * headroom, 1.0, kernel.now_us)
+        self.bucket = bucket
         self.waiting: list[tuple[int, int, float, Signal]] = []
+        self.hold_until_us = 0
         self._seq = itertools.count()
         self._pumping = False
-        self.pause_until_us = 0
-
-    def backlog(self) -> int:
-        return len(self.waiting)
 
-    def _rates(self) -> None:
-        share = self.headroom / max(self.sharers(), 1)
-        for bucket, rate in ((self.requests, self.limits.rps), (self.changes, self.limits.write_rps)):
-            bucket.refill(self.kernel.now_us)
-            bucket.rate = rate * share
-
-    def _free(self, changes: float) -> bool:
-        return self.requests.has(1) and (not changes or self.changes.has(changes))
-
-    def _admit(self, urgency: Urgency, changes: float) -> Fiber[None]:
-        self._rates()
-        held = self.kernel.now_us < self.pause_until_us
-        if held or not self._free(changes) or (self.waiting and self.waiting[0][0] <= urgency):
+    def admit(self, urgency: Urgency, amount: float) -> Fiber[None]:
+        self.bucket.refill(self.kernel.now_us)
+        if self.waiting or self.kernel.now_us < self.hold_until_us or not self.bucket.has(amount):
             signal = Signal()
-            heapq.heappush(self.waiting, (int(urgency), next(self._seq), changes, signal))
+            heapq.heappush(self.waiting, (int(urgency), next(self._seq), amount, signal))
             if not self._pumping:
                 self._pumping = True
                 self.kernel.spawn(self._pump())
             yield signal
-            return
-        self.requests.level -= 1
-        self.changes.level -= changes
+        else:
+            self.bucket.level -= amount
 
     def _pump(self) -> Fiber[None]:
         while self.waiting:
-            self._rates()
-            _, _, changes, signal = self.waiting[0]
-            pause = self.pause_until_us - self.kernel.now_us
-            if pause > 0:
-                yield Sleep(pause)
-            elif self._free(changes):
+            self.bucket.refill(self.kernel.now_us)
+            _, _, amount, signal = self.waiting[0]
+            if self.kernel.now_us < self.hold_until_us:
+                yield Sleep(self.hold_until_us - self.kernel.now_us)
+            elif self.bucket.has(amount):
                 heapq.heappop(self.waiting)
-                self.requests.level -= 1
-                self.changes.level -= changes
+                self.bucket.level -= amount
                 self.kernel.fire(signal)
             else:
-                yield Sleep(max(self.requests.wait_us(1), self.changes.wait_us(changes) if changes else 0))
+                yield Sleep(self.bucket.wait_us(amount))
         self._pumping = False
 
-    def request(
-        self, urgency: Urgency, method: str, path: str, body: Any = None, changes: int = 0, tries: int = 3
-    ) -> Fiber[Reply]:
+
+class StoreClient:
+    """One controller's way to the state service."""
+
+    def __init__(self, kernel: Kernel, address: str, limits: StateLimits, headroom: float = 0.92) -> None:
+        self.kernel = kernel
+        self.address = address
+        self.limits = limits
+        self.headroom = headroom
+        self.requests = Lane(kernel, Bucket(limits.rps, 1.0, kernel.now_us))
+        self.changes = Lane(kernel, Bucket(limits.write_rps, 1.0, kernel.now_us))
+        self.used = 0
+        """Changes sent since the start: peers share the budget by need."""
+
+    def backlog(self) -> int:
+        return len(self.requests.waiting) + len(self.changes.waiting)
+
+    def share(self, requests: float, changes: float) -> None:
+        """Set this controller's share of the budgets that all controllers have together."""
+        for lane, rate in (
+            (self.requests, self.limits.rps * requests), (self.changes, self.limits.write_rps * changes)
+        ):  # fmt: skip
+            lane.bucket.refill(self.kernel.now_us)
+            lane.bucket.rate = rate * self.headroom
+
+    def request(self, urgency: Urgency, method: str, path: str, body: Any = None, tries: int = 3) -> Fiber[Reply]:
         """One request; a 429 is tried again after a pause, for it says that nothing was executed."""
         reply = Reply(0)
+        asked_us = self.kernel.now_us
         for n in range(tries):
-            yield from self._admit(urgency, changes)
+            yield from self.requests.admit(urgency, 1)
             reply = yield Call(self.address, method, path, body, CALL_US)
             if reply.status != 429:
                 break
-            # The budget is shared with controllers that this one may not know of: hold back for a while.
-            pause = int(self.kernel.rng.uniform(0.05, 0.2) * SECOND_US) * (n + 1)
-            self.pause_until_us = max(self.pause_until_us, self.kernel.now_us + pause)
+            self._hold(self.requests, n)
+        self._note(method, path, reply, asked_us)
         return reply
 
+    def _hold(self, lane: Lane, n: int) -> None:
+        # The budget is shared with controllers that this one may not know of: hold back for a while.
+        pause = int(self.kernel.rng.uniform(0.05, 0.2) * SECOND_US) * (n + 1)
+        lane.hold_until_us = max(lane.hold_until_us, self.kernel.now_us + pause)
+
+    def _note(self, method: str, path: str, reply: Reply, asked_us: int) -> None:
+        if self.kernel.verbose:
+            ms = (self.kernel.now_us - asked_us) // 1000
+            if ms > 300 or reply.status not in (200, 404):
+                self.kernel.log("debug", f"state: {method} {path}: {reply.status} after {ms} ms")
+
     def read(self, key: str, urgency: Urgency = Urgency.ACCEPT) -> Fiber[Reply]:
         return (yield from self.request(urgency, "GET", f"/store/{key}"))
 
@@ -136,8 +147,29 @@
         path = f"/follow?under={quote(prefix, safe='')}&after={revision}&wait_ms=0"
         return (yield from self.request(Urgency.KEEP_ALIVE, "GET", path, tries=1))
 
-    def commit(self, txn: Txn, urgency: Urgency) -> Fiber[Reply]:
-        return (yield from self.request(urgency, "POST", "/txn", txn.body(), changes=txn.changes()))
+    def commit(
+        self, build: Callable[[], Txn | None], changes: int, urgency: Urgency
+    ) -> Fiber[tuple[Txn | None, Reply]]:
+        """Commit what `build` makes.  It is called once the budget for about so many changes is there, not
+        before, so that what waits for its turn does not grow stale meanwhile."""
+        asked_us = self.kernel.now_us
+        txn: Txn | None = None
+        reply = Reply(0)
+        for n in range(3):
+            yield from self.changes.admit(urgency, changes)
+            txn = build()
+            if txn is None:
+                self.changes.bucket.level += changes
+                return None, Reply(0)
+            self.changes.bucket.level -= txn.changes() - changes
+            self.requests.bucket.level -= 1
+            self.used += txn.changes()
+            reply = yield Call(self.address, "POST", "/txn", txn.body(), CALL_US)
+            if reply.status != 429:
+                break
+            self._hold(self.changes, n)
+        self._note("POST", f"/txn of {txn.changes() if txn else 0}", reply, asked_us)
+        return txn, reply
 
     def open_lease(self, life_us: int) -> Fiber[Reply]:
         return (yield from self.request(Urgency.KEEP_ALIVE, "POST", "/leases", {"life_ms": life_us // 1000}))
--- a/ashtray/store/follower.py
+++ b/ashtray/store/follower.py
@@ -118,9 +118,14 @@
         outcome = yield Wait(signal, 3 * SECOND_US)
         return bool(outcome == "fresh")
 
-    def commit(self, txn: Txn, urgency: Urgency) -> Fiber[bool]:
-        """Commit; on success the picture shows it at once.  False: conflict, refusal or outcome unknown."""
-        reply = yield from self.store.commit(txn, urgency)
+    def commit(self, build: Callable[[], Txn | None], changes: int, urgency: Urgency) -> Fiber[bool | None]:
+        """Commit what `build` makes of the picture as it is then; on success the picture shows it at once.
+
+        False: a conflict, a refusal, or the outcome is unknown.  None: there was nothing to commit any more.
+        """
+        txn, reply = yield from self.store.commit(build, changes, urgency)
+        if txn is None:
+            return None
         if reply.status != 200:
             return False
         version = reply.body["ledger"]
--- a/ashtray/workers/desk.py
+++ b/ashtray/workers/desk.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, Any
 
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Sleep
-from ashtray.placement.picture import Machine
-from ashtray.store.client import Urgency
+from ashtray.placement.picture import Group, Machine
+from ashtray.store.client import Txn, Urgency
 from ashtray.workers import messages
 from ashtray.workers.folding import Evidence, adoption, build_fold, hold_is_dead
 from ashtray.workers.messages import Report, TaskKey, parse_report
@@ -51,7 +51,9 @@
         self.kernel = ctl.kernel
         self.workers: dict[str, Worker] = {}
         self._counter = 0
-        self._folding: set[str] = set()
+        self._folding = False
+        self._dirty: set[str] = set()
+        self._lines: list[str] = []
         self._adopting: set[str] = set()
 
     # Reports
@@ -250,9 +252,14 @@
         if worker.name in self.ctl.picture.machines or worker.report is None:
             worker.again = True
             return
-        txn = adoption(self.ctl.picture, worker.report, worker.token, self.ctl.knobs.group_size)
-        if (yield from self.ctl.follower.commit(txn, Urgency.FREE)):
-            report = worker.report
+        report = worker.report
+
+        def build() -> Txn | None:
+            if worker.name in self.ctl.picture.machines:
+                return None
+            return adoption(self.ctl.picture, report, worker.token, self.ctl.knobs.group_size)
+
+        if (yield from self.ctl.follower.commit(build, 2, Urgency.FREE)):
             self.kernel.log("info", f"{worker.name} ({report.type}, {report.zone}) is up")
             worker.again = True
             self.ctl.peers.hint()
@@ -262,14 +269,14 @@
     # Folding
 
     def fold_soon(self, group: str) -> None:
-        if group not in self._folding and self._fold(group) is not None:
-            self._folding.add(group)
-            self.kernel.spawn(self._fold_loop(group))
+        self._dirty.add(group)
+        if not self._folding:
+            self._folding = True
+            self.kernel.spawn(self._fold_loop())
 
-    def _evidence(self, group: str) -> dict[str, Evidence]:
+    def _evidence(self, group: Group) -> dict[str, Evidence]:
         evidence = {}
-        known = self.ctl.picture.groups.get(group)
-        for name in known.machines if known is not None else ():
+        for name in group.machines:
             worker = self.workers.get(name)
             if worker is not None and worker.token and worker.report is not None and worker.exact:
                 # While orders are on their way, what is not listed may be about to start.
@@ -277,37 +284,37 @@
                 evidence[name] = Evidence(worker.report, worker.token, not busy)
         return evidence
 
-    def _fold(self, group: str) -> Any:
-        known = self.ctl.picture.groups.get(group)
-        evidence = self._evidence(group)
-        if known is None or not evidence:
-            return None
+    def _fold(self) -> Txn | None:
+        groups = [g for key in sorted(self._dirty) if (g := self.ctl.picture.groups.get(key)) is not None]
+        evidence: dict[str, Evidence] = {}
+        for group in groups:
+            evidence |= self._evidence(group)
         limits = self.ctl.settings.cluster.state
-        return build_fold(self.kernel, self.ctl.picture, known, evidence, limits.txn_ops)
+        fold = build_fold(self.kernel, self.ctl.picture, groups, evidence, limits.txn_ops)
+        if fold is None:
+            return None
+        txn, self._lines = fold
+        return txn
 
-    def _fold_loop(self, group: str) -> Fiber[None]:
-        yield Sleep(FOLD_US)
+    def _fold_loop(self) -> Fiber[None]:
         failures = 0
-        while True:
-            fold = self._fold(group)
-            if fold is None:
-                break
-            txn, lines = fold
-            if (yield from self.ctl.follower.commit(txn, Urgency.FREE)):
-                for line in lines:
-                    self.kernel.log("info", line)
+        while self._dirty:
+            yield Sleep(FOLD_US)
+            changes = min(len(self._dirty) + 1, self.ctl.settings.cluster.state.txn_ops)
+            good = yield from self.ctl.follower.commit(self._fold, changes, Urgency.FREE)
+            if good is None:
+                self._dirty.clear()
+            elif good:
                 failures = 0
-                known = self.ctl.picture.groups.get(group)
-                for name in known.machines if known is not None else ():
-                    if name in self.workers:
-                        self.tend(self.workers[name])
+                for line in self._lines:
+                    self.kernel.log("info", line)
+                self.tend_all()
                 self.ctl.peers.hint()
-                yield Sleep(FOLD_US)
             else:
                 failures += 1
-                yield Sleep(int(self.kernel.rng.uniform(0.01, 0.05) * min(2**failures, 32) * SECOND_US))
+                yield Sleep(int(self.kernel.rng.uniform(0.0, 0.03) * min(2**failures, 32) * SECOND_US))
                 yield from self.ctl.follower.barrier()
-        self._folding.discard(group)
+        self._folding = False
 
     def heard(self) -> dict[str, int]:
         """The age of the last report of each worker that reports here."""
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -23,6 +24,12 @@
     errors: int = 0
     successes: int = 0
 
+    def add(self, other: JobFold) -> None:
+        self.finished |= other.finished
+        self.broken = max(self.broken, other.broken)
+        self.errors += other.errors
+        self.successes += other.successes
+
     def changes_record(self) -> bool:
         return bool(self.finished or self.broken or self.errors)
 
@@ -132,45 +139,49 @@
 
 
 def build_fold(
-    kernel: Kernel, picture: Picture, group: Group, evidence: dict[str, Evidence], max_ops: int
+    kernel: Kernel, picture: Picture, groups: Iterable[Group], evidence: dict[str, Evidence], max_ops: int
 ) -> tuple[Txn, list[str]] | None:
-    """One transaction that folds as much as fits of what is known of a group's machines."""
-    record = group.copy()
+    """One transaction that folds as much as fits of what is known of some groups' machines."""
     txn = Txn()
     folds: dict[str, JobFold] = {}
-    changed = False
     lines: list[str] = []
-    for name, machine in record.machines.items():
-        if name not in evidence:
-            continue
-        trial: dict[str, JobFold] = {}
-        before = msgspec.to_builtins(machine)
-        if not fold_machine(picture, group, name, machine, evidence[name], trial):
-            continue
-        touched = {j for j in {**folds, **trial} if (trial.get(j) or folds[j]).changes_record()}
-        if 1 + 2 * len(touched) > max_ops and changed:
-            record.machines[name] = msgspec.convert(before, MachineRecord)
-            continue
-        changed = True
-        for job_id, fold in trial.items():
-            whole = folds.setdefault(job_id, JobFold())
-            whole.finished |= fold.finished
-            whole.broken = max(whole.broken, fold.broken)
-            whole.errors += fold.errors
-            whole.successes += fold.successes
-    if not changed:
+    ops = 0
+    for group in groups:
+        record = group.copy()
+        changed = False
+        for name in group.machines:
+            if name not in evidence:
+                continue
+            machine = msgspec.convert(msgspec.to_builtins(record.machines[name]), MachineRecord)
+            trial: dict[str, JobFold] = {}
+            if not fold_machine(picture, group, name, machine, evidence[name], trial):
+                continue
+            # A job that ends takes two changes, its short record and the removal of the long one.
+            news = sum(2 for j, f in trial.items() if f.changes_record() and not _writes(folds, j))
+            if ops + (not changed) + news > max_ops and ops:
+                continue
+            ops += (not changed) + news
+            changed = True
+            record.machines[name] = machine
+            for job_id, fold in trial.items():
+                folds.setdefault(job_id, JobFold()).add(fold)
+        if changed:
+            txn.guard(group.key, group.version).put(group.key, msgspec.to_builtins(record))
+    if not ops:
         return None
-    txn.guard(group.key, group.version).put(group.key, msgspec.to_builtins(record))
     for job_id, fold in folds.items():
         if fold.changes_record():
-            over = put_job(kernel, txn, picture.jobs[job_id], fold)
-            if over:
+            if put_job(kernel, txn, picture.jobs[job_id], fold):
                 lines.append(f"{job_id} is done")
             elif fold.broken or fold.errors:
                 lines.append(f"{job_id} lost tasks: gang attempt {fold.broken}, errors {fold.errors}")
     return txn, lines
 
 
+def _writes(folds: dict[str, JobFold], job_id: str) -> bool:
+    return job_id in folds and folds[job_id].changes_record()
+
+
 def adoption(picture: Picture, report: Report, token: int, size: int) -> Txn:
     """Add an unknown machine to a group of its type and zone that has room, or to a new one."""
     machine = MachineRecord(address=report.address, spot=report.spot, token=token)
