Rent by a forecast of the queue; fibers survive what is unforeseen

A forecast now serves the queue on what is there and coming; only tasks that would start later than a new machine could take them, and later than its price is worth, rent.

--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 from typing import Any
 
 from ashtray.config.operators import Knobs
 from ashtray.config.settings import Settings
 from ashtray.fleet.runner import ROUND_US, Runner
 from ashtray.jobs.model import JOB_ID
+from ashtray.jobs.pace import Pace
 from ashtray.jobs.service import JobDesk
 from ashtray.kernel import SECOND_US, Kernel, Output, Reply
 from ashtray.peers.presence import Peers, Presence
@@ -31,6 +33,7 @@
         self._seen = -1
         self.store = StoreClient(self.kernel, settings.services.state, settings.cluster.state)
         self.follower = Follower(self.kernel, self.store, "now/", self.picture, self._changed)
+        self.pace = Pace(settings.cluster.objectives, knobs.patience_s)
         self.presence = Presence(self)
         self.peers = Peers(self)
         self.desk = Desk(self)
@@ -49,13 +52,14 @@
         kernel.advance(now_us, wall_us)
         for bucket in (self.store.requests.bucket, self.store.changes.bucket, self.runner.bucket):
             bucket.at_us = kernel.now_us
-        kernel.spawn(self.follower.run())
-        kernel.spawn(self.presence.run())
-        kernel.spawn(self.placer.run())
+        kernel.forever(self.follower.run, 0)
+        kernel.forever(self.presence.run, 0)
+        kernel.forever(self.placer.run, 0)
         for peer in self.peers.peers.values():
-            kernel.spawn(self.peers.run(peer))
+            kernel.forever(partial(self.peers.run, peer), 0)
         kernel.forever(self.peers.budget, SECOND_US)
         kernel.forever(self.runner.round, ROUND_US)
+        kernel.forever(self.desk.fold, 0)
         kernel.forever(self.desk.sweep, 20 * SECOND_US)
         return kernel.run()
 
--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from ashtray.fleet.forecast import Future, futures, schedule
 from ashtray.fleet.messages import BerthList, deletion, parse_types, rental
 from ashtray.jobs.model import LIVE, Job
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Sleep
@@ -26,6 +27,7 @@
 LIST_US = 2 * SECOND_US
 ROUND_US = SECOND_US // 2
 TYPES_US = 60 * SECOND_US
+MAX_WISHES = 120
 
 Kind = tuple[str, str, bool]
 """Type, zone and whether spot."""
@@ -211,7 +213,7 @@
             elif not machine.holds:
                 self.idle_since.setdefault(name, now)
                 idle_us = now - self.idle_since[name]
-                if machine.record.retiring or idle_us > int(self.ctl.knobs.idle_s * SECOND_US):
+                if machine.record.retiring or idle_us > self._idle_limit_us(machine):
                     lost.append(name)
             else:
                 self.idle_since.pop(name, None)
@@ -221,6 +223,12 @@
             else:
                 self._ending.add(name)
 
+    def _idle_limit_us(self, machine: Machine) -> int:
+        """How long an idle machine is kept: about as long as having it back would cost."""
+        kind = self.ctl.picture.types.get(machine.type)
+        boot_us = kind.boot_us if kind is not None else 30 * SECOND_US
+        return int(boot_us * self.ctl.knobs.idle_boots)
+
     def _lag_us(self) -> int:
         return int((2 * self.ctl.settings.cluster.cloud.list_lag_s + 5) * SECOND_US)
 
@@ -318,7 +326,7 @@
         machine = Machine(name, name, kind[0], kind[1], MachineRecord("", kind[2]))
         return Room(machine, spec, spec.cpus, spec.gpus, spec.memory_gb)
 
-    def _offers(self, job: Job) -> list[tuple[float, Kind]]:
+    def _offers(self, job: Job, blocked: bool = False) -> list[tuple[float, Kind]]:
         """What could be rented for a job, the cheapest for each of its tasks first."""
         spec = job.spec
         offers = []
@@ -332,40 +340,68 @@
                 if spec.zone not in (None, zone):
                     continue
                 for spot in (True, False) if spec.spot else (False,):
-                    if not self._blocked((kind.name, zone, spot)):
+                    if blocked or not self._blocked((kind.name, zone, spot)):
                         price = kind.spot_price if spot else kind.price
                         offers.append((price / min(fits, spec.tasks), (kind.name, zone, spot)))
         return sorted(offers)
 
     def wishes(self) -> dict[Kind, int]:
-        """What is to be rented so that every job that waits gets room."""
+        """What is to be rented: machines without which tasks would wait longer than renting is worth.
+
+        The queue is served in a forecast on what is there and coming.  A task that would start later than a
+        new machine of some kind could take it, and later by more than that kind's price is worth, calls for one.
+        """
         ctl = self.ctl
+        wall_us = self.kernel.wall_us
         plan = Plan(ctl.picture, ctl.teams, ctl.knobs, self.kernel.rng)
+        ready_us: dict[str, int] = {}
         for name, coming in self.coming.items():
             kind: MachineType | None = ctl.picture.types.get(coming.kind[0])
             if kind is not None and name not in self._ending and name not in ctl.picture.machines:
                 plan.rooms.append(self._room(name, coming.kind))
+                left_us = coming.since_us + kind.boot_us - self.kernel.now_us
+                ready_us[name] = wall_us + max(left_us, kind.boot_us // 4)
+        fleet = futures(ctl.picture, plan.rooms, wall_us, ready_us, ctl.pace.run_us)
         wishes: dict[Kind, int] = {}
-        for job in queue(ctl.picture, ctl.teams, self.kernel.wall_us):
-            left = len(plan.wanted(job, self.kernel.wall_us))
-            if not left:
-                continue
-            placed = sum(n for _, n in plan.place(job, left, 10_000, 0.0))
-            left -= placed
-            if not left:
-                continue
-            offers = self._offers(job)
-            if not offers:
-                continue
-            kind_key = offers[0][1]
-            fits = ctl.picture.types[kind_key[0]].fits(job.spec.cpus, job.spec.gpus, job.spec.memory_gb)
-            number = -(-left // fits)
-            wishes[kind_key] = wishes.get(kind_key, 0) + number
-            for n in range(number):
-                plan.rooms.append(self._room(f"wish-{len(plan.rooms)}-{n}", kind_key))
-            plan.place(job, left, 10_000, 0.0)
+        for job in queue(ctl.picture, ctl.teams, wall_us):
+            left = len(plan.wanted(job, wall_us))
+            if left:
+                plan.count(job, left)
+                self._wish(job, plan, left, fleet, wishes)
         return wishes
 
+    def _wish(self, job: Job, plan: Plan, left: int, fleet: list[Future], wishes: dict[Kind, int]) -> None:
+        ctl = self.ctl
+        wall_us = self.kernel.wall_us
+        run_us = ctl.pace.run_us(job)
+        offers = self._offers(job)
+        cheapest = min((price for price, _ in self._offers(job, blocked=True)), default=0.0)
+        ask = plan.ask(job)
+        for _ in range(40):
+            trial = [future.copy() for future in fleet]
+            starts = schedule(trial, ask, left, run_us)
+            late, best = 0, None
+            for price, kind in offers:
+                if ask.zone not in (None, kind[1]) or ask.zone_allows(kind[1]) <= 0:
+                    continue
+                ready_us = wall_us + ctl.picture.types[kind[0]].boot_us
+                dearer = max(price / cheapest - 1.0, 0.0) if cheapest else 0.0
+                worth_us = int(ctl.pace.patience_s(job) * SECOND_US * dearer)
+                late = sum(n for at_us, n in starts if at_us > ready_us + worth_us + SECOND_US)
+                if late:
+                    best = kind
+                    break
+            if best is None or sum(wishes.values()) >= MAX_WISHES:
+                fleet[:] = trial
+                return
+            spec = ctl.picture.types[best[0]]
+            fits = spec.fits(job.spec.cpus, job.spec.gpus, job.spec.memory_gb)
+            number = max(1, late // (2 * fits))
+            wishes[best] = wishes.get(best, 0) + number
+            for _ in range(number):
+                room = self._room(f"wish-{len(fleet)}", best)
+                fleet.append(Future(room, wall_us + spec.boot_us, []))
+
     def _rent(self) -> Fiber[None]:
         # Until the list has caught up with a former runner's rentals, the same need would be met twice.
         if self.kernel.now_us - self.started_us < self._settle_us():
--- a/ashtray/kernel.py
+++ b/ashtray/kernel.py
@@ -10,6 +10,7 @@
 import heapq
 import itertools
 import random
+import traceback
 from collections.abc import Callable, Generator
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
@@ -101,6 +102,8 @@
 
     rng: random.Random
     verbose: bool = False
+    strict: bool = False
+    """Let faults of this program end it, as tests want."""
     now_us: int = 0
     wall_us: int = 0
     out: list[Output] = field(default_factory=list)
@@ -122,7 +125,12 @@
 
         def loop() -> Fiber[None]:
             while True:
-                yield from make()
+                try:
+                    yield from make()
+                except Exception:
+                    # A slice that stumbles over something unforeseen must not stop the others, or itself for good.
+                    self.unforeseen()
+                    yield Sleep(SECOND_US)
                 yield Sleep(every_us)
 
         self.spawn(loop())
@@ -138,6 +146,12 @@
         if level != "debug" or self.verbose:
             self.out.append(Log(level, line))
 
+    def unforeseen(self) -> None:
+        """Report the exception being handled, which is a fault in this program."""
+        if self.strict:
+            raise  # noqa: PLE0704
+        self.log("error", "unforeseen: " + traceback.format_exc().strip().replace("\n", " | "))
+
     def answer(self, request_id: int, status: int, body: Any = None, retry_after_s: int | None = None) -> None:
         self.out.append(Answer(request_id, status, body, retry_after_s))
 
@@ -179,6 +193,10 @@
         except StopIteration:
             del self._fibers[fid]
             return
+        except Exception:
+            del self._fibers[fid]
+            self.unforeseen()
+            return
         if isinstance(wish, Call):
             call_id = next(self._ids)
             self._calls[call_id] = fid
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -166,10 +166,12 @@
         return choices
 
     def take(self, job: Job, choices: Iterable[Choice]) -> None:
-        total = 0
         for room, n in choices:
             room.take(job.spec, n)
-            total += n
+        self.count(job, sum(n for _, n in choices))
+
+    def count(self, job: Job, total: int) -> None:
+        """Count tasks of a job against its team's limit."""
         if job.spec.team in self.usage:
             cpus, gpus = self.usage[job.spec.team]
             self.usage[job.spec.team] = (cpus + total * job.spec.cpus, gpus + total * job.spec.gpus)
--- a/ashtray/workers/desk.py
+++ b/ashtray/workers/desk.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Sleep
+from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Signal, Sleep
 from ashtray.placement.picture import Group, Machine
 from ashtray.store.client import Txn, Urgency
 from ashtray.workers import messages
@@ -51,9 +51,10 @@
         self.kernel = ctl.kernel
         self.workers: dict[str, Worker] = {}
         self._counter = 0
-        self._folding = False
+        self._fold_kick = Signal()
         self._dirty: set[str] = set()
         self._lines: list[str] = []
+        self._failures = 0
         self._adopting: set[str] = set()
 
     # Reports
@@ -148,7 +149,6 @@
     def tend(self, worker: Worker) -> None:
         worker.again = True
         if not worker.tending:
-            worker.tending = True
             self.kernel.spawn(self._tend(worker))
 
     def tend_all(self) -> None:
@@ -166,6 +166,15 @@
         return worker.exact and machine.record.token == worker.token
 
     def _tend(self, worker: Worker) -> Fiber[None]:
+        if worker.tending:
+            return
+        worker.tending = True
+        try:
+            yield from self._tend_once(worker)
+        finally:
+            worker.tending = False
+
+    def _tend_once(self, worker: Worker) -> Fiber[None]:
         calls = 0
         while worker.again and worker.token and worker.report is not None and calls < 4:
             worker.again = False
@@ -181,8 +190,10 @@
             if machine is None:
                 if worker.name not in self._adopting:
                     self._adopting.add(worker.name)
-                    yield from self._adopt(worker)
-                    self._adopting.discard(worker.name)
+                    try:
+                        yield from self._adopt(worker)
+                    finally:
+                        self._adopting.discard(worker.name)
                 continue
             self.fold_soon(machine.group)
             if not self._owns(worker, machine):
@@ -191,7 +202,6 @@
             if orders and direct:
                 calls += 1
                 yield from self._direct(worker, orders)
-        worker.tending = False
 
     def _orders(self, worker: Worker, machine: Machine, peek: bool = False) -> list[dict[str, Any]]:
         """The orders that bring a worker in line with the record of its machine."""
@@ -270,9 +280,7 @@
 
     def fold_soon(self, group: str) -> None:
         self._dirty.add(group)
-        if not self._folding:
-            self._folding = True
-            self.kernel.spawn(self._fold_loop())
+        self.kernel.fire(self._fold_kick)
 
     def _evidence(self, group: Group) -> dict[str, Evidence]:
         evidence = {}
@@ -296,25 +304,26 @@
         txn, self._lines = fold
         return txn
 
-    def _fold_loop(self) -> Fiber[None]:
-        failures = 0
-        while self._dirty:
-            yield Sleep(FOLD_US)
-            changes = min(len(self._dirty) + 1, self.ctl.settings.cluster.state.txn_ops)
-            good = yield from self.ctl.follower.commit(self._fold, changes, Urgency.FREE)
-            if good is None:
-                self._dirty.clear()
-            elif good:
-                failures = 0
-                for line in self._lines:
-                    self.kernel.log("info", line)
-                self.tend_all()
-                self.ctl.peers.hint()
-            else:
-                failures += 1
-                yield Sleep(int(self.kernel.rng.uniform(0.0, 0.03) * min(2**failures, 32) * SECOND_US))
-                yield from self.ctl.follower.barrier()
-        self._folding = False
+    def fold(self) -> Fiber[None]:
+        """Wait until there is something to fold, and fold it."""
+        if not self._dirty:
+            yield self._fold_kick
+        yield Sleep(FOLD_US)
+        changes = min(len(self._dirty) + 1, self.ctl.settings.cluster.state.txn_ops)
+        good = yield from self.ctl.follower.commit(self._fold, changes, Urgency.FREE)
+        if good is None:
+            self._dirty.clear()
+            self._failures = 0
+        elif good:
+            self._failures = 0
+            for line in self._lines:
+                self.kernel.log("info", line)
+            self.tend_all()
+            self.ctl.peers.hint()
+        else:
+            self._failures = min(self._failures + 1, 5)
+            yield Sleep(int(self.kernel.rng.uniform(0.0, 0.03) * 2**self._failures * SECOND_US))
+            yield from self.ctl.follower.barrier()
 
     def heard(self) -> dict[str, int]:
         """The age of the last report of each worker that reports here."""
--- a/tests/model.py
+++ b/tests/model.py
@@ -128,6 +128,7 @@
         host.life += 1
         rng = random.Random(self.rng.random())
         host.core = Controller(settings_for(host.number, len(self.hosts)), Knobs(), rng)
+        host.core.kernel.strict = True
         self.carry_out(host, host.core.start(*self.clock(host)))
 
     def clock(self, host: Host) -> tuple[int, int]:
@@ -283,7 +284,8 @@
 
         def answered(reply: Reply) -> None:
             if worker.name in self.hung:
-                self.at(SECOND // 2, lambda: answered(reply) if self.now - sent_us < 4 * SECOND else answered(Reply(0)))
+                kept = reply if self.now - sent_us < 4 * SECOND else Reply(0)
+                self.at(SECOND // 2, lambda: answered(kept))
                 return
             pause, following = int(REPORT_S * SECOND * self.rng.uniform(0.75, 1.25)), node
             if reply.status == 200:
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -171,7 +171,7 @@
         spec = self.world.describe(key[0])
         if spec is None:
             task.state, task.cause = "ended", "unknown"
-        elif any(k[0] == key[0] and k[2] == key[2] and k != key and t.state != "ended" for k, t in self.tasks.items()):
+        elif any(k != key and (k[0], k[2]) == (key[0], key[2]) and t.state != "ended" for k, t in self.tasks.items()):
             task.state, task.cause = "ended", "in_use"
         else:
             task.ready_us = now_us if spec["bundle"] in self.cached else now_us + self.fetch_us
