--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -56,6 +56,8 @@
         self.known_since: dict[str, int] = {}
         self.blocked: dict[Kind, tuple[int, int]] = {}
         """Kinds without capacity: until when not to ask, and how often it was refused."""
+        self.cheapest_for_urgent: dict[str, tuple[str, bool]] = {}
+        """For each class with an aim on waiting, the type and kind that serves it at the least price."""
         self.listed_us = 0
         self.started_us = 0
         self.bucket = Bucket(ctl.settings.cluster.cloud.rps * 0.8, 1.0, self.kernel.now_us)
@@ -224,10 +226,17 @@
                 self._ending.add(name)
 
     def _idle_limit_us(self, machine: Machine) -> int:
-        """How long an idle machine is kept: about as long as having it back would cost."""
+        """How long an idle machine is kept: about as long as having it back would cost.
+
+        One that is the cheapest for a class with an aim on waiting is kept longer, for no machine that is rented
+        when such a job comes is up in time.
+        """
         kind = self.ctl.picture.types.get(machine.type)
         boot_us = kind.boot_us if kind is not None else 30 * SECOND_US
-        return int(boot_us * self.ctl.knobs.idle_boots)
+        times = self.ctl.knobs.idle_boots
+        if (machine.type, machine.record.spot) in self.cheapest_for_urgent.values():
+            times *= 6
+        return int(boot_us * times)
 
     def _lag_us(self) -> int:
         return int((2 * self.ctl.settings.cluster.cloud.list_lag_s + 5) * SECOND_US)
@@ -363,7 +372,8 @@
                 ready_us[name] = wall_us + max(left_us, kind.boot_us // 4)
         fleet = futures(ctl.picture, plan.rooms, wall_us, ready_us, ctl.pace.run_us)
         wishes: dict[Kind, int] = {}
-        for job in queue(ctl.picture, ctl.teams, wall_us):
+        jobs, _ = queue(ctl.picture, ctl.teams)
+        for job in jobs:
             left = len(plan.wanted(job, wall_us))
             if left:
                 plan.count(job, left)
@@ -375,7 +385,9 @@
         wall_us = self.kernel.wall_us
         run_us = ctl.pace.run_us(job)
         offers = self._offers(job)
-        cheapest = min((price for price, _ in self._offers(job, blocked=True)), default=0.0)
+        cheapest, best_kind = min(self._offers(job, blocked=True), default=(0.0, ("", "", False)))
+        if job.spec.job_class in ctl.pace.urgent:
+            self.cheapest_for_urgent[job.spec.job_class] = (best_kind[0], best_kind[2])
         ask = plan.ask(job)
         for _ in range(40):
             trial = [future.copy() for future in fleet]
--- a/ashtray/placement/picture.py
+++ b/ashtray/placement/picture.py
@@ -17,6 +17,9 @@
 TYPES = "now/types"
 EPS = 1e-6
 
+HoldKey = tuple[str, int, int]
+"""Machine, attempt and time to save: tasks that are to be stopped are a hold of their own."""
+
 
 class HoldRecord(msgspec.Struct, array_like=True):
     """Room taken on a machine by some tasks of one attempt of a job."""
@@ -83,6 +86,9 @@
         self.attempt = record.attempt
         self.tasks = decode_runs(record.tasks)
 
+    def key(self, machine: str) -> HoldKey:
+        return machine, self.attempt, self.record.stop_us
+
 
 class Machine:
     """A machine in the picture, with the room its holds take."""
@@ -132,8 +138,8 @@
         self.jobs: dict[str, Job] = {}
         self.groups: dict[str, Group] = {}
         self.machines: dict[str, Machine] = {}
-        self.held: dict[str, dict[tuple[str, int], Hold]] = {}
-        """For each job its holds, by machine and attempt."""
+        self.held: dict[str, dict[HoldKey, Hold]] = {}
+        """For each job its holds."""
         self.team_versions: dict[str, int] = {}
         self.controllers: dict[str, Any] = {}
         self.members: dict[str, tuple[str, int]] = {}
@@ -154,7 +160,7 @@
             for name, machine in group.machines.items():
                 self.machines[name] = machine
                 for hold in machine.holds:
-                    self.held.setdefault(hold.job, {})[(name, hold.attempt)] = hold
+                    self.held.setdefault(hold.job, {})[hold.key(name)] = hold
         elif key.startswith(LIVE):
             job_id = key[len(LIVE):]
             self.jobs[job_id] = Job(job_id, value, version)
@@ -199,7 +205,7 @@
             for hold in machine.holds:
                 holds = self.held.get(hold.job)
                 if holds is not None:
-                    holds.pop((name, hold.attempt), None)
+                    holds.pop(hold.key(name), None)
                     if not holds:
                         del self.held[hold.job]
 
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -12,6 +12,7 @@
 from ashtray.kernel import SECOND_US, Fiber, Signal, Sleep, Wait
 from ashtray.placement.picture import EPS, TEAM, HoldRecord
 from ashtray.placement.plan import Choice, Plan, queue
+from ashtray.placement.preemption import choose_victims, may_stop, stop_victims
 from ashtray.runs import encode_runs
 from ashtray.store.client import Txn, Urgency
 from ashtray.teams.limits import has_limit, tasks_within
@@ -56,7 +57,7 @@
     def _round(self) -> Fiber[None]:
         ctl = self.ctl
         plan = Plan(ctl.picture, ctl.teams, ctl.knobs, ctl.kernel.rng)
-        jobs = queue(ctl.picture, ctl.teams, ctl.kernel.wall_us)
+        jobs, inside = queue(ctl.picture, ctl.teams)
         while jobs and not self.mine(jobs[-1]):
             jobs.pop()
         self._partial_us = {j: at for j, at in self._partial_us.items() if j in ctl.picture.jobs}
@@ -67,6 +68,11 @@
                 continue
             mine = self.mine(job)
             choices = plan.place(job, len(tasks), most, self.widen() if mine else 0.0)
+            short = job.spec.kind == "gang" or job.id in inside
+            if not choices and short and (job.spec.priority <= 1 or job.id in inside):
+                need = len(tasks) if job.spec.kind == "gang" else 1
+                if not plan.keep_soon(job, need) and mine:
+                    yield from self._preempt(job, plan, need, inside)
             if not choices or not mine:
                 continue
             if sum(n for _, n in choices) < len(tasks):
@@ -81,6 +87,21 @@
                 self._seen = -1
                 return
 
+    def _preempt(self, job: Job, plan: Plan, count: int, inside: set[str]) -> Fiber[None]:
+        """Stop work that may be stopped where that makes room for a job."""
+        ctl = self.ctl
+        allowed = may_stop(ctl.picture, ctl.teams, inside, job)
+        victims = choose_victims(plan, job, count, allowed, ctl.kernel.wall_us)
+        if not victims:
+            return
+        most = ctl.settings.cluster.state.txn_ops
+        build = partial(stop_victims, ctl.picture, victims, most)
+        if (yield from ctl.follower.commit(build, len(victims), Urgency.PLACE)):
+            number = sum(len(tasks) for held in victims.values() for tasks in held.values())
+            ctl.kernel.log("info", f"{job.id} stops {number} tasks on {', '.join(sorted(victims))}")
+            ctl.peers.hint()
+            plan.keep_soon(job, count)
+
     def _commit(self, job: Job, tasks: list[int], choices: list[Choice]) -> Fiber[bool]:
         ctl = self.ctl
         changes = 2 + len({room.machine.group for room, _ in choices})
@@ -122,7 +143,7 @@
             usage = {"cpus": cpus + count * spec.cpus, "gpus": gpus + count * spec.gpus}
             txn.guard(TEAM + team.name, picture.version(TEAM + team.name)).put(TEAM + team.name, usage)
         zones: dict[str, int] = {}
-        for (name, _), hold in picture.held.get(job.id, {}).items():
+        for (name, _, _), hold in picture.held.get(job.id, {}).items():
             zones[picture.machines[name].zone] = zones.get(picture.machines[name].zone, 0) + len(hold.tasks)
         left = list(tasks)
         records = {}
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -17,8 +17,11 @@
 """A machine and how many tasks it gets."""
 
 
-def queue(picture: Picture, teams: dict[str, Team], now_wall_us: int) -> list[Job]:
-    """All live jobs, the first to be served first: priority, guarantee, deadline or age."""
+def queue(picture: Picture, teams: dict[str, Team]) -> tuple[list[Job], set[str]]:
+    """All live jobs, the first to be served first: priority, guarantee, deadline or age.
+
+    Also the names of those that are within their team's guarantee.
+    """
     by_age = sorted(picture.jobs.values(), key=lambda job: (job.record.accepted_us, job.id))
     inside: set[str] = set()
     for team in teams.values():
@@ -31,7 +34,7 @@
             due = min(due, due + job.spec.deadline_us - 2 * job.spec.estimate_us)
         return job.spec.priority, job.id not in inside, due, job.record.accepted_us, job.id
 
-    return sorted(by_age, key=rank)
+    return sorted(by_age, key=rank), inside
 
 
 def back_off_us(job: Job) -> int:
@@ -98,7 +101,7 @@
         if spec.spread:
             ask.spread_most = (spec.tasks + 1) // 2
             ask.zone_room = {}
-        for (name, _), hold in holds.items():
+        for (name, _, _), hold in holds.items():
             zone = self.picture.machines[name].zone
             if spec.same_zone:
                 ask.zone = zone
@@ -134,7 +137,42 @@
         team = self.teams.get(job.spec.team)
         return team is None or tasks_within(team, *self.usage[team.name], job.spec) >= count
 
-    def _choose(self, ask: Ask, count: int, max_groups: int, widen: float) -> list[Choice]:
+    def keep_soon(self, job: Job, count: int) -> bool:
+        """Keep the room that stopping tasks will leave for a job that fits then; says whether it does.
+
+        Without this, jobs further back would take such room piece by piece, and a gang would wait for ever.
+        """
+        if not self._team_allows(job, count):
+            return False
+        own = {id(room): room for room in self.rooms}
+        soon: dict[int, Room] = {}
+        rooms = []
+        for room in self.rooms:
+            c, g, m = self._stopping(room)
+            later = Room(room.machine, room.type, room.cpus + c, room.gpus + g, room.memory_gb + m)
+            soon[id(later)] = own[id(room)]
+            rooms.append(later)
+        choices = self._choose(self.ask(job), count, 10_000, 0.0, rooms)
+        if sum(n for _, n in choices) < count:
+            return False
+        self.take(job, [(soon[id(room)], n) for room, n in choices])
+        return True
+
+    def _stopping(self, room: Room) -> tuple[float, float, float]:
+        """The room of tasks that are about to leave a machine."""
+        cpus = gpus = memory = 0.0
+        for hold in room.machine.holds:
+            job = self.picture.jobs.get(hold.job)
+            if hold.record.stop_us >= 0 or job is None or hold.attempt <= job.record.broken:
+                n = len(hold.tasks)
+                cpus += n * hold.record.cpus
+                gpus += n * hold.record.gpus
+                memory += n * hold.record.memory_gb
+        return cpus, gpus, memory
+
+    def _choose(
+        self, ask: Ask, count: int, max_groups: int, widen: float, among: list[Room] | None = None
+    ) -> list[Choice]:
         """The best machines, or, seldom, a random one of the best few, until all tasks have room.
 
         A job's own tasks do not change how the machines that are left rank, so they are ranked once.
@@ -142,7 +180,7 @@
         spec = ask.spec
         zone_room = dict(ask.zone_room) if ask.zone_room is not None else None
         trial = Ask(spec, ask.zone, zone_room, ask.spread_most, ask.avoid, ask.scarcity)
-        rooms = rank([room for room in self.rooms if room.fits(spec) > 0], trial, self.knobs, self.rng)
+        rooms = rank([room for room in (among or self.rooms) if room.fits(spec) > 0], trial, self.knobs, self.rng)
         groups: set[str] = set()
         choices: list[Choice] = []
         while count > 0 and rooms:
--- /dev/null
+++ b/ashtray/placement/preemption.py
@@ -0,0 +1,119 @@
+"""Preemption: which tasks are stopped to make room, as far as the protocol allows it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from ashtray.config.settings import Team
+from ashtray.jobs.model import Job
+from ashtray.placement.picture import EPS, Hold, Picture
+from ashtray.placement.plan import Plan
+from ashtray.placement.rules import VALIDATORS, Room
+from ashtray.runs import encode_runs
+from ashtray.store.client import Txn
+
+Victims = dict[str, dict[tuple[str, int], set[int]]]
+"""For each machine the tasks to stop, by job and attempt."""
+
+
+def may_stop(picture: Picture, teams: dict[str, Team], inside: set[str], job: Job) -> Callable[[Hold], bool]:
+    """Whether a hold's tasks may be stopped for a job.
+
+    Lower priority may be; so may work of another team beyond its guarantee, for a job within its own.
+    Gangs are left alone: stopping one task would lose them all.
+    """
+    beyond: set[str] = set()
+    if job.id in inside:
+        for team in teams.values():
+            cpus, gpus = picture.team_usage(team.name)
+            if team.name != job.spec.team and (cpus > team.cpus + EPS or gpus > team.gpus + EPS):
+                beyond.add(team.name)
+
+    def allowed(hold: Hold) -> bool:
+        victim = picture.jobs.get(hold.job)
+        if victim is None or hold.record.stop_us >= 0 or victim.spec.kind == "gang" or victim.id == job.id:
+            return False
+        if victim.spec.priority > job.spec.priority:
+            return True
+        return victim.spec.team in beyond and victim.id not in inside
+
+    return allowed
+
+
+def choose_victims(plan: Plan, job: Job, count: int, allowed: Callable[[Hold], bool], wall_us: int) -> Victims:
+    """The tasks whose end costs least and makes room for all of a job's tasks; empty if none will do."""
+    spec = job.spec
+    ask = plan.ask(job)
+    checks = [rule for rule in VALIDATORS if rule.name != "room"]
+    offers: list[tuple[float, Room, list[tuple[Hold, int]]]] = []
+    for room in plan.rooms:
+        if not all(rule.holds(room, ask) for rule in checks):
+            continue
+        candidates = [
+            (wall_us - hold.record.placed_us, hold, task)
+            for hold in room.machine.holds if allowed(hold) for task in hold.tasks
+        ]  # fmt: skip
+        candidates.sort(key=lambda c: (c[0], c[1].job, c[2]))
+        free = Room(room.machine, room.type, room.cpus, room.gpus, room.memory_gb)
+        taken = 0
+        lost = 0.0
+        stopped: list[tuple[Hold, int]] = []
+        while taken < count:
+            if free.fits(spec) > 0:
+                free.take(spec, 1)
+                taken += 1
+                offers.append((lost, room, stopped))
+                lost, stopped = 0.0, []
+                continue
+            if not candidates:
+                break
+            age, hold, task = candidates.pop(0)
+            free.cpus += hold.record.cpus
+            free.gpus += hold.record.gpus
+            free.memory_gb += hold.record.memory_gb
+            lost += (age + 1) * (1.0 + hold.record.cpus)
+            stopped.append((hold, task))
+    # On one machine a later offer needs the earlier ones: the sort is stable and costs only rise there mostly.
+    offers.sort(key=lambda offer: offer[0])
+    if len(offers) < count or (spec.same_zone and len({o[1].machine.zone for o in offers[:count]}) > 1):
+        return {}
+    victims: Victims = {}
+    for _, room, stopped in offers[:count]:
+        for hold, task in stopped:
+            tasks = victims.setdefault(room.machine.name, {}).setdefault((hold.job, hold.attempt), set())
+            tasks.add(task)
+    return victims
+
+
+def stop_victims(picture: Picture, victims: Victims, max_ops: int) -> Txn | None:
+    """The transaction that marks the victims to be stopped."""
+    records = {}
+    txn = Txn()
+    for name, tasks in victims.items():
+        machine = picture.machines.get(name)
+        if machine is None:
+            return None
+        group = picture.groups[machine.group]
+        if group.key not in records:
+            records[group.key] = group.copy()
+            txn.guard(group.key, group.version)
+        record = records[group.key].machines[name]
+        kept = []
+        for hold, known in zip(record.holds, machine.holds, strict=True):
+            stop = known.tasks & tasks.get((hold.job, hold.attempt), set())
+            job = picture.jobs.get(hold.job)
+            if not stop or hold.stop_us >= 0 or job is None:
+                kept.append(hold)
+                continue
+            if known.tasks - stop:
+                kept.append(msgspec.structs.replace(hold, tasks=encode_runs(known.tasks - stop)))
+            grace_us = job.spec.save_us if job.spec.checkpoint_us else 0
+            kept.append(msgspec.structs.replace(hold, tasks=encode_runs(stop), stop_us=grace_us))
+        record.holds = kept
+    if not records or len(records) > max_ops:
+        return None
+    for key, changed in records.items():
+        txn.put(key, msgspec.to_builtins(changed))
+    return txn
--- a/ashtray/workers/desk.py
+++ b/ashtray/workers/desk.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from ashtray.jobs.model import Job
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Signal, Sleep
 from ashtray.placement.picture import Group, Machine
 from ashtray.store.client import Txn, Urgency
@@ -54,6 +55,7 @@
         self._fold_kick = Signal()
         self._dirty: set[str] = set()
         self._lines: list[str] = []
+        self._paces: list[tuple[Job, int]] = []
         self._failures = 0
         self._adopting: set[str] = set()
 
@@ -301,7 +303,7 @@
         fold = build_fold(self.kernel, self.ctl.picture, groups, evidence, limits.txn_ops)
         if fold is None:
             return None
-        txn, self._lines = fold
+        txn, self._lines, self._paces = fold
         return txn
 
     def fold(self) -> Fiber[None]:
@@ -318,6 +320,8 @@
             self._failures = 0
             for line in self._lines:
                 self.kernel.log("info", line)
+            for job, placed_us in self._paces:
+                self.ctl.pace.learn(job, placed_us, self.kernel.wall_us)
             self.tend_all()
             self.ctl.peers.hint()
         else:
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -23,12 +23,15 @@
     broken: int = 0
     errors: int = 0
     successes: int = 0
+    placed_us: int = 0
+    """When the last task that completed was placed."""
 
     def add(self, other: JobFold) -> None:
         self.finished |= other.finished
         self.broken = max(self.broken, other.broken)
         self.errors += other.errors
         self.successes += other.successes
+        self.placed_us = max(self.placed_us, other.placed_us)
 
     def changes_record(self) -> bool:
         return bool(self.finished or self.broken or self.errors)
@@ -77,6 +80,8 @@
             seen: TaskState | None = report.tasks.get((hold.job, hold.attempt, task))
             if seen is not None and seen.state == "ended":
                 note_end(picture, record, hold.job, hold.attempt, task, seen.cause, folds)
+                if seen.cause == "done" and hold.job in folds:
+                    folds[hold.job].placed_us = hold.placed_us
             elif seen is None and dead and sure:
                 note_end(picture, record, hold.job, hold.attempt, task, "absent", folds)
             else:
@@ -140,7 +145,7 @@
 
 def build_fold(
     kernel: Kernel, picture: Picture, groups: Iterable[Group], evidence: dict[str, Evidence], max_ops: int
-) -> tuple[Txn, list[str]] | None:
+) -> tuple[Txn, list[str], list[tuple[Job, int]]] | None:
     """One transaction that folds as much as fits of what is known of some groups' machines."""
     txn = Txn()
     folds: dict[str, JobFold] = {}
@@ -175,7 +180,8 @@
                 lines.append(f"{job_id} is done")
             elif fold.broken or fold.errors:
                 lines.append(f"{job_id} lost tasks: gang attempt {fold.broken}, errors {fold.errors}")
-    return txn, lines
+    paces = [(picture.jobs[job_id], fold.placed_us) for job_id, fold in folds.items() if fold.placed_us]
+    return txn, lines, paces
 
 
 def _writes(folds: dict[str, JobFold], job_id: str) -> bool:
