--- a/ashtray/placement/picture.py
+++ b/ashtray/placement/picture.py
@@ -17,8 +17,12 @@
 TYPES = "now/types"
 EPS = 1e-6
 
-HoldKey = tuple[str, int, int]
-"""Machine, attempt and time to save: tasks that are to be stopped are a hold of their own."""
+HoldKey = tuple[str, int]
+"""A machine and the number of one of its holds.
+
+Not the attempt: tasks of one attempt that are stopped one after the other are several holds, and a key that
+took them for one let a task be placed again while it ran.
+"""
 
 
 class HoldRecord(msgspec.Struct, array_like=True):
@@ -86,9 +90,6 @@
         self.attempt = record.attempt
         self.tasks = decode_runs(record.tasks)
 
-    def key(self, machine: str) -> HoldKey:
-        return machine, self.attempt, self.record.stop_us
-
 
 class Machine:
     """A machine in the picture, with the room its holds take."""
@@ -159,8 +160,8 @@
             self.groups[key] = group
             for name, machine in group.machines.items():
                 self.machines[name] = machine
-                for hold in machine.holds:
-                    self.held.setdefault(hold.job, {})[hold.key(name)] = hold
+                for n, hold in enumerate(machine.holds):
+                    self.held.setdefault(hold.job, {})[(name, n)] = hold
         elif key.startswith(LIVE):
             job_id = key[len(LIVE):]
             self.jobs[job_id] = Job(job_id, value, version)
@@ -202,10 +203,10 @@
         for name, machine in group.machines.items():
             if self.machines.get(name) is machine:
                 del self.machines[name]
-            for hold in machine.holds:
+            for n, hold in enumerate(machine.holds):
                 holds = self.held.get(hold.job)
                 if holds is not None:
-                    holds.pop(hold.key(name), None)
+                    holds.pop((name, n), None)
                     if not holds:
                         del self.held[hold.job]
 
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -143,7 +143,7 @@
             usage = {"cpus": cpus + count * spec.cpus, "gpus": gpus + count * spec.gpus}
             txn.guard(TEAM + team.name, picture.version(TEAM + team.name)).put(TEAM + team.name, usage)
         zones: dict[str, int] = {}
-        for (name, _, _), hold in picture.held.get(job.id, {}).items():
+        for (name, _), hold in picture.held.get(job.id, {}).items():
             zones[picture.machines[name].zone] = zones.get(picture.machines[name].zone, 0) + len(hold.tasks)
         left = list(tasks)
         records = {}
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -101,7 +101,7 @@
         if spec.spread:
             ask.spread_most = (spec.tasks + 1) // 2
             ask.zone_room = {}
-        for (name, _, _), hold in holds.items():
+        for (name, _), hold in holds.items():
             zone = self.picture.machines[name].zone
             if spec.same_zone:
                 ask.zone = zone
--- a/ashtray/placement/rules.py
+++ b/ashtray/placement/rules.py
@@ -92,7 +92,8 @@
     if ask.spec.image in room.machine.images or ask.spec.image_gb <= 0:
         return 0
     seconds = ask.spec.image_gb / max(room.type.fetch_gb_per_s, 0.001)
-    return math.ceil(min(seconds / 5.0, 6.0))
+    # A fetch can eat an urgent job's whole wait; to the others it matters only when it is long.
+    return math.ceil(min(seconds / (3.0 if ask.spec.priority <= 1 else 20.0), 6.0))
 
 
 def _scarce(room: Room, ask: Ask, knobs: Knobs) -> float:
