--- a/ashtray/config/operators.py
+++ b/ashtray/config/operators.py
@@ -14,5 +14,5 @@
     group_size: int = 4
     rules: tuple[str, ...] = ("trust", "image", "scarce", "spot", "packing")
     boot_patience: float = 2.5
-    idle_boots: float = 1.0
-    patience_s: float = 8.0
+    idle_boots: float = 0.5
+    patience_s: float = 6.0
