--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -81,16 +81,20 @@
 
     def _submit(self, request_id: int, job_id: str, spec: JobSpec) -> Fiber[None]:
         ctl = self.ctl
-        reason = self.refusal(spec) if ctl.picture.types else "types"
+        # What could be known when the question came decides: while the look-up waits, the types may come in,
+        # and a job that could not be judged must not be refused then.
+        known = bool(ctl.picture.types)
+        reason = self.refusal(spec) if known else "the machine types are not known yet"
         if reason is not None:
             # A job that is known already gets its state, whatever would be said of it now.
             status, body = yield from self._look_up(job_id)
-            if status == 404 and ctl.picture.types:
+            if status != 404:
+                self._answer(request_id, status, body)
+            elif known:
+                self.kernel.log("info", f"{job_id} refused: {reason}")
                 self.kernel.answer(request_id, 422, {"error": reason})
-            elif status == 404:
-                self.kernel.answer(request_id, 503, {"error": "the machine types are not known yet"}, 1)
             else:
-                self._answer(request_id, status, body)
+                self.kernel.answer(request_id, 503, {"error": reason}, 1)
             return
         record = JobRecord(spec, ctl.settings.host_name, self.kernel.wall_us)
         value = msgspec.to_builtins(record)
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -32,6 +32,7 @@
         self.kick = Signal()
         self._seen = -1
         self._partial_us: dict[str, int] = {}
+        self._hurry = False
 
     def widen(self) -> float:
         """The chance of a pick among the best few: it rises with conflicts, up to a cap."""
@@ -41,7 +42,9 @@
 
     def run(self) -> Fiber[None]:
         while True:
-            yield Wait(self.kick, RETRY_US)
+            if not self._hurry:
+                yield Wait(self.kick, RETRY_US)
+            self._hurry = False
             if self.ctl.follower.loaded and self.ctl.presence.incarnation:
                 self._seen = self.ctl.picture.changes
                 yield from self._round()
@@ -71,8 +74,9 @@
             short = job.spec.kind == "gang" or job.id in inside
             if not choices and short and (job.spec.priority <= 1 or job.id in inside):
                 need = len(tasks) if job.spec.kind == "gang" else 1
-                if not plan.keep_soon(job, need) and mine:
-                    yield from self._preempt(job, plan, need, inside)
+                if not plan.keep_soon(job, need) and mine and (yield from self._preempt(job, plan, need, inside)):
+                    # This plan does not know yet which room is being made, and jobs further back would take it.
+                    return self._again()
             if not choices or not mine:
                 continue
             if sum(n for _, n in choices) < len(tasks):
@@ -83,24 +87,25 @@
             placed = yield from self._commit(job, tasks, choices)
             if not placed:
                 # The picture was too late: start anew on the fresh one.
-                ctl.kernel.fire(self.kick)
-                self._seen = -1
-                return
+                return self._again()
 
-    def _preempt(self, job: Job, plan: Plan, count: int, inside: set[str]) -> Fiber[None]:
+    def _again(self) -> None:
+        self._hurry = True
+
+    def _preempt(self, job: Job, plan: Plan, count: int, inside: set[str]) -> Fiber[bool]:
         """Stop work that may be stopped where that makes room for a job."""
         ctl = self.ctl
         allowed = may_stop(ctl.picture, ctl.teams, inside, job)
         victims = choose_victims(plan, job, count, allowed, ctl.kernel.wall_us)
         if not victims:
-            return
+            return False
         most = ctl.settings.cluster.state.txn_ops
         build = partial(stop_victims, ctl.picture, victims, most)
         if (yield from ctl.follower.commit(build, len(victims), Urgency.PLACE)):
             number = sum(len(tasks) for held in victims.values() for tasks in held.values())
             ctl.kernel.log("info", f"{job.id} stops {number} tasks on {', '.join(sorted(victims))}")
             ctl.peers.hint()
-            plan.keep_soon(job, count)
+        return True
 
     def _commit(self, job: Job, tasks: list[int], choices: list[Choice]) -> Fiber[bool]:
         ctl = self.ctl
