--- a/ashtray/cli.py
+++ b/ashtray/cli.py
@@ -3,44 +3,169 @@
 from __future__ import annotations
 
 import argparse
+import json
 import logging
 import os
 import sys
 from collections.abc import Sequence
+from typing import Any
 
 from ashtray import __version__
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import SETTINGS, load_knobs
 from ashtray.config.settings import SettingsError, load_settings
 
-EXIT_OK, EXIT_FAILED, EXIT_USAGE = 0, 1, 2
+EXIT_OK, EXIT_FAILED, EXIT_USAGE, EXIT_UNREACHABLE = 0, 1, 2, 3
+EXIT_CODES = """exit codes:
+  0  done as asked
+  1  refused, unknown, or not so (see the message)
+  2  the command line or a settings file cannot be used
+  3  no controller gave an answer in time"""
 
 
 def _logging() -> None:
     level = os.environ.get("LOG_LEVEL", "info").lower()
-    logging.basicConfig(
-        stream=sys.stderr, level={"error": "ERROR", "debug": "DEBUG"}.get(level, "INFO"),
-        format="%(levelname)s %(message)s",
-    )  # fmt: skip
+    levels = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+    logging.basicConfig(stream=sys.stderr, level=levels.get(level, logging.INFO), format="%(levelname)s %(message)s")
     for noisy in ("asyncio", "aiohttp"):
         logging.getLogger(noisy).setLevel(logging.ERROR)
 
 
 def _run(args: argparse.Namespace) -> int:
     settings = load_settings(args.config)
+    knobs = load_knobs(args.operators)
     _logging()
     from ashtray.daemon.server import run
 
-    run(settings, Knobs())
+    run(settings, knobs)
     return EXIT_OK
 
 
+def _check(args: argparse.Namespace) -> int:
+    if args.config is None and args.operators is None:
+        print("ashtray: check needs --config, --operators or both", file=sys.stderr)
+        return EXIT_USAGE
+    shown: dict[str, Any] = {}
+    if args.config is not None:
+        settings = load_settings(args.config)
+        shown["config"] = {"host_name": settings.host_name, "others": [p.host_name for p in settings.others]}
+    knobs = load_knobs(args.operators)
+    shown["operators"] = {name: getattr(knobs, setting.field) for name, setting in SETTINGS.items()}
+    if args.json:
+        print(json.dumps(shown))
+        return EXIT_OK
+    if args.config is not None:
+        print(f"{args.config}: good ({settings.host_name}, {len(settings.others)} others)")
+    if args.operators is not None:
+        print(f"{args.operators}: good")
+    for name, setting in SETTINGS.items():
+        value = getattr(knobs, setting.field)
+        text = " ".join(map(str, value)) if isinstance(value, tuple) else value
+        print(f"  ({name} {text})  ; {setting.meaning}; {setting.range}")
+    return EXIT_OK
+
+
+def _ask(args: argparse.Namespace, method: str, path: str, body: Any = None) -> int:
+    from ashtray.client import Client, Unreachable
+
+    try:
+        status, answer = Client(args.server, args.timeout).ask(method, path, body)
+    except ValueError as error:
+        print(f"ashtray: --server: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    except Unreachable as error:
+        print(f"ashtray: no answer: {error}", file=sys.stderr)
+        return EXIT_UNREACHABLE
+    if args.json:
+        print(json.dumps({"http_status": status, "answer": answer}))
+    elif status in (200, 201):
+        print(_readable(answer))
+    else:
+        reason = answer.get("error", "") if isinstance(answer, dict) else ""
+        print(f"ashtray: {reason or 'refused'} ({status})", file=sys.stderr)
+    return EXIT_OK if status in (200, 201) else EXIT_FAILED
+
+
+def _readable(answer: dict[str, Any]) -> str:
+    if "places" not in answer:
+        counts = f", {answer['done']} done, {answer['running']} placed" if "done" in answer else ""
+        return f"{answer['name_id']}: {answer['status']}{counts}"
+    lines = [f"{answer['name_id']}: {answer['tasks']} tasks, {answer['done']} done, {answer['placed']} placed; "
+             f"{answer['placed_by']} places it"]  # fmt: skip
+    lines += [f"  waits: {reason}" for reason in answer["waiting"]]
+    for place in answer["places"]:
+        rules = ", ".join(f"{name} {score:g}" for name, score in place.get("rules", {}).items())
+        note = f" ({place['note']})" if "note" in place else ""
+        lines.append(f"  tasks {place['tasks']} on {place['machine']}, attempt {place['attempt']}{note}: {rules}")
+    return "\n".join(lines)
+
+
+def _submit(args: argparse.Namespace) -> int:
+    try:
+        if args.file == "-":
+            job = json.load(sys.stdin)
+        else:
+            with open(args.file, encoding="utf-8") as file:
+                job = json.load(file)
+    except OSError as error:
+        print(f"ashtray: {args.file}: {error.strerror}", file=sys.stderr)
+        return EXIT_USAGE
+    except ValueError as error:
+        print(f"ashtray: {args.file}: not JSON: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    return _ask(args, "POST", "/submissions", job)
+
+
+def _status(args: argparse.Namespace) -> int:
+    return _ask(args, "GET", f"/submissions/{args.job}")
+
+
+def _abort(args: argparse.Namespace) -> int:
+    return _ask(args, "POST", f"/submissions/{args.job}/abort")
+
+
+def _explain(args: argparse.Namespace) -> int:
+    return _ask(args, "GET", f"/submissions/{args.job}/explain")
+
+
 def parser() -> argparse.ArgumentParser:
-    top = argparse.ArgumentParser(prog="ashtray", description="A cluster scheduler.")
+    top = argparse.ArgumentParser(
+        prog="ashtray", description="A cluster scheduler: run a controller, check its settings, or use the service.",
+        epilog=EXIT_CODES, formatter_class=argparse.RawDescriptionHelpFormatter,
+    )  # fmt: skip
     top.add_argument("--version", action="version", version=f"ashtray {__version__}")
-    commands = top.add_subparsers(dest="command", required=True)
-    run = commands.add_parser("run", help="run one controller")
-    run.add_argument("--config", required=True, metavar="FILE", help="the settings file (TOML)")
+    commands = top.add_subparsers(dest="command", required=True, metavar="COMMAND")
+
+    run = commands.add_parser("run", help="run one controller", description="Run one controller until it is killed.")
+    run.add_argument("--config", required=True, metavar="FILE", help="the platform's settings (TOML)")
+    run.add_argument("--operators", metavar="FILE", help="the operators' own settings (S-expressions)")
     run.set_defaults(call=_run)
+
+    check = commands.add_parser(
+        "check", help="check settings files", description="Check settings files and show what is in force."
+    )
+    check.add_argument("--config", metavar="FILE", help="the platform's settings (TOML)")
+    check.add_argument("--operators", metavar="FILE", help="the operators' own settings (S-expressions)")
+    check.add_argument("--json", action="store_true", help="print JSON")
+    check.set_defaults(call=_check)
+
+    user = argparse.ArgumentParser(add_help=False)
+    user.add_argument("--server", default=os.environ.get("ASHTRAY_SERVER", "127.0.0.1:8080"), metavar="HOST:PORT",
+                      help="a controller or its load balancer (default: $ASHTRAY_SERVER, %(default)s)")  # fmt: skip
+    user.add_argument("--timeout", type=float, default=60.0, metavar="S", help="how long to try (default: 60)")
+    user.add_argument("--json", action="store_true", help="print the answer as JSON")
+    submit = commands.add_parser(
+        "submit", parents=[user], help="submit a job", description="Submit a job described in JSON."
+    )
+    submit.add_argument("file", metavar="FILE", help="the job, as the protocol's map in JSON; - reads standard input")
+    submit.set_defaults(call=_submit)
+    for name, call, what in (
+        ("status", _status, "Tell a job's state."),
+        ("abort", _abort, "Cancel a job."),
+        ("explain", _explain, "Tell why a job waits, or why it runs where it does, rule by rule."),
+    ):
+        command = commands.add_parser(name, parents=[user], help=what.rstrip(".").lower(), description=what)
+        command.add_argument("job", metavar="JOB", help="the job's id, such as job-000412")
+        command.set_defaults(call=call)
     return top
 
 
--- /dev/null
+++ b/ashtray/client.py
@@ -0,0 +1,46 @@
+"""A user's side of the protocol, for the command line."""
+
+from __future__ import annotations
+
+import http.client
+import time
+from typing import Any
+
+import msgspec
+
+
+class Unreachable(Exception):
+    """No answer that counts came in time."""
+
+
+class Client:
+    def __init__(self, server: str, timeout_s: float) -> None:
+        host, colon, port = server.rpartition(":")
+        if not (colon and host and port.isdigit()):
+            raise ValueError(f"expected HOST:PORT, got {server!r}")
+        self.host, self.port = host, int(port)
+        self.timeout_s = timeout_s
+
+    def ask(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        """One request, repeated as the protocol asks while the service cannot take it."""
+        until = time.monotonic() + self.timeout_s
+        data = None if body is None else msgspec.msgpack.encode(body)
+        while True:
+            pause, reason = 1.0, ""
+            connection = http.client.HTTPConnection(self.host, self.port, timeout=5)
+            try:
+                connection.request(method, path, data, {"Content-Type": "application/msgpack"})
+                response = connection.getresponse()
+                raw = response.read()
+                if response.status not in (429, 503, 504):
+                    return response.status, msgspec.msgpack.decode(raw) if raw else None
+                reason = f"{self.host}:{self.port} answers {response.status}"
+                after = response.getheader("Retry-After", "1")
+                pause = min(float(after), 30.0) if after.isdigit() else 1.0
+            except (OSError, http.client.HTTPException, msgspec.DecodeError) as error:
+                reason = f"{self.host}:{self.port}: {error}"
+            finally:
+                connection.close()
+            if time.monotonic() + pause > until:
+                raise Unreachable(reason)
+            time.sleep(pause)
--- a/ashtray/config/settings.py
+++ b/ashtray/config/settings.py
@@ -90,7 +90,6 @@
     cluster: Cluster
     domain: str = ""
     others: list[Peer] = msgspec.field(default_factory=list)
-    operators_file: str | None = None
 
 
 def _check_address(file: Path, field: str, value: str) -> None:
--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -115,13 +115,15 @@
             if method == "POST":
                 self.jobs.submit(request_id, body if readable else None, handed)
                 return
-        elif parts[0] == "submissions" and (len(parts) == 2 or (len(parts) == 3 and parts[2] == "abort")):
-            allowed = "POST" if len(parts) == 3 else "GET"
+        elif parts[0] == "submissions" and (len(parts) == 2 or parts[2:] in (["abort"], ["explain"])):
+            allowed = "POST" if parts[2:] == ["abort"] else "GET"
             if method == allowed:
                 if not JOB_ID.fullmatch(parts[1]):
                     kernel.answer(request_id, 400, {"error": "a job id is job- and digits"})
-                elif len(parts) == 3:
+                elif parts[2:] == ["abort"]:
                     self.jobs.abort(request_id, parts[1], handed)
+                elif parts[2:] == ["explain"]:
+                    self.jobs.explain(request_id, parts[1], handed)
                 else:
                     self.jobs.poll(request_id, parts[1], handed)
                 return
--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -17,7 +17,7 @@
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Sleep
 from ashtray.placement.picture import FLEET, MEMBER, TYPES, Machine, MachineRecord, MachineType
 from ashtray.placement.plan import Plan, queue
-from ashtray.placement.rules import Room
+from ashtray.placement.rules import Ask, Room
 from ashtray.store.client import Bucket, Txn, Urgency
 
 if TYPE_CHECKING:
@@ -377,10 +377,23 @@
             left = len(plan.wanted(job, wall_us))
             if left:
                 plan.count(job, left)
-                self._wish(job, plan, left, fleet, wishes)
+                for ask, part in self._parts(plan.ask(job), left):
+                    self._wish(job, ask, part, fleet, wishes)
         return wishes
 
-    def _wish(self, job: Job, plan: Plan, left: int, fleet: list[Future], wishes: dict[Kind, int]) -> None:
+    def _parts(self, ask: Ask, left: int) -> list[tuple[Ask, int]]:
+        """A job that must be spread is served zone by zone; the tasks of the others are one part."""
+        zones = [z for z in self.ctl.settings.cluster.zones if ask.spec.zone in (None, z) and ask.zone in (None, z)]
+        if not ask.spec.spread or len(zones) < 2:
+            return [(ask, left)]
+        parts = []
+        for n, zone in enumerate(zones):
+            part = min(-(-left // (len(zones) - n)), ask.zone_allows(zone))
+            left -= part
+            parts.append((replace(ask, zone=zone), part))
+        return [(part_ask, part) for part_ask, part in parts if part > 0]
+
+    def _wish(self, job: Job, ask: Ask, left: int, fleet: list[Future], wishes: dict[Kind, int]) -> None:
         ctl = self.ctl
         wall_us = self.kernel.wall_us
         run_us = ctl.pace.run_us(job)
@@ -388,7 +401,8 @@
         cheapest, best_kind = min(self._offers(job, blocked=True), default=(0.0, ("", "", False)))
         if job.spec.job_class in ctl.pace.urgent:
             self.cheapest_for_urgent[job.spec.job_class] = (best_kind[0], best_kind[2])
-        ask = plan.ask(job)
+        if job.spec.same_zone and ask.zone is None and offers:
+            ask.zone = offers[0][1][1]
         for _ in range(40):
             trial = [future.copy() for future in fleet]
             starts = schedule(trial, ask, left, run_us)
--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -10,6 +10,8 @@
 from ashtray.jobs.messages import Malformed, parse_submission, state_body
 from ashtray.jobs.model import LIVE, OVER, JobRecord, JobSpec
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply
+from ashtray.placement.explain import explain
+from ashtray.placement.plan import Plan
 from ashtray.store.client import Txn, Urgency
 from ashtray.teams.limits import can_ever_run
 
@@ -149,6 +151,20 @@
         status, body = yield from self._look_up(job_id)
         self._answer(request_id, status, body)
 
+    def explain(self, request_id: int, job_id: str, handed: bool = False) -> None:
+        if not self._unready(request_id, handed, "GET", f"/submissions/{job_id}/explain", None):
+            self.kernel.spawn(self._explain(request_id, job_id))
+
+    def _explain(self, request_id: int, job_id: str) -> Fiber[None]:
+        ctl = self.ctl
+        status, body = yield from self._look_up(job_id)
+        job = ctl.picture.jobs.get(job_id)
+        if status == 200 and job is not None:
+            plan = Plan(ctl.picture, ctl.teams, ctl.knobs, self.kernel.rng)
+            owner = ctl.presence.owner_of(job_id, job.record.owner)
+            body = explain(plan, job, self.kernel.wall_us, owner)
+        self._answer(request_id, status, body)
+
     def abort(self, request_id: int, job_id: str, handed: bool = False) -> None:
         if not self._unready(request_id, handed, "POST", f"/submissions/{job_id}/abort", None):
             self.kernel.spawn(self._abort(request_id, job_id))
--- /dev/null
+++ b/ashtray/placement/explain.py
@@ -0,0 +1,59 @@
+"""Why a job waits, or why it is where it is, rule by rule."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+from ashtray.jobs.model import Job
+from ashtray.kernel import SECOND_US
+from ashtray.placement.plan import Plan, back_off_us
+from ashtray.placement.rules import PREFERENCES, VALIDATORS, Room
+from ashtray.teams.limits import tasks_within
+
+
+def explain(plan: Plan, job: Job, wall_us: int, owner: str) -> dict[str, Any]:
+    """An answer for a person: plain reasons, and the scores of the rules where tasks have places."""
+    spec = job.spec
+    placed = plan.picture.placed(job.id)
+    answer: dict[str, Any] = {
+        "name_id": job.id, "placed_by": owner, "tasks": spec.tasks, "done": len(job.finished), "placed": len(placed),
+        "waiting": [], "places": [],
+    }  # fmt: skip
+    ask = plan.ask(job)
+    rooms = {room.machine.name: room for room in plan.rooms}
+    for (name, _), hold in sorted(plan.picture.held.get(job.id, {}).items()):
+        room = rooms.get(name)
+        place: dict[str, Any] = {"machine": name, "attempt": hold.attempt, "tasks": hold.record.tasks}
+        if room is None:
+            place["note"] = "the machine is being returned"
+        else:
+            place["rules"] = {n: PREFERENCES[n].score(room, ask, plan.knobs) for n in plan.knobs.rules}
+        if hold.record.stop_us >= 0:
+            place["note"] = "being stopped"
+        answer["places"].append(place)
+    left = [n for n in range(spec.tasks) if n not in placed and n not in job.finished]
+    if left and not (spec.kind == "gang" and placed):
+        answer["waiting"] = _waits(plan, job, len(left), wall_us, list(rooms.values()))
+    return answer
+
+
+def _waits(plan: Plan, job: Job, left: int, wall_us: int, rooms: list[Room]) -> list[str]:
+    spec = job.spec
+    reasons = [f"{left} tasks wait for a place"]
+    pause_us = back_off_us(job) - (wall_us - job.record.error_us)
+    if job.record.errors and pause_us > 0:
+        reasons.append(f"its tasks failed {job.record.errors} times: the next try is in {pause_us // SECOND_US} s")
+    team = plan.teams.get(spec.team)
+    need = left if spec.kind == "gang" else 1
+    if team is not None and tasks_within(team, *plan.usage[team.name], spec) < need:
+        reasons.append(f"team {team.name} is at its limit")
+    ask = plan.ask(job)
+    blocked: Counter[str] = Counter()
+    for room in rooms:
+        broken = next((rule for rule in VALIDATORS if not rule.holds(room, ask)), None)
+        blocked[broken.reason if broken else "has room, and jobs before it may take it"] += 1
+    reasons += [f"{number} machines: {reason}" for reason, number in blocked.most_common()]
+    if not rooms:
+        reasons.append("no machines are up")
+    return reasons
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -75,7 +75,10 @@
             ):
                 whole[n] += size
                 free[n] += left
-        c, g, m = (1.1 - f / w if w else 1.0 for f, w in zip(free, whole, strict=True))
+        c, g, m = (
+            weight * (1.1 - f / w if w else 1.0)
+            for weight, f, w in zip(self.knobs.weights, free, whole, strict=True)
+        )  # fmt: skip
         return c, g, m
 
     def wanted(self, job: Job, wall_us: int) -> list[int]:
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,110 @@
+"""The real daemon on loopback, against this repository's stand-ins, used through the command line."""
+
+import asyncio
+import json
+import socket
+import sys
+from pathlib import Path
+
+import msgspec
+
+from tests.standins.serve import Stage
+from tests.test_formats import SUBMISSION
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def free_port_block() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return 20_000 + probe.getsockname()[1] % 20_000
+
+
+async def cli(*args: str) -> tuple[int, str, str]:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "ashtray", *args, cwd=ROOT, stdout=-1, stderr=-1
+    )
+    out, err = await process.communicate()
+    return process.returncode or 0, out.decode(), err.decode()
+
+
+async def raw(port: int, head: str, body: bytes = b"") -> int:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(f"{head} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+    status = int((await reader.readline()).split()[1])
+    writer.close()
+    return status
+
+
+async def play(directory: Path) -> None:
+    stage = Stage(directory, 2, free_port_block())
+    await stage.start()
+    controllers = [
+        await asyncio.create_subprocess_exec(sys.executable, "run.py", "--config", str(file), cwd=ROOT, stderr=-3)
+        for file in stage.write_settings()
+    ]
+    server = ["--server", f"127.0.0.1:{stage.apis[0]}"]
+    job = directory / "job.json"
+    try:
+        over = {"pieces": 3, "cpus": 1.0, "cards": 0.0, "memory_gb": 1.0, "hulls": None, "crew": "crew"}
+        job.write_text(json.dumps({**SUBMISSION, **over}))
+        code, out, err = await cli("submit", *server, str(job))
+        assert (code, "job-1: pending" in out) == (0, True), err
+        for _ in range(60):
+            code, out, _ = await cli("status", *server, "--json", "job-1")
+            assert code == 0
+            if json.loads(out)["answer"]["status"] == "done":
+                break
+            await asyncio.sleep(0.3)
+        else:
+            raise AssertionError(out)
+        code, out, err = await cli("submit", *server, str(job))
+        assert "job-1: done" in out
+        job.write_text(json.dumps({**SUBMISSION, **over, "name_id": "job-2", "cpus": 99.0}))
+        code, _, err = await cli("submit", *server, str(job))
+        assert (code, "422" in err) == (1, True)
+        job.write_text(json.dumps({**SUBMISSION, **over, "name_id": "job-3", "shape": "service"}))
+        assert (await cli("submit", *server, str(job)))[0] == 0
+        code, out, _ = await cli("explain", *server, "job-3")
+        assert (code, "job-3: 3 tasks" in out) == (0, True)
+        # The other controller knows what the first one took.
+        other = ["--server", f"127.0.0.1:{stage.apis[1]}"]
+        code, out, _ = await cli("abort", *other, "job-3")
+        assert (code, out.strip()) == (0, "job-3: cancelled")
+        code, _, err = await cli("status", *server, "job-77")
+        assert (code, "404" in err) == (1, True)
+        port = stage.apis[0]
+        assert await raw(port, "GET /nowhere") == 404
+        assert await raw(port, "PUT /submissions") == 405
+        assert await raw(port, "POST /submissions", b"\xc1") == 400
+        assert await raw(port, "POST /submissions", b"\x00" * 70_000) == 400
+        assert await raw(port, "POST /hello", msgspec.msgpack.encode({"berth": 1})) == 400
+        assert await raw(port, "GET /submissions/job-x") == 400
+        assert await raw(port, "GET /up") == 200
+    finally:
+        for controller in controllers:
+            controller.kill()
+            await controller.wait()
+        await stage.stop()
+
+
+def test_a_user_is_served_on_loopback(tmp_path: Path):
+    asyncio.run(play(tmp_path))
+
+
+def test_settings_that_cannot_be_used_end_with_one_line(tmp_path: Path):
+    async def check() -> None:
+        bad = tmp_path / "bad.toml"
+        bad.write_text("host_name = 1\n")
+        code, _, err = await cli("run", "--config", str(bad))
+        assert code == 2
+        assert len(err.splitlines()) == 1
+        assert str(bad) in err
+
+    asyncio.run(check())
+
+
+def test_no_controller_answers():
+    code, _, err = asyncio.run(cli("status", "--server", "127.0.0.1:1", "--timeout", "0.1", "job-1"))
+    assert code == 3
+    assert "no answer" in err
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,59 @@
+"""The operators' S-expression file."""
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ashtray.config.operators import SETTINGS, Knobs, load_knobs
+from ashtray.config.settings import SettingsError
+
+
+def load(directory: Path, text: str) -> Knobs:
+    file = directory / "operators.sexp"
+    file.write_text(text)
+    return load_knobs(str(file))
+
+
+def test_every_setting_has_a_default_within_its_range():
+    knobs = Knobs()
+    for setting in SETTINGS.values():
+        value = getattr(knobs, setting.field)
+        if not isinstance(value, tuple):
+            assert setting.read([value]) == value
+
+
+def test_settings_are_read(tmp_path: Path):
+    knobs = load(tmp_path, "(ashtray (group-size 8) ; eight\n (rules packing trust) (weights 1 2 0.5))")
+    assert (knobs.group_size, knobs.rules, knobs.weights) == (8, ("packing", "trust"), (1.0, 2.0, 0.5))
+    assert load(tmp_path, "(ashtray)") == Knobs()
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("(ashtray\n  (group-size 0))", "line 2, column 4: group-size: expected a whole number from 1 to 64"),
+        ("(ashtray\n  ; (colour 1)\n  (colour 3))", "line 3, column 4: unknown setting colour"),
+        ("(ashtray (patience 1)\n (patience 2))", "line 2, column 3: patience is set twice"),
+        ("(ashtray (rules trust trust))", "rules: expected any of"),
+        ("(ashtray (weights 1 2))", "weights: expected three numbers"),
+        ("(ashtray (avoidance-cap 1.5))", "avoidance-cap"),
+        ("(ashtray 3)", "expected (setting value ...)"),
+        ("(other)", "expected (ashtray ...)"),
+        ("(ashtray", "not an S-expression"),
+    ],
+)
+def test_errors_name_the_setting_and_its_place(tmp_path: Path, text: str, named: str):
+    with pytest.raises(SettingsError) as caught:
+        load(tmp_path, text)
+    assert named in str(caught.value)
+    assert "\n" not in str(caught.value)
+
+
+@given(st.text(alphabet="()ashtry 01.;\n\"'-", max_size=40))
+def test_any_text_is_read_or_refused_with_one_line(tmp_path_factory, text):
+    try:
+        load(tmp_path_factory.mktemp("s"), text)
+    except SettingsError as error:
+        assert "\n" not in str(error)
