--- /dev/null
+++ b/tests/bite.py
@@ -0,0 +1,91 @@
+"""Shows that the model test bites: breaks one safety point after the other in a scratch copy and runs it there.
+
+    python -m tests.bite [--runs N] [NAME ...]
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+FOLDING, DESK = "ashtray/workers/folding.py", "ashtray/workers/desk.py"
+RUNNER, PLACER = "ashtray/fleet/runner.py", "ashtray/placement/placer.py"
+SERVICE, PICTURE = "ashtray/jobs/service.py", "ashtray/placement/picture.py"
+
+BREAKS: dict[str, tuple[str, str, str]] = {
+    "absence-is-proof": (
+        FOLDING, "sure = evidence.exact and record.token == evidence.token", "sure = True"),
+    "free-before-deletion": (
+        RUNNER, "        if reply.status != 200:\n            return\n        for name in names:",
+        "        for name in names:"),
+    "place-while-deleting": (
+        RUNNER, "        if not machine.record.retiring:\n            if not (yield", "        if False:\n            if not (yield"),
+    "clear-before-commit": (
+        DESK, '                elif over and seen.state == "saving":',
+        '                elif seen.state == "ended":\n                    kills.append(messages.clear(key))\n'
+        '                elif over and seen.state == "saving":'),
+    "one-token-for-all": (
+        DESK, "return self._counter << TOKEN_SHIFT | self.ctl.presence.incarnation", "return max(above, 1)"),
+    "orders-without-record": (
+        DESK, "return worker.exact and machine.record.token == worker.token", "return worker.exact"),
+    "no-doubt": (
+        DESK, "if not reply.refused and worker.token == token:", "if False:"),
+    "orders-in-flight-ignored": (
+        DESK, "busy = worker.in_flight or worker.answered is not None", "busy = False"),
+    "renew-for-ever": (
+        DESK, "return self.kernel.now_us - self.ctl.follower.read_us <= limit_us", "return True"),
+    "job-not-guarded": (
+        PLACER, "txn = Txn().guard(LIVE + job.id, job.version)", "txn = Txn()"),
+    "groups-not-guarded": (
+        PLACER, "                txn.guard(group.key, group.version)\n", ""),
+    "team-not-guarded": (
+        PLACER, "txn.guard(TEAM + team.name, picture.version(TEAM + team.name)).put(", "txn.put("),
+    "answers-without-barrier": (
+        SERVICE, "if not (yield from self.ctl.follower.barrier()):", "if False:"),
+    "accept-without-look": (
+        SERVICE, ".guard(OVER + job_id, 0).put(", ".put("),
+    "stopped-holds-hide": (
+        PICTURE, "self.held.setdefault(hold.job, {})[(name, n)] = hold",
+        "self.held.setdefault(hold.job, {})[(name, hold.attempt)] = hold"),
+    "zone-not-checked": (
+        PLACER, "if spec.same_zone and len(zones) > 1:", "if False:"),
+}  # fmt: skip
+
+
+def bite(name: str, runs: int) -> tuple[str, str]:
+    file, old, new = BREAKS[name]
+    with tempfile.TemporaryDirectory() as scratch:
+        for part in ("ashtray", "tests", "pyproject.toml"):
+            source = ROOT / part
+            copy = shutil.copytree if source.is_dir() else shutil.copy
+            copy(source, Path(scratch) / part)
+        broken = Path(scratch) / file
+        text = broken.read_text()
+        if text.count(old) != 1:
+            return name, "the place to break was not found"
+        broken.write_text(text.replace(old, new))
+        env = {**os.environ, "ASHTRAY_MODEL_RUNS": str(runs), "PYTHONDONTWRITEBYTECODE": "1"}
+        command = [sys.executable, "-m", "pytest", "-q", "-x", "tests/test_model.py"]
+        done = subprocess.run(command, cwd=scratch, env=env, capture_output=True, text=True, check=False)
+        if done.returncode == 0:
+            return name, "NOT caught"
+        reasons = [line for line in done.stdout.splitlines() if line.startswith("E   ") and "Error" in line]
+        reasons = reasons or [line for line in done.stdout.splitlines() if "RuleBroken" in line]
+        return name, "caught: " + (reasons[0][4:].strip() if reasons else "failed")[:150]
+
+
+if __name__ == "__main__":
+    options = argparse.ArgumentParser(description="Break safety points in scratch copies; see what the model test says.")
+    options.add_argument("--runs", type=int, default=300, help="generated runs for each break")
+    options.add_argument("names", nargs="*", default=list(BREAKS))
+    chosen = options.parse_args()
+    with ThreadPoolExecutor(os.cpu_count()) as pool:
+        for found in pool.map(lambda name: bite(name, chosen.runs), chosen.names):
+            print("{:26} {}".format(*found), flush=True)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -1,5 +1,6 @@
 """Every rule under generated faults, with the real cores and stand-ins for all around them."""
 
+import os
 import random
 
 from hypothesis import HealthCheck, Phase, given, settings
@@ -8,6 +9,7 @@
 from tests.model import Model, submission
 
 SECOND = 1_000_000
+RUNS = int(os.environ.get("ASHTRAY_MODEL_RUNS", "60"))
 
 FAULT = st.one_of(
     st.tuples(st.just("crash"), st.integers(0, 2), st.floats(1, 8)),
@@ -108,7 +110,7 @@
 
 
 # Without shrinking, a failure is shown as it was drawn; with it, one takes minutes.
-@settings(max_examples=40, phases=[Phase.explicit, Phase.generate], suppress_health_check=list(HealthCheck))
+@settings(max_examples=RUNS, phases=[Phase.explicit, Phase.generate], suppress_health_check=list(HealthCheck))
 @given(st.integers(0, 10**6), st.lists(JOB, min_size=3, max_size=10), FAULTS)
 def test_no_rule_breaks_and_all_jobs_end_when_the_faults_do(seed, jobs, faults):
     model = play(seed, jobs, faults)
