Urgent classes look first where their image is there in time

Cause: after the warm-up nearly all issue-render and swap-routing jobs were placed within 1 s, and missed their aim by fetching (2.5 GB at 0.2 GB/s). Ruled out: queueing (waits of placement under 2.4 s) and processor time.

--- a/ashtray/jobs/pace.py
+++ b/ashtray/jobs/pace.py
@@ -17,7 +17,11 @@
         self.ratios: dict[str, float] = {}
         self._patience_s = patience_s
         waits = [o for o in objectives if o.kind == "wait" and o.job_class and o.within_s]
-        self.urgent = {o.job_class for o in waits}
+        self.urgent: dict[str, float] = {}
+        """For each class with an aim on waiting, the shortest time that one states, in seconds."""
+        for aim in waits:
+            within_s = aim.within_s or 0.0
+            self.urgent[str(aim.job_class)] = min(within_s, self.urgent.get(str(aim.job_class), within_s))
 
     def learn(self, job: Job, placed_us: int, ended_us: int) -> None:
         if job.spec.estimate_us > 0:
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -70,13 +70,21 @@
             if not tasks:
                 continue
             mine = self.mine(job)
-            choices = plan.place(job, len(tasks), most, self.widen() if mine else 0.0)
-            short = job.spec.kind == "gang" or job.id in inside
-            if not choices and short and (job.spec.priority <= 1 or job.id in inside):
-                need = len(tasks) if job.spec.kind == "gang" else 1
-                if not plan.keep_soon(job, need) and mine and (yield from self._preempt(job, plan, need, inside)):
-                    # This plan does not know yet which room is being made, and jobs further back would take it.
-                    return self._again()
+            widen = self.widen() if mine else 0.0
+            need = len(tasks) if job.spec.kind == "gang" else 1
+            choices: list[Choice] = []
+            # A class with an aim on waiting first looks where its image is there in time.
+            aim_s = ctl.pace.urgent.get(job.spec.job_class)
+            for within_s in (None,) if aim_s is None else (0.8 * aim_s, None):
+                choices = plan.place(job, len(tasks), most, widen, within_s)
+                if choices:
+                    break
+                if (job.spec.kind == "gang" and job.spec.priority <= 1) or job.id in inside:
+                    if plan.keep_soon(job, need, within_s):
+                        break
+                    if mine and (yield from self._preempt(job, plan, need, inside, within_s)):
+                        # This plan does not know yet which room is being made: jobs further back would take it.
+                        return self._again()
             if not choices or not mine:
                 continue
             if sum(n for _, n in choices) < len(tasks):
@@ -92,11 +100,13 @@
     def _again(self) -> None:
         self._hurry = True
 
-    def _preempt(self, job: Job, plan: Plan, count: int, inside: set[str]) -> Fiber[bool]:
+    def _preempt(
+        self, job: Job, plan: Plan, count: int, inside: set[str], within_s: float | None
+    ) -> Fiber[bool]:
         """Stop work that may be stopped where that makes room for a job."""
         ctl = self.ctl
         allowed = may_stop(ctl.picture, ctl.teams, inside, job)
-        victims = choose_victims(plan, job, count, allowed, ctl.kernel.wall_us)
+        victims = choose_victims(plan, job, count, allowed, ctl.kernel.wall_us, within_s)
         if not victims:
             return False
         most = ctl.settings.cluster.state.txn_ops
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Iterable
+from dataclasses import replace
 
 from ashtray.config.operators import Knobs
 from ashtray.config.settings import Team
@@ -115,12 +116,15 @@
     def zones(self) -> list[str]:
         return sorted({room.machine.zone for room in self.rooms})
 
-    def place(self, job: Job, count: int, max_groups: int, widen: float) -> list[Choice]:
+    def place(
+        self, job: Job, count: int, max_groups: int, widen: float, image_within_s: float | None = None
+    ) -> list[Choice]:
         """Choose room for tasks of a job and take it; for a gang all of it or none."""
         spec = job.spec
         if spec.kind == "gang" and not self._team_allows(job, count):
             return []
         ask = self.ask(job)
+        ask.image_within_s = image_within_s
         if spec.same_zone and ask.zone is None and len(self.zones()) > 1:
             best: list[Choice] = []
             for zone in self.zones():
@@ -140,7 +144,7 @@
         team = self.teams.get(job.spec.team)
         return team is None or tasks_within(team, *self.usage[team.name], job.spec) >= count
 
-    def keep_soon(self, job: Job, count: int) -> bool:
+    def keep_soon(self, job: Job, count: int, image_within_s: float | None = None) -> bool:
         """Keep the room that stopping tasks will leave for a job that fits then; says whether it does.
 
         Without this, jobs further back would take such room piece by piece, and a gang would wait for ever.
@@ -155,7 +159,9 @@
             later = Room(room.machine, room.type, room.cpus + c, room.gpus + g, room.memory_gb + m)
             soon[id(later)] = own[id(room)]
             rooms.append(later)
-        choices = self._choose(self.ask(job), count, 10_000, 0.0, rooms)
+        ask = self.ask(job)
+        ask.image_within_s = image_within_s
+        choices = self._choose(ask, count, 10_000, 0.0, rooms)
         if sum(n for _, n in choices) < count:
             return False
         self.take(job, [(soon[id(room)], n) for room, n in choices])
@@ -182,7 +188,7 @@
         """
         spec = ask.spec
         zone_room = dict(ask.zone_room) if ask.zone_room is not None else None
-        trial = Ask(spec, ask.zone, zone_room, ask.spread_most, ask.avoid, ask.scarcity)
+        trial = replace(ask, zone_room=zone_room)
         rooms = rank([room for room in (among or self.rooms) if room.fits(spec) > 0], trial, self.knobs, self.rng)
         groups: set[str] = set()
         choices: list[Choice] = []
--- a/ashtray/placement/preemption.py
+++ b/ashtray/placement/preemption.py
@@ -42,10 +42,13 @@
     return allowed
 
 
-def choose_victims(plan: Plan, job: Job, count: int, allowed: Callable[[Hold], bool], wall_us: int) -> Victims:
+def choose_victims(
+    plan: Plan, job: Job, count: int, allowed: Callable[[Hold], bool], wall_us: int, image_within_s: float | None
+) -> Victims:
     """The tasks whose end costs least and makes room for all of a job's tasks; empty if none will do."""
     spec = job.spec
     ask = plan.ask(job)
+    ask.image_within_s = image_within_s
     checks = [rule for rule in VALIDATORS if rule.name != "room"]
     offers: list[tuple[float, Room, list[tuple[Hold, int]]]] = []
     for room in plan.rooms:
--- a/ashtray/placement/rules.py
+++ b/ashtray/placement/rules.py
@@ -49,6 +49,8 @@
     zone_room: dict[str, int] | None = None
     """With `spread`: how many more of its tasks each zone may take; others take `spread_most`."""
     spread_most: int = 0
+    image_within_s: float | None = None
+    """Only machines that have the image, or fetch it within this time, will do."""
     avoid: set[str] = field(default_factory=set)
     scarcity: tuple[float, float, float] = (1.0, 1.0, 1.0)
 
@@ -72,6 +74,17 @@
     score: Callable[[Room, Ask, Knobs], float]
 
 
+def fetch_s(room: Room, ask: Ask) -> float:
+    """How long the machine would take to fetch the image."""
+    if ask.spec.image in room.machine.images:
+        return 0.0
+    return ask.spec.image_gb / max(room.type.fetch_gb_per_s, 0.001)
+
+
+def _image_in_time(room: Room, ask: Ask) -> bool:
+    return ask.image_within_s is None or fetch_s(room, ask) <= ask.image_within_s
+
+
 VALIDATORS = [
     Validator("staying", "the machine is being returned", lambda r, a: not r.machine.record.retiring),
     Validator("type", "its type is not allowed", lambda r, a: not a.spec.types or r.type.name in a.spec.types),
@@ -79,6 +92,7 @@
     Validator("kind", "the job may not use spot machines", lambda r, a: a.spec.spot or not r.machine.record.spot),
     Validator("same-zone", "other tasks are in another zone", lambda r, a: a.zone in (None, r.machine.zone)),
     Validator("spread", "half of the tasks are there", lambda r, a: a.zone_allows(r.machine.zone) > 0),
+    Validator("image-in-time", "its image would come too late", _image_in_time),
     Validator("avoid", "the job failed there", lambda r, a: r.machine.name not in a.avoid),
     Validator("room", "too little room", lambda r, a: r.fits(a.spec) > 0),
 ]
@@ -89,9 +103,7 @@
 
 
 def _image(room: Room, ask: Ask, knobs: Knobs) -> float:
-    if ask.spec.image in room.machine.images or ask.spec.image_gb <= 0:
-        return 0
-    seconds = ask.spec.image_gb / max(room.type.fetch_gb_per_s, 0.001)
+    seconds = fetch_s(room, ask)
     # A fetch can eat an urgent job's whole wait; to the others it matters only when it is long.
     return math.ceil(min(seconds / (3.0 if ask.spec.priority <= 1 else 20.0), 6.0))
 
