--- a/tests/model.py
+++ b/tests/model.py
@@ -104,6 +104,9 @@
         """For each task, the machines that it is on."""
         self.gangs: dict[tuple[str, int], dict[str, Any]] = {}
         self.cuts: dict[frozenset[str], tuple[int, bool]] = {}
+        self.held_orders: dict[str, int] = {}
+        """Until when orders sent straight to a worker are held on their way."""
+        self.roaming_until = self.all_place_until = 0
         self.starts = 0
         self.asked_us = 0
         """When the question was asked whose answer is being looked at."""
@@ -131,7 +134,12 @@
         host.life += 1
         rng = random.Random(self.rng.random())
         host.core = Controller(settings_for(host.number, len(self.hosts)), Knobs(), rng)
-        host.core.kernel.strict = True
+        core = host.core
+        core.kernel.strict = True
+        # Steering and who places a job are hints: no rule may rest on them.
+        foreman, mine = core.desk._foreman, core.placer.mine
+        core.desk._foreman = lambda worker: None if self.now < self.roaming_until else foreman(worker)
+        core.placer.mine = lambda job: self.now < self.all_place_until or mine(job)
         self.carry_out(host, host.core.start(*self.clock(host)))
 
     def clock(self, host: Host) -> tuple[int, int]:
@@ -214,6 +222,7 @@
                 copy = msgspec.msgpack.decode(msgspec.msgpack.encode(body))
                 self.at(back, lambda: finish(Reply(status, copy)))
 
+        there = max(there, self.held_orders.get(target, 0) - self.now)
         body = msgspec.msgpack.decode(msgspec.msgpack.encode(call.body))
         self.at(there, lambda: self._arrive(target, call.method, call.path, body, answered, finish))
 
@@ -300,6 +309,8 @@
                 pause = int(self.rng.uniform(0, 0.5) * SECOND)
             else:
                 following, pause = (node + 1) % len(self.hosts), SECOND
+            if self.now < self.roaming_until and self.rng.random() < 0.5:
+                following = self.rng.randrange(len(self.hosts))
             self.at(pause, lambda: self._report_loop(worker, following))
 
         self.send(worker.name, call, answered)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -24,9 +24,15 @@
     st.tuples(st.just("lose"), st.integers(0, 11)),
     st.tuples(st.just("sick"), st.integers(0, 11), st.floats(3, 15)),
     st.tuples(st.just("boot_fail"), st.floats(5, 30)),
+    st.tuples(st.just("hold_orders"), st.integers(0, 11), st.floats(0.3, 12)),
+    st.tuples(st.just("roam"), st.floats(5, 30)),
+    st.tuples(st.just("all_place"), st.floats(5, 40)),
+    st.tuples(st.just("hang_no_cloud"), st.integers(0, 11), st.floats(12, 30)),
+    st.tuples(st.just("island"), st.integers(0, 2), st.floats(15, 40)),
     st.tuples(st.just("cancel"), st.integers(0, 9)),
     st.tuples(st.just("resubmit"), st.integers(0, 9)),
 )
+OF_A_WORKER = {"cut_worker", "hang", "sick", "hold_orders", "hang_no_cloud"}
 JOB = st.fixed_dictionaries(
     {
         "shape": st.sampled_from(["batch", "batch", "gang", "service"]),
@@ -49,7 +55,7 @@
 def apply(model: Model, fault: tuple) -> None:
     kind, *rest = fault
     names = sorted(model.workers)
-    name = names[rest[0] % len(names)] if names and kind in ("cut_worker", "hang", "sick") else None
+    name = names[rest[0] % len(names)] if names and kind in OF_A_WORKER else None
     if kind == "crash":
         model.crash(rest[0], rest[1])
     elif kind == "crash_all":
@@ -80,6 +86,24 @@
     elif kind == "hang" and name:
         model.hung.add(name)
         model.at(int(rest[1] * SECOND), lambda: model.hung.discard(name))
+    elif kind == "hold_orders" and name:
+        model.held_orders[name] = model.now + int(rest[1] * SECOND)
+    elif kind == "roam":
+        model.roaming_until = model.now + int(rest[0] * SECOND)
+    elif kind == "all_place":
+        model.all_place_until = model.now + int(rest[0] * SECOND)
+    elif kind == "hang_no_cloud" and name:
+        # Silent, and nobody can delete it: what it holds must not be freed.
+        model.hung.add(name)
+        model.cloud.down = True
+        model.at(int(rest[1] * SECOND), lambda: model.hung.discard(name))
+        model.at(int((rest[1] + 1) * SECOND), lambda: setattr(model.cloud, "down", False))
+    elif kind == "island":
+        # A controller that hears nobody but workers, while others cancel jobs.
+        for target in ("state", f"c{(rest[0] + 1) % 3}", f"c{(rest[0] + 2) % 3}", "user"):
+            model.cut(f"c{rest[0]}", target, rest[1], False)
+        for job_id in sorted(model.jobs):
+            model.at(3 * SECOND, lambda job_id=job_id: model.cancel(job_id))
     elif kind == "lose":
         model.lose_machine(rest[0])
     elif kind == "sick" and name:
