--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -28,6 +28,8 @@
 ROUND_US = SECOND_US // 2
 TYPES_US = 60 * SECOND_US
 MAX_WISHES = 120
+SICK_ERRORS = 4
+"""Failures in a row on one machine, with none in between that completed, after which it is returned."""
 
 Kind = tuple[str, str, bool]
 """Type, zone and whether spot."""
@@ -211,7 +213,15 @@
         # When most of the fleet falls silent at once, the fault is likelier on this side.
         if len(silent) > max(2, len(picture.machines) // 2):
             silent = [n for n in silent if self._silent_us(n) > 3 * lease_us]
+        sick = {n for n, m in picture.machines.items() if m.record.errors >= SICK_ERRORS}
+        # A job with a mistake in it fails everywhere, and condemns no machine.
+        if len(sick) > max(1, len(picture.machines) // 5):
+            sick = set()
         for name, machine in picture.machines.items():
+            if name in sick and not machine.record.retiring:
+                self.kernel.log("info", f"{name} fails its tasks")
+                lost.append(name)
+                continue
             failed = self.listed.get(name) == "failed"
             missing = name not in self.listed and now - self.known_since.setdefault(name, now) > self._lag_us()
             missing = missing and self._silent_us(name) > 6 * SECOND_US
--- /dev/null
+++ b/tools/bounds.py
@@ -0,0 +1,70 @@
+"""Bounds on the best that any scheduler could do, from public facts given as arguments.
+
+    python tools/bounds.py finished --median 100 --p95 200 --within 180 --overhead 1 [--tasks N]
+    python tools/bounds.py price --demand 35 --cheap-units 20 --cheap 0.83 --dear 2.46
+    python tools/bounds.py useful --boot 50 --fetch 17 --busy 300
+    python tools/bounds.py wait --images 4 --machines 11 --jobs 99 --fetch 12.5 --within 8
+"""
+
+from __future__ import annotations
+
+import argparse
+import math
+from statistics import NormalDist
+
+Z95 = NormalDist().inv_cdf(0.95)
+
+
+def finished(median: float, p95: float, within: float, overhead: float, tasks: int) -> float:
+    """The share of jobs that can be done in time when each starts at once.
+
+    Run times are taken as log-normal with this median and 95th percentile; a job is done with the last of its
+    tasks, and each has `overhead` seconds that nobody can avoid before it runs.
+    """
+    sigma = math.log(p95 / median) / Z95
+    left = within - overhead
+    if left <= 0:
+        return 0.0
+    return float(NormalDist().cdf(math.log(left / median) / sigma) ** tasks)
+
+
+def price(demand: float, cheap_units: float, cheap: float, dear: float) -> float:
+    """The least price, as a multiple of the cheapest, when only so many cheap units can be had at once."""
+    on_cheap = min(demand, cheap_units)
+    return (on_cheap * cheap + (demand - on_cheap) * dear) / (demand * cheap)
+
+
+def useful(boot: float, fetch: float, busy: float) -> float:
+    """The greatest useful share of what a machine costs that boots, fetches once and is then busy all the time."""
+    return busy / (boot + fetch + busy)
+
+
+def wait(images: int, machines: int, jobs: int, fetch: float, within: float) -> float:
+    """The greatest share of starts in time when the first use of each image somewhere must fetch it.
+
+    Only one machine of the given number is charged a fetch for each image: less cannot be had.
+    """
+    missed = min(images, images * machines) if fetch > within else 0
+    return max(0.0, 1.0 - missed / jobs)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description="Bounds on the best that could be done.")
+    bounds = parser.add_subparsers(dest="bound", required=True)
+    for name, call, numbers in (
+        ("finished", finished, {"median": float, "p95": float, "within": float, "overhead": float, "tasks": int}),
+        ("price", price, {"demand": float, "cheap_units": float, "cheap": float, "dear": float}),
+        ("useful", useful, {"boot": float, "fetch": float, "busy": float}),
+        ("wait", wait, {"images": int, "machines": int, "jobs": int, "fetch": float, "within": float}),
+    ):
+        sub = bounds.add_parser(name, description=call.__doc__)
+        for number, kind in numbers.items():
+            sub.add_argument("--" + number.replace("_", "-"), type=kind, required=number != "tasks",
+                             default=1 if number == "tasks" else None)  # fmt: skip
+        sub.set_defaults(call=call, numbers=list(numbers))
+    args = parser.parse_args()
+    print(f"{args.call(**{number: getattr(args, number) for number in args.numbers}):.3f}")
+
+
+if __name__ == "__main__":
+    main()
