Fix: every answer to a report also ends tasks of jobs known to be over

Found by the model test (two controllers cut off, orders held, workers roaming): a new owner that could not write its token knew of a cancellation, could not stop the task as owner, and went on renewing the lease past cancel_s. A kill for a job that is over needs no ownership.

--- a/ashtray/placement/picture.py
+++ b/ashtray/placement/picture.py
@@ -16,6 +16,7 @@
 FLEET = "now/fleet"
 TYPES = "now/types"
 EPS = 1e-6
+MAX_ENDED = 5000
 
 HoldKey = tuple[str, int]
 """A machine and the number of one of its holds.
@@ -147,6 +148,7 @@
         self.fleet: tuple[Any, int] | None = None
         self.types: dict[str, MachineType] = {}
         self._versions: dict[str, int] = {}
+        self._ended: dict[str, None] = {}
         self.changes = 0
 
     def put(self, key: str, value: Any, version: int) -> None:
@@ -185,6 +187,9 @@
             self._drop_group(key)
         elif key.startswith(LIVE):
             self.jobs.pop(key[len(LIVE):], None)
+            self._ended[key[len(LIVE):]] = None
+            if len(self._ended) > MAX_ENDED:
+                del self._ended[next(iter(self._ended))]
         elif key.startswith(TEAM):
             self.team_versions.pop(key[len(TEAM):], None)
         elif key.startswith(CONTROLLER):
@@ -213,6 +218,10 @@
     def version(self, key: str) -> int:
         return self._versions.get(key, 0)
 
+    def is_over(self, job_id: str) -> bool:
+        """Whether a job is known to be over; one that is merely not known yet is not."""
+        return job_id not in self.jobs and (job_id in self._ended or job_id in self.held)
+
     def placed(self, job_id: str) -> set[int]:
         """The tasks of a job that hold room somewhere."""
         tasks: set[int] = set()
--- a/ashtray/workers/desk.py
+++ b/ashtray/workers/desk.py
@@ -100,7 +100,13 @@
             return
         self._learn(worker, report)
         worker.heard_us = self.kernel.now_us
-        orders: list[dict[str, Any]] = []
+        # An answer that renews the lease also ends what is known to be over, whoever owns the worker: found by the
+        # model test, a new owner that could not sign the record kept a cancelled job's tasks alive.
+        orders = [
+            messages.kill(key, 0)
+            for key, seen in report.tasks.items()
+            if seen.state != "ended" and self.ctl.picture.is_over(key[0])
+        ]
         if self.kernel.now_us < worker.direct_bad_until_us and not worker.tending:
             machine = self.ctl.picture.machines.get(worker.name)
             if machine is not None and self._owns(worker, machine):
