--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -1,13 +1,12 @@
 """Safety points that generated faults seldom reach, each shown directly."""
 
 import msgspec
-import pytest
 
 from ashtray.kernel import Kernel
 from ashtray.placement.picture import GROUP, GroupRecord, HoldRecord, MachineRecord, Picture
 from ashtray.workers.folding import Evidence, build_fold
 from ashtray.workers.messages import Report
-from tests.model import Model, submission
+from tests.model import CANCEL_S, LEASE_S, Model, submission
 
 
 def fold(record_token: int, own_token: int, exact: bool):
@@ -80,8 +79,7 @@
     assert core.desk._evidence(group)[name].exact
 
 
-@pytest.mark.parametrize("team", ["crew"])
-def test_every_change_of_a_limited_teams_record_is_guarded(team: str):
+def test_every_change_of_a_shared_record_is_guarded_by_its_version():
     model = Model(6)
     seen = []
     handle = model.state.handle
@@ -93,9 +91,33 @@
 
     model.state.handle = watch
     model.run(2)
-    model.submit(submission("job-0", crew=team))
+    model.submit(submission("job-0"))
     model.run(25)
-    raising = [body for body in seen if any(c.get("put") == f"now/team/{team}" for c in body["apply"])]
-    assert raising
-    for body in raising:
-        assert f"now/team/{team}" in {g["k"] for g in body["guards"]}
+    prefixes = ("now/job/", "now/group/", "now/team/")
+    touched = [(key, body) for body in seen for c in body["apply"]
+               if (key := c.get("put") or c["remove"]).startswith(prefixes)]  # fmt: skip
+    assert {key[:8] for key, _ in touched} == {prefix[:8] for prefix in prefixes}
+    for key, body in touched:
+        assert key in {g["k"] for g in body["guards"]}
+
+
+def test_orders_are_given_only_once_the_record_carries_the_token():
+    model = settled()
+    name = next(n for machines in model.on.values() for n in machines)
+    desk = next(h.core.desk for h in model.hosts if h.core.desk.workers.get(name) and h.core.desk.workers[name].exact)
+    machine = desk.ctl.picture.machines[name]
+    assert desk._owns(desk.workers[name], machine)
+    machine.record.token += 1
+    assert not desk._owns(desk.workers[name], machine)
+
+
+def test_leases_are_not_renewed_for_ever_without_the_state_service():
+    model = settled()
+    desk = model.hosts[0].core.desk
+    assert desk.renewing()
+    model.cut("c0", "state", 60, False)
+    # Up to the limit short outages kill no work; past it a cancellation elsewhere could be missed.
+    model.run(CANCEL_S - LEASE_S - 3)
+    assert desk.renewing()
+    model.run(3)
+    assert not desk.renewing()
