--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -16,11 +16,14 @@
 from ashtray.peers.presence import Peers, Presence
 from ashtray.placement.picture import Picture
 from ashtray.placement.placer import Placer
+from ashtray.placement.plan import Plan
 from ashtray.store.client import StoreClient
 from ashtray.store.follower import Follower
 from ashtray.workers.desk import Desk
 
 UNWELL_US = 5 * SECOND_US
+OPEN_PER_KB = 40
+"""Open tasks of one job for each KiB of a value: a run takes up to 14 bytes, and half of the value is spare."""
 
 
 class Controller:
@@ -41,6 +44,11 @@
         self.placer = Placer(self)
         self.runner = Runner(self)
 
+    def plan(self) -> Plan:
+        """A plan on the picture as it is now."""
+        most_open = int(self.settings.cluster.state.value_kb * OPEN_PER_KB)
+        return Plan(self.picture, self.teams, self.knobs, self.kernel.rng, most_open)
+
     def _changed(self) -> None:
         if self.picture.changes != self._seen:
             self._seen = self.picture.changes
--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -16,7 +16,7 @@
 from ashtray.jobs.model import LIVE, Job
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Sleep
 from ashtray.placement.picture import FLEET, MEMBER, TYPES, Machine, MachineRecord, MachineType
-from ashtray.placement.plan import Plan, queue
+from ashtray.placement.plan import queue
 from ashtray.placement.rules import Ask, Room
 from ashtray.store.client import Bucket, Txn, Urgency
 
@@ -378,7 +378,7 @@
         """
         ctl = self.ctl
         wall_us = self.kernel.wall_us
-        plan = Plan(ctl.picture, ctl.teams, ctl.knobs, self.kernel.rng)
+        plan = ctl.plan()
         ready_us: dict[str, int] = {}
         for name, coming in self.coming.items():
             kind: MachineType | None = ctl.picture.types.get(coming.kind[0])
--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -11,7 +11,6 @@
 from ashtray.jobs.model import LIVE, OVER, JobRecord, JobSpec
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply
 from ashtray.placement.explain import explain
-from ashtray.placement.plan import Plan
 from ashtray.store.client import Txn, Urgency
 from ashtray.teams.limits import can_ever_run
 
@@ -161,7 +160,7 @@
         status, body = yield from self._look_up(job_id)
         job = ctl.picture.jobs.get(job_id)
         if status == 200 and job is not None:
-            plan = Plan(ctl.picture, ctl.teams, ctl.knobs, self.kernel.rng)
+            plan = ctl.plan()
             owner = ctl.presence.owner_of(job_id, job.record.owner)
             body = explain(plan, job, self.kernel.wall_us, owner)
         self._answer(request_id, status, body)
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -59,7 +59,7 @@
 
     def _round(self) -> Fiber[None]:
         ctl = self.ctl
-        plan = Plan(ctl.picture, ctl.teams, ctl.knobs, ctl.kernel.rng)
+        plan = ctl.plan()
         jobs, inside = queue(ctl.picture, ctl.teams)
         while jobs and not self.mine(jobs[-1]):
             jobs.pop()
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Iterable
 from dataclasses import replace
+from itertools import islice
 
 from ashtray.config.operators import Knobs
 from ashtray.config.settings import Team
@@ -48,11 +49,19 @@
 class Plan:
     """Room and limits that are left while jobs are given places, in the queue's order."""
 
-    def __init__(self, picture: Picture, teams: dict[str, Team], knobs: Knobs, rng: random.Random) -> None:
+    def __init__(
+        self, picture: Picture, teams: dict[str, Team], knobs: Knobs, rng: random.Random, most_open: int
+    ) -> None:
         self.picture = picture
         self.teams = teams
         self.knobs = knobs
         self.rng = rng
+        self.most_open = most_open
+        """How many tasks of an array may hold room at once.
+
+        Tasks are placed lowest first, so the runs of finished tasks in the job's record are no more than those
+        that are open: this keeps the record of 100,000 tasks within the state service's limit for a value.
+        """
         self.rooms: list[Room] = []
         for machine in picture.machines.values():
             kind = picture.types.get(machine.type)
@@ -92,7 +101,8 @@
             if placed:
                 return []
             return list(range(spec.tasks))
-        left = [n for n in range(spec.tasks) if n not in placed and n not in job.finished]
+        free = (n for n in range(spec.tasks) if n not in placed and n not in job.finished)
+        left = list(islice(free, max(self.most_open - len(placed), 0)))
         team = self.teams.get(spec.team)
         if team is not None:
             left = left[: tasks_within(team, *self.usage[team.name], spec)]
