--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -27,7 +27,6 @@
         self.kernel = ctl.kernel
         self._over: dict[str, Any] = {}
         """Final states read lately; they never change."""
-        self.waiting = 0
 
     def _busy(self, request_id: int) -> bool:
         if self.ctl.store.backlog() < MAX_BACKLOG:
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -161,13 +161,12 @@
         """
         if not self._team_allows(job, count):
             return False
-        own = {id(room): room for room in self.rooms}
         soon: dict[int, Room] = {}
         rooms = []
         for room in self.rooms:
             c, g, m = self._stopping(room)
             later = Room(room.machine, room.type, room.cpus + c, room.gpus + g, room.memory_gb + m)
-            soon[id(later)] = own[id(room)]
+            soon[id(later)] = room
             rooms.append(later)
         ask = self.ask(job)
         ask.image_within_s = image_within_s
--- a/ashtray/placement/rules.py
+++ b/ashtray/placement/rules.py
@@ -5,7 +5,7 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ashtray.config.operators import Knobs
 from ashtray.jobs.model import JobSpec
@@ -51,7 +51,6 @@
     spread_most: int = 0
     image_within_s: float | None = None
     """Only machines that have the image, or fetch it within this time, will do."""
-    avoid: set[str] = field(default_factory=set)
     scarcity: tuple[float, float, float] = (1.0, 1.0, 1.0)
 
     def zone_allows(self, zone: str) -> int:
@@ -93,7 +92,6 @@
     Validator("same-zone", "other tasks are in another zone", lambda r, a: a.zone in (None, r.machine.zone)),
     Validator("spread", "half of the tasks are there", lambda r, a: a.zone_allows(r.machine.zone) > 0),
     Validator("image-in-time", "its image would come too late", _image_in_time),
-    Validator("avoid", "the job failed there", lambda r, a: r.machine.name not in a.avoid),
     Validator("room", "too little room", lambda r, a: r.fits(a.spec) > 0),
 ]
 
