--- a/ashtray/config/operators.py
+++ b/ashtray/config/operators.py
@@ -2,7 +2,7 @@
 
     (ashtray
       (group-size 4)        ; comments run to the end of the line
-      (rules trust image scarce spot packing))
+      (rules trust image scarce spot few-groups packing))
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 
 from ashtray.config.settings import SettingsError
 
-RULES = ("trust", "image", "scarce", "spot", "packing")
+RULES = ("trust", "image", "scarce", "spot", "few-groups", "packing")
 
 
 class Knobs(msgspec.Struct, frozen=True):
@@ -29,7 +29,8 @@
     top: int = 100
     widen_cap: float = 0.1
     retries: int = 20
-    group_size: int = 4
+    group_size: int | None = None
+    """None: as many as the state service's limit for a value allows."""
     rules: tuple[str, ...] = RULES
     weights: tuple[float, float, float] = (1.0, 1.0, 1.0)
     boot_patience: float = 2.5
@@ -83,7 +84,7 @@
     "top-list": _setting("top", "machines that a widened pick chooses among", int, 1, 10_000),
     "avoidance-cap": _setting("widen_cap", "greatest share of widened picks", float, 0.0, 1.0),
     "retry-limit": _setting("retries", "commits tried before a placement is planned anew", int, 1, 1000),
-    "group-size": _setting("group_size", "machines in a record", int, 1, 64),
+    "group-size": _setting("group_size", "machines in a record (by default what a value can hold)", int, 1, 1000),
     "rules": Setting("rules", "preference rules, in their order", _rules, f"any of {', '.join(RULES)}, each once"),
     "weights": Setting("weights", "packing weights of CPUs, GPUs, memory", _weights, "three numbers from 0 to 100"),
     "boot-patience": _setting("boot_patience", "boot times after which a machine is given up", float, 1.0, 20.0),
--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -12,18 +12,22 @@
 from ashtray.jobs.model import JOB_ID
 from ashtray.jobs.pace import Pace
 from ashtray.jobs.service import JobDesk
-from ashtray.kernel import SECOND_US, Kernel, Output, Reply
+from ashtray.kernel import SECOND_US, Fiber, Kernel, Output, Reply
 from ashtray.peers.presence import Peers, Presence
 from ashtray.placement.picture import Picture
 from ashtray.placement.placer import Placer
 from ashtray.placement.plan import Plan
-from ashtray.store.client import StoreClient
+from ashtray.store.client import Limits, StoreClient
 from ashtray.store.follower import Follower
+from ashtray.teams.grants import Grants
 from ashtray.workers.desk import Desk
 
 UNWELL_US = 5 * SECOND_US
 OPEN_PER_KB = 40
 """Open tasks of one job for each KiB of a value: a run takes up to 14 bytes, and half of the value is spare."""
+FULL_SHARE = 0.8
+"""Nothing more is placed in a group whose record takes this part of a value."""
+COUNT_US = 10 * SECOND_US
 
 
 class Controller:
@@ -32,7 +36,10 @@
         self.knobs = knobs
         self.teams = {team.name: team for team in settings.cluster.teams}
         self.kernel = Kernel(rng, verbose)
-        self.picture = Picture()
+        self.limits = Limits.of(settings.cluster.state)
+        self.picture = Picture(int(settings.cluster.state.value_kb * OPEN_PER_KB))
+        hosts = [peer.host_name for peer in settings.others]
+        self.grants = Grants(settings.host_name, hosts, settings.cluster.teams, self.picture)
         self._seen = -1
         self.store = StoreClient(self.kernel, settings.services.state, settings.cluster.state)
         self.follower = Follower(self.kernel, self.store, "now/", self.picture, self._changed)
@@ -46,14 +53,30 @@
 
     def plan(self) -> Plan:
         """A plan on the picture as it is now."""
-        most_open = int(self.settings.cluster.state.value_kb * OPEN_PER_KB)
-        return Plan(self.picture, self.teams, self.knobs, self.kernel.rng, most_open)
+        full = self.limits.value_bytes * FULL_SHARE
+        return Plan(self.picture, self.teams, self.knobs, self.kernel.rng, full)
 
     def _changed(self) -> None:
         if self.picture.changes != self._seen:
             self._seen = self.picture.changes
             self.placer.changed()
-            self.desk.tend_all()
+            self.desk.tend_all(self.picture.take_touched())
+
+    def _count(self) -> Fiber[None]:
+        """Say at debug what the shared budgets and the work went into."""
+        for what, counts in (("state", self.store.counts), ("placer", self.placer.counts)):
+            parts = [f"{name} {number}" for name, number in sorted(counts.items())]
+            self.kernel.log("debug", f"counters of {COUNT_US // SECOND_US} s, {what}: {', '.join(parts)}")
+            counts.clear()
+        picture = self.picture
+        waiting = sum(len(tasks) for tasks in picture.waiting().values())
+        self.kernel.log(
+            "debug",
+            f"picture: {len(picture.machines)} machines, {len(picture.groups)} groups, {len(picture.jobs)} jobs, "
+            f"{waiting} tasks wait, {len(self.desk.workers)} workers here",
+        )
+        return
+        yield
 
     def start(self, now_us: int, wall_us: int) -> list[Output]:
         kernel = self.kernel
@@ -68,6 +91,8 @@
         kernel.forever(self.peers.budget, SECOND_US)
         kernel.forever(self.runner.round, ROUND_US)
         kernel.forever(self.desk.fold, 0)
+        kernel.forever(self.desk.adopt, 0)
+        kernel.forever(self._count, COUNT_US)
         kernel.forever(self.desk.sweep, 20 * SECOND_US)
         return kernel.run()
 
--- a/ashtray/fleet/forecast.py
+++ b/ashtray/fleet/forecast.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import heapq
+from bisect import insort
 from collections.abc import Callable, Iterable
+from typing import Any
 
 from ashtray.jobs.model import Job, JobSpec
 from ashtray.kernel import SECOND_US
 from ashtray.placement.picture import Hold, Picture
-from ashtray.placement.rules import Ask, Room, valid
+from ashtray.placement.rules import Ask, Room
 
 NEVER_US = 1 << 62
-MAX_STEPS = 400
+MAX_STEPS = 4000
+"""Machines looked at in one forecast: more is left for the next one."""
 
 
 class Future:
@@ -26,13 +29,6 @@
         self.used = False
         """Whether tasks that wait were put here."""
 
-    def copy(self) -> Future:
-        r = self.room
-        room = Room(r.machine, r.type, r.cpus, r.gpus, r.memory_gb)
-        twin = Future(room, self.from_us, list(self.releases))
-        twin.used = self.used
-        return twin
-
     def earliest_us(self, spec: JobSpec) -> int:
         """When a task of this size fits."""
         if self.room.fits(spec):
@@ -58,7 +54,7 @@
         if count:
             self.used = True
             freed = (at_us + run_us, count * spec.cpus, count * spec.gpus, count * spec.memory_gb)
-            heapq.heappush(self.releases, freed)
+            insort(self.releases, freed)
         return count
 
 
@@ -89,35 +85,75 @@
     return found
 
 
-def schedule(fleet: list[Future], ask: Ask, count: int, run_us: int) -> list[tuple[int, int]]:
-    """Give a job's tasks the earliest room there is; returns pairs of start time and number of tasks.
+class Forecast:
+    """The queue served in order on what is there, what is coming and what is wished for.
 
-    `fleet` is changed.  A gang starts when its last task does.
+    Jobs of one class that may use the same machines share one heap of these by the earliest time that they have
+    room; an entry that another job has made too early is put back when it comes up.
     """
-    spec = ask.spec
-    heap = []
-    room_ok = Ask(spec, ask.zone, ask.zone_room, ask.spread_most)
-    for n, future in enumerate(fleet):
-        machine = future.room.machine
-        kind = future.room.type
-        empty = Room(machine, kind, kind.cpus, kind.gpus, kind.memory_gb)
-        if valid(empty, room_ok):
-            at_us = future.earliest_us(spec)
-            if at_us < NEVER_US:
-                heap.append((at_us, n))
-    heapq.heapify(heap)
-    starts: list[tuple[int, int]] = []
-    for _ in range(MAX_STEPS):
-        if count <= 0 or not heap:
-            break
+
+    def __init__(self, fleet: list[Future]) -> None:
+        self.fleet = fleet
+        self.steps = MAX_STEPS
+        self._heaps: dict[tuple[Any, ...], list[tuple[int, int]]] = {}
+
+    def _heap(self, ask: Ask) -> list[tuple[int, int]]:
+        spec = ask.spec
+        zone = ask.zone or spec.zone
+        key = (spec.job_class, tuple(spec.types or ()), zone, spec.spot)
+        heap = self._heaps.get(key)
+        if heap is None:
+            heap = self._heaps[key] = [
+                (at_us, n)
+                for n, future in enumerate(self.fleet)
+                if may_use(future, spec, zone) and (at_us := future.earliest_us(spec)) < NEVER_US
+            ]
+            heapq.heapify(heap)
+        return heap
+
+    def earliest(self, ask: Ask) -> int:
+        """When the next task of a job would have room."""
+        heap = self._heap(ask)
+        while heap:
+            at_us, n = heap[0]
+            again_us = self.fleet[n].earliest_us(ask.spec)
+            if again_us <= at_us:
+                return at_us
+            heapq.heappop(heap)
+            if again_us < NEVER_US:
+                heapq.heappush(heap, (again_us, n))
+        return NEVER_US
+
+    def take(self, ask: Ask, most: int, run_us: int) -> int:
+        """Put tasks where `earliest` found room; returns how many."""
+        self.steps -= 1
+        heap = self._heap(ask)
         at_us, n = heapq.heappop(heap)
-        got = fleet[n].take(spec, at_us, count, run_us)
-        if got:
-            starts.append((at_us, got))
-            count -= got
-        again_us = fleet[n].earliest_us(spec)
+        got = self.fleet[n].take(ask.spec, at_us, most, run_us)
+        again_us = self.fleet[n].earliest_us(ask.spec)
         if again_us < NEVER_US and (got or again_us > at_us):
             heapq.heappush(heap, (again_us, n))
-    if count > 0:
-        starts.append((NEVER_US, count))
-    return starts
+        return got
+
+    def add(self, future: Future, ask: Ask) -> None:
+        """A machine that is wished for: this job may use it, and so may others that it suits."""
+        n = len(self.fleet)
+        self.fleet.append(future)
+        self._heap(ask)
+        for (_, types, zone, spot), heap in self._heaps.items():
+            machine = future.room.machine
+            if (not types or machine.type in types) and zone in (None, machine.zone) and (
+                spot or not machine.record.spot
+            ):  # fmt: skip
+                heapq.heappush(heap, (future.from_us, n))
+
+
+def may_use(future: Future, spec: JobSpec, zone: str | None) -> bool:
+    machine = future.room.machine
+    kind = future.room.type
+    return (
+        (not spec.types or machine.type in spec.types)
+        and zone in (None, machine.zone)
+        and (spec.spot or not machine.record.spot)
+        and kind.fits(spec.cpus, spec.gpus, spec.memory_gb) > 0
+    )
--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -11,11 +11,11 @@
 
 import msgspec
 
-from ashtray.fleet.forecast import Future, futures, schedule
+from ashtray.fleet.forecast import NEVER_US, Forecast, Future, futures
 from ashtray.fleet.messages import BerthList, deletion, parse_types, rental
 from ashtray.jobs.model import LIVE, Job
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Sleep
-from ashtray.placement.picture import FLEET, MEMBER, TYPES, Machine, MachineRecord, MachineType
+from ashtray.placement.picture import FLEET, TYPES, Edit, Machine, MachineType
 from ashtray.placement.plan import queue
 from ashtray.placement.rules import Ask, Room
 from ashtray.store.client import Bucket, Txn, Urgency
@@ -27,7 +27,9 @@
 LIST_US = 2 * SECOND_US
 ROUND_US = SECOND_US // 2
 TYPES_US = 60 * SECOND_US
-MAX_WISHES = 120
+MAX_WISHES = 300
+MAX_COMMITS = 12
+"""Commits in a row for one step: what is left then waits for the next round."""
 SICK_ERRORS = 4
 """Failures in a row on one machine, with none in between that completed, after which it is returned."""
 
@@ -108,7 +110,7 @@
         if types != picture.types:
             value = {name: msgspec.to_builtins(kind) for name, kind in types.items()}
             txn = Txn().guard(TYPES, picture.version(TYPES)).put(TYPES, value)
-            yield from self.ctl.follower.commit(lambda: txn, 1, Urgency.BOOKKEEPING)
+            yield from self.ctl.follower.commit(lambda: txn, 1, Urgency.BOOKKEEPING, "fleet")
 
     # Who runs the fleet
 
@@ -126,7 +128,7 @@
         if not mine:
             txn = Txn().guard(FLEET, 0)
             txn.put(FLEET, {"host": self.ctl.settings.host_name, "incarnation": presence.incarnation}, lease)
-            mine = bool((yield from self.ctl.follower.commit(lambda: txn, 1, Urgency.BOOKKEEPING)))
+            mine = bool((yield from self.ctl.follower.commit(lambda: txn, 1, Urgency.BOOKKEEPING, "fleet")))
         if mine and not self.running:
             self.running = True
             self.started_us = self.kernel.now_us
@@ -184,12 +186,6 @@
 
     # Giving up and returning
 
-    def _silent_us(self, name: str) -> int:
-        """For how long nobody has heard a worker, as far as this controller can tell."""
-        now = self.kernel.now_us
-        heard = max(self.ctl.peers.last_heard_us(name), self.known_since.setdefault(name, now))
-        return max(min(now, max(self.ctl.peers.all_word_us(), now - 30 * SECOND_US)) - heard, 0)
-
     def _give_up(self) -> Fiber[None]:
         """Delete what never came up, what fell silent, what failed, and what stands idle."""
         now = self.kernel.now_us
@@ -209,37 +205,48 @@
                 self.kernel.log("info", f"{name} never reported: given up")
                 lost.append(name)
         lease_us = int(times.lease_s * SECOND_US)
-        silent = [n for n in picture.machines if self._silent_us(n) > lease_us + 4 * SECOND_US]
+        silence = self._silences()
+        silent = {name for name, us in silence.items() if us > lease_us + 4 * SECOND_US}
         # When most of the fleet falls silent at once, the fault is likelier on this side.
         if len(silent) > max(2, len(picture.machines) // 2):
-            silent = [n for n in silent if self._silent_us(n) > 3 * lease_us]
+            silent = {name for name in silent if silence[name] > 3 * lease_us}
         sick = {n for n, m in picture.machines.items() if m.record.errors >= SICK_ERRORS}
         # A job with a mistake in it fails everywhere, and condemns no machine.
         if len(sick) > max(1, len(picture.machines) // 5):
             sick = set()
+        lag_us = self._lag_us()
         for name, machine in picture.machines.items():
             if name in sick and not machine.record.retiring:
                 self.kernel.log("info", f"{name} fails its tasks")
                 lost.append(name)
                 continue
             failed = self.listed.get(name) == "failed"
-            missing = name not in self.listed and now - self.known_since.setdefault(name, now) > self._lag_us()
-            missing = missing and self._silent_us(name) > 6 * SECOND_US
+            missing = name not in self.listed and now - self.known_since[name] > lag_us
+            missing = missing and silence[name] > 6 * SECOND_US
             if failed or missing or name in silent:
-                self.kernel.log("info", f"{name} is {'failed' if failed else 'missing' if missing else 'silent'}")
+                if name not in self._ending:
+                    why = "failed" if failed else "missing" if missing else "silent"
+                    self.kernel.log("info", f"{name} is {why}")
                 lost.append(name)
             elif not machine.holds and (name not in self.needed or machine.record.retiring):
-                self.idle_since.setdefault(name, now)
-                idle_us = now - self.idle_since[name]
-                if machine.record.retiring or idle_us > self._idle_limit_us(machine):
+                since = self.idle_since.setdefault(name, now)
+                if machine.record.retiring or now - since > self._idle_limit_us(machine):
                     lost.append(name)
             else:
                 self.idle_since.pop(name, None)
-        for name in lost:
-            if name in picture.machines:
-                yield from self._retire(name)
-            else:
-                self._ending.add(name)
+        self._ending.update(name for name in lost if name not in picture.machines)
+        yield from self._retire([name for name in lost if name in picture.machines])
+
+    def _silences(self) -> dict[str, int]:
+        """For how long nobody has heard each worker, as far as this controller can tell."""
+        now = self.kernel.now_us
+        until = min(now, max(self.ctl.peers.all_word_us(), now - 30 * SECOND_US))
+        heard = self.ctl.peers.last_heard()
+        found = {}
+        for name in self.ctl.picture.machines:
+            last = max(heard.get(name, 0), self.known_since.setdefault(name, now))
+            found[name] = max(until - last, 0)
+        return found
 
     def _idle_limit_us(self, machine: Machine) -> int:
         """How long an idle machine is kept: about as long as having it back would cost.
@@ -257,26 +264,60 @@
     def _lag_us(self) -> int:
         return int((2 * self.ctl.settings.cluster.cloud.list_lag_s + 5) * SECOND_US)
 
-    def _retire(self, name: str) -> Fiber[None]:
-        """Mark a machine as being returned, so that nobody places on it any more."""
-        machine = self.ctl.picture.machines.get(name)
-        if machine is None:
-            return
-        idle = not machine.holds
-        if not machine.record.retiring:
-            if not (yield from self.ctl.follower.commit(partial(self._retirement, name, idle), 1, Urgency.PLACE)):
-                return
-            self.kernel.log("info", f"{name} is to be returned{' (idle)' if idle else ''}")
-        self._ending.add(name)
-
-    def _retirement(self, name: str, idle: bool) -> Txn | None:
-        machine = self.ctl.picture.machines.get(name)
-        if machine is None or machine.record.retiring or (idle and machine.holds):
-            return None
-        group = self.ctl.picture.groups[machine.group]
-        record = group.copy()
-        record.machines[name].retiring = True
-        return Txn().guard(group.key, group.version).put(group.key, msgspec.to_builtins(record))
+    def _retire(self, names: list[str]) -> Fiber[None]:
+        """Mark machines as being returned, so that nobody places on them any more; those of a group together."""
+        marked: list[str] = []
+        left = [name for name in names if name not in self._ending]
+        for _ in range(MAX_COMMITS):
+            machines = self.ctl.picture.machines
+            self._ending.update(n for n in left if (m := machines.get(n)) is not None and m.record.retiring)
+            left = [name for name in left if name in machines and not machines[name].record.retiring]
+            if not left:
+                break
+            build = partial(self._retirement, left, {n for n in left if not machines[n].holds}, marked)
+            groups = min(len({machines[name].group for name in left}), self.ctl.limits.ops)
+            good = yield from self.ctl.follower.commit(build, groups, Urgency.PLACE, "return")
+            if good:
+                for name in marked:
+                    self.kernel.log("info", f"{name} is to be returned")
+                self._ending.update(marked)
+                left = [name for name in left if name not in marked]
+            elif good is None or not (yield from self.ctl.follower.barrier()):
+                break
+
+    def _retirement(self, names: list[str], idle: set[str], marked: list[str]) -> Txn | None:
+        """Mark what still stands: machines that were idle when they were chosen may have got tasks meanwhile."""
+        picture = self.ctl.picture
+        edits: dict[str, Edit] = {}
+        marked.clear()
+        for name in names:
+            machine = picture.machines.get(name)
+            if machine is None or machine.record.retiring or (name in idle and machine.holds):
+                continue
+            if not self._takes(edits, machine, 0):
+                continue
+            edits.setdefault(machine.group, Edit(picture.groups[machine.group])).machine(name).retiring = True
+            marked.append(name)
+        return self._write(Txn(), edits)
+
+    def _takes(self, edits: dict[str, Edit], machine: Machine, others: int) -> bool:
+        """Whether a transaction with these edits and other changes has room for a machine's group."""
+        if machine.group in edits:
+            return len(edits) + others <= self.ctl.limits.ops
+        size = self.ctl.picture.groups[machine.group].size + sum(edit.group.size for edit in edits.values())
+        fits = len(edits) + 1 + others <= self.ctl.limits.ops and size <= self.ctl.limits.txn_bytes
+        return fits or not edits
+
+    def _write(self, txn: Txn, edits: dict[str, Edit]) -> Txn | None:
+        picture = self.ctl.picture
+        for key, edit in edits.items():
+            value = edit.value(picture.is_live)
+            txn.guard(key, edit.group.version)
+            if value["machines"] or "done" in value:
+                txn.put(key, value)
+            else:
+                txn.remove(key)
+        return txn if txn.changes() else None
 
     def _finish(self) -> Fiber[None]:
         """Delete what is to end; when the cloud has said yes, free what was on it."""
@@ -290,47 +331,60 @@
             self.gone[name] = self.kernel.now_us
             self.coming.pop(name, None)
             self.idle_since.pop(name, None)
-            for _ in range(8):
-                if (yield from self._free(name)):
-                    self._ending.discard(name)
-                    break
-                yield from self.ctl.follower.barrier()
+        yield from self._free(names)
         horizon = self.kernel.now_us - 10 * self._lag_us()
         self.gone = {name: at for name, at in self.gone.items() if at > horizon}
 
-    def _free(self, name: str) -> Fiber[bool]:
-        """Take a machine that is surely gone out of its group, with all that it held."""
+    def _free(self, names: list[str]) -> Fiber[None]:
+        """Take machines that are surely gone out of their groups, with all that they held."""
+        machines = self.ctl.picture.machines
+        for _ in range(MAX_COMMITS):
+            left = [name for name in names if name in machines]
+            if not left:
+                break
+            late = [name for name in left if not machines[name].record.retiring]
+            if late:
+                # Adopted after they were marked: they are gone all the same, but placing must stop first.
+                self._ending.difference_update(late)
+                yield from self._retire(late)
+            taken: list[str] = []
+            changes = min(len({machines[n].group for n in left if n in machines}) + 1, 8)
+            build = partial(self._removal, left, taken)
+            good = yield from self.ctl.follower.commit(build, changes, Urgency.FREE, "remove")
+            machines = self.ctl.picture.machines
+            if good:
+                for name in taken:
+                    self.known_since.pop(name, None)
+                    self.kernel.log("info", f"{name} is gone")
+            elif good is None or not (yield from self.ctl.follower.barrier()):
+                break
+            machines = self.ctl.picture.machines
+        self._ending.difference_update(name for name in names if name not in machines)
+
+    def _removal(self, names: list[str], taken: list[str]) -> Txn | None:
         picture = self.ctl.picture
-        machine = picture.machines.get(name)
-        if machine is None:
-            return True
-        if not machine.record.retiring:
-            # Adopted after it was marked: it is gone all the same, but placing must stop first.
-            yield from self._retire(name)
-            return False
-        good = yield from self.ctl.follower.commit(partial(self._removal, name), 3, Urgency.FREE)
-        if good:
-            self.known_since.pop(name, None)
-            self.kernel.log("info", f"{name} is gone")
-            self.ctl.peers.hint()
-        return bool(good)
-
-    def _removal(self, name: str) -> Txn | None:
-        machine = self.ctl.picture.machines.get(name)
-        if machine is None or not machine.record.retiring:
-            return None
-        group = self.ctl.picture.groups[machine.group]
-        record = group.copy()
-        del record.machines[name]
-        txn = Txn().guard(group.key, group.version)
-        if record.machines:
-            txn.put(group.key, msgspec.to_builtins(record))
-        else:
-            txn.remove(group.key)
-        txn.remove(MEMBER + name)
-        for job, attempt in self._broken_gangs(machine):
-            txn.guard(LIVE + job.id, job.version).put(LIVE + job.id, job.value(broken=attempt))
-        return txn
+        edits: dict[str, Edit] = {}
+        broken: dict[str, int] = {}
+        taken.clear()
+        for name in names:
+            machine = picture.machines.get(name)
+            if machine is None or not machine.record.retiring:
+                continue
+            gangs = {**broken, **{job.id: attempt for job, attempt in self._broken_gangs(machine)}}
+            if not edits and len(gangs) >= self.ctl.limits.ops:
+                # More gangs than a transaction takes: some are marked first, and the machine goes in a later turn.
+                broken = dict(list(gangs.items())[: self.ctl.limits.ops])
+                break
+            if not self._takes(edits, machine, len(gangs)):
+                continue
+            edits.setdefault(machine.group, Edit(picture.groups[machine.group])).remove(name)
+            broken = gangs
+            taken.append(name)
+        txn = Txn()
+        for job_id, attempt in broken.items():
+            job = picture.jobs[job_id]
+            txn.guard(LIVE + job_id, job.version).put(LIVE + job_id, job.value(broken=attempt))
+        return self._write(txn, edits)
 
     def _broken_gangs(self, machine: Machine) -> list[tuple[Job, int]]:
         broken = []
@@ -348,7 +402,7 @@
     def _room(self, name: str, kind: Kind) -> Room:
         """An empty machine that is not there yet."""
         spec = self.ctl.picture.types[kind[0]]
-        machine = Machine(name, name, kind[0], kind[1], MachineRecord("", kind[2]))
+        machine = Machine(name, name, kind[0], kind[1], {"address": "", "spot": kind[2]})
         return Room(machine, spec, spec.cpus, spec.gpus, spec.memory_gb)
 
     def _offers(self, job: Job, blocked: bool = False) -> list[tuple[float, Kind]]:
@@ -379,6 +433,7 @@
         ctl = self.ctl
         wall_us = self.kernel.wall_us
         plan = ctl.plan()
+        jobs, _ = queue(ctl.picture, ctl.teams)
         ready_us: dict[str, int] = {}
         for name, coming in self.coming.items():
             kind: MachineType | None = ctl.picture.types.get(coming.kind[0])
@@ -386,16 +441,18 @@
                 plan.rooms.append(self._room(name, coming.kind))
                 left_us = coming.since_us + kind.boot_us - self.kernel.now_us
                 ready_us[name] = wall_us + max(left_us, kind.boot_us // 4)
-        fleet = futures(ctl.picture, plan.rooms, wall_us, ready_us, ctl.pace.run_us)
+        if not jobs:
+            self.needed = set()
+            return {}
+        forecast = Forecast(futures(ctl.picture, plan.rooms, wall_us, ready_us, ctl.pace.run_us))
         wishes: dict[Kind, int] = {}
-        jobs, _ = queue(ctl.picture, ctl.teams)
         for job in jobs:
             left = len(plan.wanted(job, wall_us))
             if left:
                 plan.count(job, left)
                 for ask, part in self._parts(plan.ask(job), left):
-                    self._wish(job, ask, part, fleet, wishes)
-        self.needed = {future.room.machine.name for future in fleet if future.used}
+                    self._wish(job, ask, part, forecast, wishes)
+        self.needed = {future.room.machine.name for future in forecast.fleet if future.used}
         return wishes
 
     def _parts(self, ask: Ask, left: int) -> list[tuple[Ask, int]]:
@@ -410,7 +467,7 @@
             parts.append((replace(ask, zone=zone), part))
         return [(part_ask, part) for part_ask, part in parts if part > 0]
 
-    def _wish(self, job: Job, ask: Ask, left: int, fleet: list[Future], wishes: dict[Kind, int]) -> None:
+    def _wish(self, job: Job, ask: Ask, left: int, forecast: Forecast, wishes: dict[Kind, int]) -> None:
         ctl = self.ctl
         wall_us = self.kernel.wall_us
         run_us = ctl.pace.run_us(job)
@@ -420,30 +477,25 @@
             self.cheapest_for_urgent[job.spec.job_class] = (best_kind[0], best_kind[2])
         if job.spec.same_zone and ask.zone is None and offers:
             ask.zone = offers[0][1][1]
-        for _ in range(40):
-            trial = [future.copy() for future in fleet]
-            starts = schedule(trial, ask, left, run_us)
-            late, best = 0, None
-            for price, kind in offers:
-                if ask.zone not in (None, kind[1]) or ask.zone_allows(kind[1]) <= 0:
-                    continue
-                ready_us = wall_us + ctl.picture.types[kind[0]].boot_us
-                dearer = max(price / cheapest - 1.0, 0.0) if cheapest else 0.0
-                worth_us = int(ctl.pace.patience_s(job) * SECOND_US * dearer)
-                late = sum(n for at_us, n in starts if at_us > ready_us + worth_us + SECOND_US)
-                if late:
-                    best = kind
-                    break
-            if best is None or sum(wishes.values()) >= MAX_WISHES:
-                fleet[:] = trial
-                return
-            spec = ctl.picture.types[best[0]]
-            fits = spec.fits(job.spec.cpus, job.spec.gpus, job.spec.memory_gb)
-            number = max(1, late // (2 * fits))
-            wishes[best] = wishes.get(best, 0) + number
-            for _ in range(number):
-                room = self._room(f"wish-{len(fleet)}", best)
-                fleet.append(Future(room, wall_us + spec.boot_us, []))
+        bars: list[tuple[int, Kind]] = []
+        for price, kind in offers:
+            if ask.zone not in (None, kind[1]) or ask.zone_allows(kind[1]) <= 0:
+                continue
+            dearer = max(price / cheapest - 1.0, 0.0) if cheapest else 0.0
+            worth_us = int(ctl.pace.patience_s(job) * SECOND_US * dearer)
+            ready_us = wall_us + ctl.picture.types[kind[0]].boot_us
+            bars.append((ready_us + worth_us + SECOND_US, kind))
+        while left > 0 and forecast.steps > 0:
+            at_us = forecast.earliest(ask)
+            best = next((kind for bar_us, kind in bars if at_us > bar_us), None)
+            if best is not None and sum(wishes.values()) < MAX_WISHES:
+                wishes[best] = wishes.get(best, 0) + 1
+                room = self._room(f"wish-{len(forecast.fleet)}", best)
+                forecast.add(Future(room, wall_us + room.type.boot_us, []), ask)
+                at_us = forecast.earliest(ask)
+            if at_us >= NEVER_US:
+                break
+            left -= forecast.take(ask, left, run_us)
 
     def _rent(self) -> Fiber[None]:
         # Until the list has caught up with a former runner's rentals, the same need would be met twice.
--- a/ashtray/jobs/model.py
+++ b/ashtray/jobs/model.py
@@ -55,6 +55,8 @@
     errors: int = 0
     """Task failures since a task last completed."""
     error_us: int = 0
+    portion: int = 0
+    """A gang that is placed in portions, all of one attempt: the tasks below this one have places."""
 
 
 class Job:
@@ -69,21 +71,27 @@
         self.version = version
         self.finished = decode_runs(self.record.finished)
 
+    @property
+    def portion(self) -> int:
+        """How many tasks of a gang that is being placed in portions have places; 0 when none is under way."""
+        return self.record.portion if self.record.attempt > self.record.broken else 0
+
     def value(
         self, *, finished: set[int] | None = None, attempt: int | None = None, broken: int | None = None,
-        errors: int | None = None, error_us: int | None = None, owner: str | None = None,
+        errors: int | None = None, error_us: int | None = None, portion: int | None = None,
     ) -> Any:
         """The record with some fields replaced, ready to be written."""
         old = self.record
         record = JobRecord(
             old.spec,
-            old.owner if owner is None else owner,
+            old.owner,
             old.accepted_us,
             old.attempt if attempt is None else attempt,
             old.finished if finished is None else encode_runs(finished),
             old.broken if broken is None else broken,
             old.errors if errors is None else errors,
             old.error_us if error_us is None else error_us,
+            old.portion if portion is None else portion,
         )
         return msgspec.to_builtins(record)
 
--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -100,7 +100,7 @@
         record = JobRecord(spec, ctl.settings.host_name, self.kernel.wall_us)
         value = msgspec.to_builtins(record)
         txn = Txn().guard(LIVE + job_id, 0).guard(OVER + job_id, 0).put(LIVE + job_id, value)
-        _, reply = yield from ctl.store.commit(lambda: txn, 1, Urgency.ACCEPT)
+        _, reply = yield from ctl.store.commit(lambda: txn, 1, Urgency.ACCEPT, "accept")
         if reply.status == 200:
             ctl.picture.put(LIVE + job_id, value, reply.body["ledger"])
             what = f"{spec.kind} of {spec.tasks}, {spec.job_class}, {spec.team}"
@@ -127,7 +127,8 @@
             if job is not None:
                 running = len(self.ctl.picture.placed(job_id))
                 status = "running" if running else "pending"
-                return 200, state_body(job_id, status, len(job.finished), running)
+                done = len(self.ctl.picture.finished(job))
+                return 200, state_body(job_id, status, done, running)
             reply = yield from self.ctl.store.read(OVER + job_id)
             if reply.status == 404:
                 return 404, {"error": "no such job"}
@@ -173,18 +174,18 @@
         if job is None:
             return None
         txn = Txn().guard(LIVE + job_id, job.version).remove(LIVE + job_id)
-        return txn.put(OVER + job_id, job.over("cancelled", len(job.finished)))
+        return txn.put(OVER + job_id, job.over("cancelled", len(self.ctl.picture.finished(job))))
 
     def _abort(self, request_id: int, job_id: str) -> Fiber[None]:
         deadline_us = self.kernel.now_us + 3 * SECOND_US
+        cancellation = partial(self._cancellation, job_id)
         while self.kernel.now_us < deadline_us:
             status, body = yield from self._look_up(job_id)
             if status != 200 or body["status"] in ("done", "cancelled"):
                 break
-            if (yield from self.ctl.follower.commit(partial(self._cancellation, job_id), 2, Urgency.CANCEL)):
+            if (yield from self.ctl.follower.commit(cancellation, 2, Urgency.CANCEL, "cancel")):
                 self.kernel.log("info", f"{job_id} cancelled")
                 self.kernel.answer(request_id, 200, state_body(job_id, "cancelled"))
-                self.ctl.peers.hint()
                 return
         else:
             status, body = 503, {"error": "not cancelled yet"}
--- a/ashtray/peers/presence.py
+++ b/ashtray/peers/presence.py
@@ -16,7 +16,9 @@
 
 LEASE_US = 6 * SECOND_US
 RENEW_US = 1_500_000
-WORD_US = SECOND_US
+MAX_FOREMEN = 20_000
+FLOOR = 0.04
+"""The part of the changes that a controller may make at least, for what comes up of a sudden."""
 
 
 def weight(host: str, key: str) -> int:
@@ -32,6 +34,9 @@
         self.incarnation = 0
         """The state service's revision at which this process signed in: no other process has the same."""
         self.lease: int | None = None
+        self._live_of: dict[str, Any] | None = None
+        self._live: list[str] = []
+        self._foremen: dict[str, str] = {}
 
     def run(self) -> Fiber[None]:
         ctl = self.ctl
@@ -43,7 +48,7 @@
                     lease = reply.body["permit"]
                     host = {"host": ctl.settings.host_name}
                     sign_in = partial(Txn().put, key, host, lease)
-                    _, reply = yield from ctl.store.commit(sign_in, 1, Urgency.KEEP_ALIVE)
+                    _, reply = yield from ctl.store.commit(sign_in, 1, Urgency.KEEP_ALIVE, "sign in")
                     if reply.status == 200:
                         self.lease = lease
                         if not self.incarnation:
@@ -58,24 +63,33 @@
                 self.lease = None
 
     def live(self) -> list[str]:
-        hosts = set(self.ctl.picture.controllers)
-        hosts.add(self.ctl.settings.host_name)
-        return sorted(hosts)
+        if self._live_of is not self.ctl.picture.controllers:
+            self._live_of = self.ctl.picture.controllers
+            self._live = sorted({*self._live_of, self.ctl.settings.host_name})
+            self._foremen.clear()
+        return self._live
 
     def foreman(self, key: str) -> str:
-        return max(self.live(), key=lambda host: weight(host, key))
+        live = self.live()
+        found = self._foremen.get(key)
+        if found is None:
+            if len(self._foremen) > MAX_FOREMEN:
+                self._foremen.clear()
+            found = self._foremen[key] = max(live, key=lambda host: weight(host, key))
+        return found
 
     def owner_of(self, job_id: str, owner: str) -> str:
         """Who places a job: the controller that accepted it, or an heir when that one is gone."""
         live = self.live()
-        return owner if owner in live else max(live, key=lambda host: weight(host, job_id))
+        return owner if owner in live else self.foreman(job_id)
 
     def better_connected(self, after_us: int = 3 * SECOND_US) -> str | None:
         """A peer that reads from the state service while this controller has not for that long."""
         if self.ctl.kernel.now_us - self.ctl.follower.read_us < after_us:
             return None
+        since_us = self.ctl.kernel.now_us - 3 * self.ctl.peers.word_us
         for peer in self.ctl.peers.peers.values():
-            if self.ctl.kernel.now_us - peer.word_us < 3 * SECOND_US and peer.state_age_us < 2 * SECOND_US:
+            if peer.word_us > since_us and peer.state_age_us < 2 * SECOND_US:
                 return peer.host
         return None
 
@@ -98,36 +112,46 @@
     def __init__(self, ctl: Controller) -> None:
         self.ctl = ctl
         self.peers = {p.host_name: PeerState(p.host_name, p.peer_addr) for p in ctl.settings.others}
-        self._hinted = False
+        # Word costs both sides a request: the more peers there are, the seldomer each hears it.
+        self.word_us = max(len(self.peers) * SECOND_US // 3, SECOND_US)
         self._used = 0
         self._need = 0.0
 
     def run(self, peer: PeerState) -> Fiber[None]:
         while True:
-            yield from self._send(peer, self._word())
-            yield Sleep(WORD_US)
+            yield from self._send(peer, self._word(peer.host))
+            yield Sleep(self.word_us)
 
-    def _word(self) -> dict[str, Any]:
+    def _word(self, host: str) -> dict[str, Any]:
         ctl = self.ctl
+        # Only who runs the fleet has any use for the ages of reports, of each worker that there is.
+        runner = ctl.picture.fleet[0].get("host") if ctl.picture.fleet is not None else None
+        heard = ctl.desk.heard() if host == runner else {}
         return {
             "host": ctl.settings.host_name,
             "state_age_us": min(ctl.kernel.now_us - ctl.follower.read_us, 10**15),
             "need": self._need,
-            "heard": ctl.desk.heard(),
+            "heard": heard,
         }
 
     def budget(self) -> Fiber[None]:
         """Share the state service's budgets with the other live controllers, the changes by need."""
         ctl = self.ctl
+        ctl.follower.controllers = len(ctl.presence.live()) if ctl.follower.loaded else ctl.settings.cluster.nodes
         used, self._used = ctl.store.used - self._used, ctl.store.used
-        self._need = 0.6 * self._need + 0.4 * (used + 2 * len(ctl.store.changes.waiting))
+        # One that had to wait might have made many more: its need is taken to be the double, second by second.
+        want = used + sum(amount for _, _, amount, _ in ctl.store.changes.waiting)
+        if ctl.store.changes.throttled:
+            ctl.store.changes.throttled = False
+            want += used
+        self._need = 0.5 * self._need + 0.5 * want
         if not ctl.follower.loaded:
             # Until the picture is read, assume that everybody is there.
             each = 1 / max(ctl.settings.cluster.nodes, 1)
             ctl.store.share(each, each)
             return
         live = ctl.presence.live()
-        floor = 0.15 * ctl.settings.cluster.state.write_rps
+        floor = FLOOR * ctl.settings.cluster.state.write_rps
         needs = [max(self.peers[host].need, floor) for host in live if host in self.peers]
         mine = max(self._need, floor)
         ctl.store.share(1 / len(live), mine / (mine + sum(needs)))
@@ -138,39 +162,26 @@
         reply: Reply = yield Call(peer.address, "POST", "/peer/word", body, SECOND_US)
         return reply
 
-    def hint(self) -> None:
-        """Tell the peers to look at the state service soon; hints within a few milliseconds are one."""
-        if not self._hinted:
-            self._hinted = True
-            self.ctl.kernel.spawn(self._hint())
-
-    def _hint(self) -> Fiber[None]:
-        yield Sleep(5_000)
-        self._hinted = False
-        for peer in self.peers.values():
-            if self.ctl.kernel.now_us - peer.word_us < 5 * SECOND_US:
-                self.ctl.kernel.spawn(self._send(peer, {"host": self.ctl.settings.host_name, "hint": True}))
-
     def on_word(self, request_id: int, body: Any) -> None:
         kernel = self.ctl.kernel
         peer = self.peers.get(str(body.get("host"))) if isinstance(body, dict) else None
         if peer is None:
             kernel.answer(request_id, 400, {"error": "unknown peer"})
             return
-        if body.get("hint"):
-            self.ctl.follower.hint()
-        else:
-            peer.word_us = kernel.now_us
-            peer.state_age_us = int(body.get("state_age_us", 10**15))
-            peer.need = float(body.get("need", 0.0))
-            peer.heard = {str(name): kernel.now_us - int(age) for name, age in body.get("heard", {}).items()}
+        peer.word_us = kernel.now_us
+        peer.state_age_us = int(body.get("state_age_us", 10**15))
+        peer.need = float(body.get("need", 0.0))
+        peer.heard = {str(name): kernel.now_us - int(age) for name, age in body.get("heard", {}).items()}
         kernel.answer(request_id, 200, {})
 
-    def last_heard_us(self, machine: str) -> int:
-        """When any controller that this one has word of last heard a worker."""
-        own = self.ctl.desk.workers.get(machine)
-        times = [peer.heard.get(machine, 0) for peer in self.peers.values()]
-        return max([own.heard_us if own is not None else 0, *times])
+    def last_heard(self) -> dict[str, int]:
+        """When any controller that this one has word of last heard each worker."""
+        heard = {worker.name: worker.heard_us for worker in self.ctl.desk.workers.values()}
+        for peer in self.peers.values():
+            for name, at_us in peer.heard.items():
+                if at_us > heard.get(name, 0):
+                    heard[name] = at_us
+        return heard
 
     def all_word_us(self) -> int:
         """Since when there has been no word from some live peer: news may be missing from then on."""
--- a/ashtray/placement/explain.py
+++ b/ashtray/placement/explain.py
@@ -16,8 +16,9 @@
     """An answer for a person: plain reasons, and the scores of the rules where tasks have places."""
     spec = job.spec
     placed = plan.picture.placed(job.id)
+    finished = plan.picture.finished(job)
     answer: dict[str, Any] = {
-        "name_id": job.id, "placed_by": owner, "tasks": spec.tasks, "done": len(job.finished), "placed": len(placed),
+        "name_id": job.id, "placed_by": owner, "tasks": spec.tasks, "done": len(finished), "placed": len(placed),
         "waiting": [], "places": [],
     }  # fmt: skip
     ask = plan.ask(job)
@@ -32,7 +33,7 @@
         if hold.record.stop_us >= 0:
             place["note"] = "being stopped"
         answer["places"].append(place)
-    left = [n for n in range(spec.tasks) if n not in placed and n not in job.finished]
+    left = [n for n in range(spec.tasks) if n not in placed and n not in finished]
     if left and not (spec.kind == "gang" and placed):
         answer["waiting"] = _waits(plan, job, len(left), wall_us, list(rooms.values()))
     return answer
--- a/ashtray/placement/picture.py
+++ b/ashtray/placement/picture.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from itertools import islice
 from typing import Any
 
 import msgspec
 
 from ashtray.jobs.model import LIVE, Job
-from ashtray.runs import decode_runs
+from ashtray.runs import decode_runs, encode_runs
 
 GROUP = "now/group/"
 TEAM = "now/team/"
 CONTROLLER = "now/controller/"
-MEMBER = "now/at/"
+ADOPTED = "now/adopted/"
 FLEET = "now/fleet"
 TYPES = "now/types"
 EPS = 1e-6
@@ -39,6 +41,8 @@
     placed_us: int
     stop_us: int = -1
     """The time given to save when the tasks are to be stopped; -1: they are not."""
+    by: str = ""
+    """The controller that placed it, on whose share of the team's limit it counts."""
 
 
 class MachineRecord(msgspec.Struct, omit_defaults=True):
@@ -52,10 +56,15 @@
     holds: list[HoldRecord] = []
 
 
-class GroupRecord(msgspec.Struct):
+class GroupRecord(msgspec.Struct, omit_defaults=True):
     type: str
     zone: str
-    machines: dict[str, MachineRecord] = {}
+    machines: dict[str, MachineRecord]
+    done: dict[str, str] = {}
+    """For each live array the tasks that completed here and are not in its own record yet.
+
+    A fold then changes one record, not one more for each job that had a task end.
+    """
 
 
 class MachineType(msgspec.Struct, frozen=True):
@@ -93,18 +102,22 @@
 
 
 class Machine:
-    """A machine in the picture, with the room its holds take."""
+    """A machine in the picture, with the room its holds take.  `raw` is its part of the group's value."""
 
-    __slots__ = ("name", "group", "type", "zone", "record", "holds", "cpus", "gpus", "memory_gb", "images")
+    __slots__ = ("name", "group", "type", "zone", "raw", "record", "holds", "cpus", "gpus", "memory_gb", "images",
+                 "size")  # fmt: skip
 
-    def __init__(self, name: str, group: str, kind: str, zone: str, record: MachineRecord) -> None:
+    def __init__(self, name: str, group: str, kind: str, zone: str, raw: Any) -> None:
         self.name = name
         self.group = group
         self.type = kind
         self.zone = zone
-        self.record = record
-        self.holds = [Hold(h) for h in record.holds]
-        self.images = {name for name, _ in record.images}
+        self.raw = raw
+        self.record = msgspec.convert(raw, MachineRecord)
+        self.holds = [Hold(h) for h in self.record.holds]
+        self.images = {name for name, _ in self.record.images}
+        self.size = len(msgspec.json.encode(raw)) + len(name) + 4
+        """Bytes that it takes of the group's record."""
         self.cpus = self.gpus = self.memory_gb = 0.0
         for hold in self.holds:
             n = len(hold.tasks)
@@ -114,26 +127,78 @@
 
 
 class Group:
-    __slots__ = ("key", "version", "record", "machines")
+    __slots__ = ("key", "version", "value", "type", "zone", "machines", "done", "size")
 
     def __init__(self, key: str, value: Any, version: int) -> None:
         self.key = key
         self.version = version
-        self.record = msgspec.convert(value, GroupRecord)
-        self.machines = {
-            name: Machine(name, key, self.record.type, self.record.zone, record)
-            for name, record in self.record.machines.items()
-        }
+        self.value = value
+        self.type: str = value["type"]
+        self.zone: str = value["zone"]
+        self.machines: dict[str, Machine] = {}
+        self.done: dict[str, set[int]] = {}
+        self.size = 0
+
+
+class Edit:
+    """A group's record being changed: only the machines asked for are copied, the others are shared."""
+
+    def __init__(self, group: Group) -> None:
+        self.group = group
+        self.machines: dict[str, Any] = dict(group.value["machines"])
+        self.done: dict[str, str] = dict(group.value.get("done", {}))
+        self._changed: dict[str, MachineRecord] = {}
+
+    def machine(self, name: str) -> MachineRecord:
+        """A copy to change; the same one each time."""
+        if name not in self._changed:
+            self._changed[name] = self.copy_of(name)
+        return self._changed[name]
+
+    def copy_of(self, name: str) -> MachineRecord:
+        """A copy that counts only once it is put back with `replace`."""
+        return msgspec.convert(self.machines[name], MachineRecord)
 
-    def copy(self) -> GroupRecord:
-        """A record to change and commit."""
-        return msgspec.convert(msgspec.to_builtins(self.record), GroupRecord)
+    def replace(self, name: str, record: MachineRecord) -> None:
+        self._changed[name] = record
+
+    def add_done(self, job_id: str, tasks: set[int]) -> None:
+        self.done[job_id] = encode_runs(tasks | decode_runs(self.done.get(job_id, "")))
+
+    def remove(self, name: str) -> None:
+        self._changed.pop(name, None)
+        del self.machines[name]
+
+    def value(self, live: Callable[[str], bool]) -> dict[str, Any]:
+        """What to write; completed tasks are kept for jobs that are still live."""
+        for name, record in self._changed.items():
+            self.machines[name] = msgspec.to_builtins(record)
+        value = {"type": self.group.type, "zone": self.group.zone, "machines": self.machines}
+        done = {job: runs for job, runs in self.done.items() if live(job)}
+        if done:
+            value["done"] = done
+        return value
+
+
+NOBODY: set[int] = set()
+NO_USAGE = (0, 0)
+MICRO = 1_000_000
 
 
 class Picture:
-    """Everything that is going on, as of the follower's last round plus this controller's own commits."""
+    """Everything that is going on, as of the follower's last round plus this controller's own commits.
+
+    What is asked for often (free room, usage, the tasks that wait) is brought up to date by what changed, never
+    by going through everything: the work must grow with the changes, not with the machines or the queue.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, most_open: int = 1_000_000) -> None:
+        self.most_open = most_open
+        """How many tasks of an array may hold room at once.
+
+        Tasks are placed lowest first, so the runs of finished tasks in the job's record are no more than those
+        that are open: this keeps the record of 100,000 tasks within the state service's limit for a value.
+        """
         self.clear()
 
     def clear(self) -> None:
@@ -142,14 +207,26 @@
         self.machines: dict[str, Machine] = {}
         self.held: dict[str, dict[HoldKey, Hold]] = {}
         """For each job its holds."""
-        self.team_versions: dict[str, int] = {}
+        self.done: dict[str, dict[str, set[int]]] = {}
+        """For each job the completed tasks that groups keep for it."""
         self.controllers: dict[str, Any] = {}
-        self.members: dict[str, tuple[str, int]] = {}
         self.fleet: tuple[Any, int] | None = None
         self.types: dict[str, MachineType] = {}
+        self.touched: set[str] = set()
+        """Machines whose record, or whose jobs, changed since somebody last looked and emptied this."""
+        self.complete: set[str] = set()
+        """Live jobs all of whose tasks are done."""
+        self.changes = 0
         self._versions: dict[str, int] = {}
         self._ended: dict[str, None] = {}
-        self.changes = 0
+        self.shares: dict[str, dict[str, tuple[float, float]]] = {}
+        """For each team with a limit, what each controller may use of it."""
+        self._usage: dict[str, tuple[int, int]] = {}
+        self._usage_by: dict[tuple[str, str], tuple[int, int]] = {}
+        self._placed: dict[str, set[int]] = {}
+        self._finished: dict[str, set[int]] = {}
+        self._waiting: dict[str, list[int]] = {}
+        self._stale: set[str] = set()
 
     def put(self, key: str, value: Any, version: int) -> None:
         if self._versions.get(key, 0) >= version:
@@ -157,22 +234,16 @@
         self._versions[key] = version
         self.changes += 1
         if key.startswith(GROUP):
-            self._drop_group(key)
-            group = Group(key, value, version)
-            self.groups[key] = group
-            for name, machine in group.machines.items():
-                self.machines[name] = machine
-                for n, hold in enumerate(machine.holds):
-                    self.held.setdefault(hold.job, {})[(name, n)] = hold
+            self._put_group(key, value, version)
         elif key.startswith(LIVE):
             job_id = key[len(LIVE):]
             self.jobs[job_id] = Job(job_id, value, version)
-        elif key.startswith(TEAM):
-            self.team_versions[key[len(TEAM):]] = version
+            self._job_changed(job_id)
         elif key.startswith(CONTROLLER):
-            self.controllers[key[len(CONTROLLER):]] = value
-        elif key.startswith(MEMBER):
-            self.members[key[len(MEMBER):]] = (value, version)
+            # A new dict each time, so that what was worked out from the old one is known to be old.
+            self.controllers = {**self.controllers, key[len(CONTROLLER):]: value}
+        elif key.startswith(TEAM):
+            self.shares[key[len(TEAM):]] = {host: (share[0], share[1]) for host, share in value.items()}
         elif key == FLEET:
             self.fleet = (value, version)
         elif key == TYPES:
@@ -184,57 +255,182 @@
         self._versions.pop(key, None)
         self.changes += 1
         if key.startswith(GROUP):
-            self._drop_group(key)
+            group = self.groups.pop(key, None)
+            if group is not None:
+                for machine in group.machines.values():
+                    self._drop_machine(machine)
+                self._note_done(group, {})
         elif key.startswith(LIVE):
-            self.jobs.pop(key[len(LIVE):], None)
-            self._ended[key[len(LIVE):]] = None
+            job_id = key[len(LIVE):]
+            self.jobs.pop(job_id, None)
+            self._ended[job_id] = None
             if len(self._ended) > MAX_ENDED:
                 del self._ended[next(iter(self._ended))]
-        elif key.startswith(TEAM):
-            self.team_versions.pop(key[len(TEAM):], None)
+            self._job_changed(job_id)
         elif key.startswith(CONTROLLER):
-            self.controllers.pop(key[len(CONTROLLER):], None)
-        elif key.startswith(MEMBER):
-            self.members.pop(key[len(MEMBER):], None)
+            self.controllers = {host: v for host, v in self.controllers.items() if host != key[len(CONTROLLER):]}
+        elif key.startswith(TEAM):
+            self.shares.pop(key[len(TEAM):], None)
         elif key == FLEET:
             self.fleet = None
         elif key == TYPES:
             self.types = {}
 
-    def _drop_group(self, key: str) -> None:
-        group = self.groups.pop(key, None)
-        if group is None:
-            return
-        for name, machine in group.machines.items():
-            if self.machines.get(name) is machine:
-                del self.machines[name]
-            for n, hold in enumerate(machine.holds):
-                holds = self.held.get(hold.job)
-                if holds is not None:
-                    holds.pop((name, n), None)
-                    if not holds:
-                        del self.held[hold.job]
+    def _put_group(self, key: str, value: Any, version: int) -> None:
+        old = self.groups.get(key)
+        group = Group(key, value, version)
+        was = old.machines if old is not None else {}
+        for name, raw in value["machines"].items():
+            machine = was.get(name)
+            if machine is None or machine.raw != raw:
+                if machine is not None:
+                    self._drop_machine(machine)
+                machine = Machine(name, key, group.type, group.zone, raw)
+                self.machines[name] = machine
+                self.touched.add(name)
+                self._count(machine, 1)
+                for n, hold in enumerate(machine.holds):
+                    self.held.setdefault(hold.job, {})[(name, n)] = hold
+                    self._holds_changed(hold.job)
+            group.machines[name] = machine
+            group.size += machine.size
+        for name, machine in was.items():
+            if name not in group.machines:
+                self._drop_machine(machine)
+        group.done = old.done if old is not None else {}
+        self._note_done(group, value.get("done", {}))
+        group.size += sum(len(job) + len(runs) + 6 for job, runs in value.get("done", {}).items())
+        self.groups[key] = group
+
+    def _note_done(self, group: Group, runs: dict[str, str]) -> None:
+        old, group.done = group.done, {}
+        for job_id, text in runs.items():
+            tasks = decode_runs(text)
+            group.done[job_id] = tasks
+            if old.get(job_id) != tasks:
+                self.done.setdefault(job_id, {})[group.key] = tasks
+                self._holds_changed(job_id)
+        for job_id in old:
+            if job_id not in runs:
+                by_group = self.done.get(job_id, {})
+                by_group.pop(group.key, None)
+                if not by_group:
+                    self.done.pop(job_id, None)
+                self._holds_changed(job_id)
+
+    def _drop_machine(self, machine: Machine) -> None:
+        if self.machines.get(machine.name) is machine:
+            del self.machines[machine.name]
+        self.touched.add(machine.name)
+        self._count(machine, -1)
+        for n, hold in enumerate(machine.holds):
+            holds = self.held.get(hold.job)
+            if holds is not None and holds.get((machine.name, n)) is hold:
+                del holds[(machine.name, n)]
+                if not holds:
+                    del self.held[hold.job]
+            self._holds_changed(hold.job)
+
+    def _count(self, machine: Machine, sign: int) -> None:
+        """Add a machine's holds to their teams' usage, in millionths, so that sums stay exact."""
+        for hold in machine.holds:
+            record = hold.record
+            n = sign * len(hold.tasks)
+            more = n * round(record.cpus * MICRO), n * round(record.gpus * MICRO)
+            cpus, gpus = self._usage.get(record.team, NO_USAGE)
+            self._usage[record.team] = (cpus + more[0], gpus + more[1])
+            cpus, gpus = self._usage_by.get((record.team, record.by), NO_USAGE)
+            self._usage_by[(record.team, record.by)] = (cpus + more[0], gpus + more[1])
+
+    def _holds_changed(self, job_id: str) -> None:
+        self._placed.pop(job_id, None)
+        self._finished.pop(job_id, None)
+        self._stale.add(job_id)
+
+    def _job_changed(self, job_id: str) -> None:
+        self._holds_changed(job_id)
+        for name, _ in self.held.get(job_id, ()):
+            self.touched.add(name)
+
+    def _settle(self) -> None:
+        """Work out anew what waits, for the jobs that something changed for."""
+        for job_id in self._stale:
+            self.complete.discard(job_id)
+            self._waiting.pop(job_id, None)
+            job = self.jobs.get(job_id)
+            if job is None:
+                continue
+            tasks = self._unplaced(job)
+            if tasks:
+                self._waiting[job_id] = tasks
+            elif job.spec.kind != "service" and len(self.finished(job)) >= job.spec.tasks:
+                self.complete.add(job_id)
+        self._stale.clear()
+
+    def _unplaced(self, job: Job) -> list[int]:
+        spec = job.spec
+        placed = self.placed(job.id)
+        if spec.kind == "gang":
+            finished = self.finished(job)
+            if len(finished) >= spec.tasks:
+                return []
+            if not placed:
+                return list(range(spec.tasks))
+            # One that is placed in portions: the rest gets the same attempt number.
+            return list(range(job.portion, spec.tasks)) if job.portion else []
+        finished = self.finished(job)
+        if len(placed) + len(finished) >= spec.tasks and len(placed | finished) >= spec.tasks:
+            return []
+        free = (n for n in range(spec.tasks) if n not in placed and n not in finished)
+        return list(islice(free, max(self.most_open - len(placed), 0)))
+
+    def waiting(self) -> dict[str, list[int]]:
+        """The jobs with tasks that have no place, and these tasks, lowest first."""
+        if self._stale:
+            self._settle()
+        return self._waiting
+
+    def completed(self) -> set[str]:
+        """The live jobs all of whose tasks are done."""
+        if self._stale:
+            self._settle()
+        return self.complete
 
     def version(self, key: str) -> int:
         return self._versions.get(key, 0)
 
+    def is_live(self, job_id: str) -> bool:
+        return job_id in self.jobs
+
     def is_over(self, job_id: str) -> bool:
         """Whether a job is known to be over; one that is merely not known yet is not."""
         return job_id not in self.jobs and (job_id in self._ended or job_id in self.held)
 
     def placed(self, job_id: str) -> set[int]:
         """The tasks of a job that hold room somewhere."""
-        tasks: set[int] = set()
-        for hold in self.held.get(job_id, {}).values():
-            tasks |= hold.tasks
+        tasks = self._placed.get(job_id)
+        if tasks is None:
+            holds = self.held.get(job_id)
+            tasks = set().union(*(hold.tasks for hold in holds.values())) if holds else NOBODY
+            if holds:
+                self._placed[job_id] = tasks
+        return tasks
+
+    def finished(self, job: Job) -> set[int]:
+        """The tasks of a job that are done, by its own record and by those of groups."""
+        by_group = self.done.get(job.id)
+        if not by_group:
+            return job.finished
+        tasks = self._finished.get(job.id)
+        if tasks is None:
+            tasks = self._finished[job.id] = job.finished.union(*by_group.values())
         return tasks
 
-    def team_usage(self, team: str) -> tuple[float, float]:
-        """CPUs and GPUs held by a team, lingering tasks included."""
-        cpus = gpus = 0.0
-        for machine in self.machines.values():
-            for hold in machine.holds:
-                if hold.record.team == team:
-                    cpus += len(hold.tasks) * hold.record.cpus
-                    gpus += len(hold.tasks) * hold.record.gpus
-        return cpus, gpus
+    def take_touched(self) -> set[str]:
+        touched, self.touched = self.touched, set()
+        return touched
+
+    def team_usage(self, team: str, by: str | None = None) -> tuple[float, float]:
+        """CPUs and GPUs held by a team, lingering tasks included; if asked so, only what one controller placed."""
+        cpus, gpus = self._usage.get(team, NO_USAGE) if by is None else self._usage_by.get((team, by), NO_USAGE)
+        return cpus / MICRO, gpus / MICRO
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
+from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -10,18 +11,28 @@
 
 from ashtray.jobs.model import LIVE, Job
 from ashtray.kernel import SECOND_US, Fiber, Signal, Sleep, Wait
-from ashtray.placement.picture import EPS, TEAM, HoldRecord
+from ashtray.placement.picture import EPS, TEAM, Edit, HoldRecord, Picture
 from ashtray.placement.plan import Choice, Plan, queue
-from ashtray.placement.preemption import choose_victims, may_stop, stop_victims
+from ashtray.placement.preemption import Victims, choose_victims, may_stop, stop_victims
 from ashtray.runs import encode_runs
-from ashtray.store.client import Txn, Urgency
-from ashtray.teams.limits import has_limit, tasks_within
+from ashtray.store.client import Limits, Txn, Urgency
+from ashtray.teams.grants import Grants
 
 if TYPE_CHECKING:
     from ashtray.controller import Controller
 
 RETRY_US = SECOND_US // 2
+RESHARE_US = SECOND_US // 4
+MAX_RESHARE_US = 4 * SECOND_US
+HOLD_BYTES = 160
+JOB_BYTES = 600
+"""About what a hold, and a job's record, take of a transaction."""
+PAUSE_US = 100_000
 PARTIAL_US = 800_000
+STALE_US = SECOND_US
+"""A plan is followed no longer: jobs that came in meanwhile may go first."""
+VISIT_US = 10
+"""For each room looked at a round pauses as long again, so that a long queue leaves time for the rest."""
 
 
 class Placer:
@@ -32,7 +43,15 @@
         self.kick = Signal()
         self._seen = -1
         self._partial_us: dict[str, int] = {}
+        self.counts: Counter[str] = Counter()
+        """What the work went into since the last report."""
         self._hurry = False
+        self._sent: tuple[Txn, list[str]] = (Txn(), [])
+        """The last commit, and the teams with a limit that it placed for."""
+        self._short: dict[str, tuple[Job, int]] = {}
+        """For teams the first job that their share does not allow, and how many of its tasks have room."""
+        self._reshared: dict[str, tuple[int, int]] = {}
+        """When a team's shares were last changed here, and how long to wait before they are again."""
 
     def widen(self) -> float:
         """The chance of a pick among the best few: it rises with conflicts, up to a cap."""
@@ -47,8 +66,9 @@
             self._hurry = False
             if self.ctl.follower.loaded and self.ctl.presence.incarnation:
                 self._seen = self.ctl.picture.changes
+                visits = self.counts["rooms looked at"]
                 yield from self._round()
-                yield Sleep(20_000)
+                yield Sleep(PAUSE_US + VISIT_US * max(self.counts["rooms looked at"] - visits, 0))
 
     def changed(self) -> None:
         if self.ctl.picture.changes != self._seen:
@@ -59,13 +79,29 @@
 
     def _round(self) -> Fiber[None]:
         ctl = self.ctl
+        picture = ctl.picture
+        if not any(self.mine(picture.jobs[job_id]) for job_id in picture.waiting()):
+            return
+        self.counts["rounds"] += 1
         plan = ctl.plan()
-        jobs, inside = queue(ctl.picture, ctl.teams)
+        jobs, inside = queue(picture, ctl.teams)
         while jobs and not self.mine(jobs[-1]):
             jobs.pop()
-        self._partial_us = {j: at for j, at in self._partial_us.items() if j in ctl.picture.jobs}
-        most = ctl.settings.cluster.state.txn_ops - 2
+        self._partial_us = {j: at for j, at in self._partial_us.items() if j in picture.jobs}
+        try:
+            yield from self._serve(plan, jobs, inside)
+        finally:
+            self.counts["jobs looked at"] += len(jobs)
+            self.counts["rooms looked at"] += plan.visits
+
+    def _serve(self, plan: Plan, jobs: list[Job], inside: set[str]) -> Fiber[None]:
+        ctl = self.ctl
+        began_us = ctl.kernel.now_us
+        batch = Batch(ctl.picture, ctl.limits)
         for job in jobs:
+            if ctl.kernel.now_us - began_us > STALE_US:
+                self._again()
+                break
             tasks = plan.wanted(job, ctl.kernel.wall_us)
             if not tasks:
                 continue
@@ -76,129 +112,309 @@
             # A class with an aim on waiting first looks where its image is there in time.
             aim_s = ctl.pace.urgent.get(job.spec.job_class)
             for within_s in (None,) if aim_s is None else (0.8 * aim_s, None):
-                choices = plan.place(job, len(tasks), most, widen, within_s)
+                choices = plan.place(job, len(tasks), widen, within_s)
                 if choices:
                     break
                 if (job.spec.kind == "gang" and job.spec.priority <= 1) or job.id in inside:
                     if plan.keep_soon(job, need, within_s):
                         break
-                    if mine and (yield from self._preempt(job, plan, need, inside, within_s)):
+                    if not mine:
+                        continue
+                    victims = self._victims(job, plan, need, inside, within_s)
+                    if victims:
+                        if not batch.items or (yield from self._commit(batch)):
+                            yield from self._stop(job, victims)
                         # This plan does not know yet which room is being made: jobs further back would take it.
                         return self._again()
             if not choices or not mine:
                 continue
-            if sum(n for _, n in choices) < len(tasks):
+            if job.spec.kind != "gang" and sum(n for _, n in choices) < len(tasks):
                 # Room for a few of many tasks: several such commits are made one, for each costs changes.
                 if ctl.kernel.now_us - self._partial_us.get(job.id, 0) < PARTIAL_US:
                     continue
                 self._partial_us[job.id] = ctl.kernel.now_us
-            placed = yield from self._commit(job, tasks, choices)
-            if not placed:
-                # The picture was too late: start anew on the fresh one.
-                return self._again()
+            if ctl.grants.limited(job.spec.team):
+                choices = self._granted(job, choices, len(tasks), batch)
+                if not choices:
+                    continue
+            for item in portions(job, tasks, choices, ctl.picture, ctl.limits):
+                if not batch.takes(item):
+                    if not (yield from self._commit(batch)):
+                        # The picture was too late: start anew on the fresh one.
+                        return self._again()
+                    batch = Batch(ctl.picture, ctl.limits)
+                batch.add(item)
+        if batch.items and not (yield from self._commit(batch)):
+            self._again()
+        yield from self._reshare()
+
+    def _granted(self, job: Job, choices: list[Choice], wanted: int, batch: Batch) -> list[Choice]:
+        """The choices that this controller's share of the team's limit allows; note what more is wanted."""
+        spec, grants = job.spec, self.ctl.grants
+        count = sum(n for _, n in choices)
+        allowed = grants.allowed(spec.team, spec, *batch.used.get(spec.team, (0.0, 0.0)))
+        if allowed >= count:
+            return choices
+        if spec.team not in self._short:
+            self._short[spec.team] = (job, count)
+        if spec.kind == "gang" or allowed <= 0:
+            return []
+        cut: list[Choice] = []
+        for room, n in choices:
+            if allowed > 0:
+                cut.append((room, min(n, allowed)))
+                allowed -= n
+        return cut
+
+    def _reshare(self) -> Fiber[None]:
+        """See to the shares of teams whose jobs could not be placed for want of one."""
+        ctl = self.ctl
+        short, self._short = self._short, {}
+        for team, (job, count) in short.items():
+            if not ctl.grants.ready(team):
+                fence = partial(ctl.grants.fence, team)
+                good = yield from ctl.follower.commit(fence, 1, Urgency.PLACE, "share")
+                # What was placed before the fence, by this process or one before it, is in the picture then.
+                if good and (yield from ctl.follower.barrier()):
+                    ctl.grants.fenced(team)
+                    self._again()
+                continue
+            at_us, pause_us = self._reshared.get(team, (0, 0))
+            if ctl.kernel.now_us < at_us + pause_us:
+                continue
+            build = partial(ctl.grants.reshare, team, job.spec, count, ctl.presence.live())
+            good = yield from ctl.follower.commit(build, 1, Urgency.PLACE, "share")
+            # The longer it does not help, the seldomer it is tried: the limit may bind, and shares then move little.
+            allowed = ctl.grants.allowed(team, job.spec)
+            pause_us = RESHARE_US if allowed >= count else min(max(2 * pause_us, RESHARE_US), MAX_RESHARE_US)
+            self._reshared[team] = (ctl.kernel.now_us, pause_us)
+            if good and (yield from ctl.follower.barrier()):
+                self._again()
 
     def _again(self) -> None:
         self._hurry = True
 
-    def _preempt(
-        self, job: Job, plan: Plan, count: int, inside: set[str], within_s: float | None
-    ) -> Fiber[bool]:
-        """Stop work that may be stopped where that makes room for a job."""
+    def _victims(self, job: Job, plan: Plan, count: int, inside: set[str], within_s: float | None) -> Victims:
+        """Work that may be stopped where that makes room for a job."""
+        allowed = may_stop(self.ctl.picture, self.ctl.teams, inside, job)
+        return choose_victims(plan, job, count, allowed, self.ctl.kernel.wall_us, within_s)
+
+    def _stop(self, job: Job, victims: Victims) -> Fiber[None]:
         ctl = self.ctl
-        allowed = may_stop(ctl.picture, ctl.teams, inside, job)
-        victims = choose_victims(plan, job, count, allowed, ctl.kernel.wall_us, within_s)
-        if not victims:
-            return False
-        most = ctl.settings.cluster.state.txn_ops
-        build = partial(stop_victims, ctl.picture, victims, most)
-        if (yield from ctl.follower.commit(build, len(victims), Urgency.PLACE)):
+        build = partial(stop_victims, ctl.picture, victims, ctl.limits)
+        if (yield from ctl.follower.commit(build, len(victims), Urgency.PLACE, "preempt")):
             number = sum(len(tasks) for held in victims.values() for tasks in held.values())
             ctl.kernel.log("info", f"{job.id} stops {number} tasks on {', '.join(sorted(victims))}")
-            ctl.peers.hint()
-        return True
 
-    def _commit(self, job: Job, tasks: list[int], choices: list[Choice]) -> Fiber[bool]:
+    def _commit(self, batch: Batch) -> Fiber[bool]:
         ctl = self.ctl
-        changes = 2 + len({room.machine.group for room, _ in choices})
-        for attempt in range(ctl.knobs.retries):
-            build = partial(self._transaction, job, tasks, choices)
-            good = yield from ctl.follower.commit(build, changes, Urgency.PLACE)
+        for retry in range(ctl.knobs.retries):
+            lines: list[str] = []
+            build = partial(self._transaction, batch, lines)
+            good = yield from ctl.follower.commit(build, batch.changes(), Urgency.PLACE, "place")
             if good is None:
                 return False
+            txn, teams = self._sent
+            if txn.doubt:
+                ctl.grants.doubt(teams)
             self.window.append(not good)
             if good:
-                where = ", ".join(f"{n} on {room.machine.name}" for room, n in choices)
-                ctl.kernel.log("info", f"{job.id} attempt {job.record.attempt + 1}: {where}")
-                ctl.peers.hint()
-                return True
-            yield Sleep(int(ctl.kernel.rng.uniform(0.0, 0.02) * min(2**attempt, 16) * SECOND_US))
+                for line in lines:
+                    ctl.kernel.log("info", line)
+                return len(lines) == len(batch.items)
+            yield Sleep(int(ctl.kernel.rng.uniform(0.0, 0.02) * min(2**retry, 16) * SECOND_US))
             if not (yield from ctl.follower.barrier()):
                 return False
         return False
 
-    def _transaction(self, planned: Job, tasks: list[int], choices: list[Choice]) -> Txn | None:
-        """The commit for a choice, checked against the versions that it will be guarded by."""
+    def _transaction(self, batch: Batch, lines: list[str]) -> Txn | None:
+        """The commit for a batch, each job checked against the versions that it will be guarded by.
+
+        A job that does not fit any more is left out.
+        """
         ctl = self.ctl
-        job = ctl.picture.jobs.get(planned.id)
-        if job is None or job.record.attempt != planned.record.attempt:
-            return None
-        spec = job.spec
         picture = ctl.picture
-        if any(n in job.finished for n in tasks) or picture.placed(job.id) & set(tasks):
+        txn = Txn()
+        lines.clear()
+        draft = Draft(picture, ctl.grants)
+        for item in batch.items:
+            job = picture.jobs.get(item.job_id)
+            if job is None or not draft.allows(job, item):
+                continue
+            number = attempt_of(job)
+            draft.add(job, item, number, ctl.kernel.wall_us, ctl.settings.host_name)
+            placed = job.portion + item.count
+            portion = placed if job.spec.kind == "gang" and placed < job.spec.tasks else 0
+            txn.guard(LIVE + job.id, job.version).put(LIVE + job.id, job.value(attempt=number, portion=portion))
+            where = ", ".join(f"{n} on {room.machine.name}" for room, n in item.choices)
+            lines.append(f"{job.id} attempt {number}: {where}")
+        if not lines:
             return None
-        if spec.kind == "gang" and job.id in picture.held:
+        for name in draft.usage:
+            txn.guard(TEAM + name, picture.version(TEAM + name))
+        for key, edit in draft.edits.items():
+            txn.guard(key, edit.group.version).put(key, edit.value(picture.is_live))
+        limit = ctl.limits.value_bytes * 0.95
+        if any(len(msgspec.json.encode(value)) > limit for value in txn.puts.values()):
+            ctl.kernel.log("error", f"{lines[0]}: a record would grow over its limit")
             return None
-        txn = Txn().guard(LIVE + job.id, job.version)
-        team = ctl.teams.get(spec.team)
-        count = sum(n for _, n in choices)
-        if team is not None and has_limit(team):
-            cpus, gpus = picture.team_usage(team.name)
-            if tasks_within(team, cpus, gpus, spec) < count:
-                return None
-            usage = {"cpus": cpus + count * spec.cpus, "gpus": gpus + count * spec.gpus}
-            txn.guard(TEAM + team.name, picture.version(TEAM + team.name)).put(TEAM + team.name, usage)
+        self._sent = txn, list(draft.usage)
+        return txn
+
+
+@dataclass
+class Item:
+    """Some tasks of a job and the places chosen for them: what goes into one transaction whole."""
+
+    job_id: str
+    tasks: list[int]
+    choices: list[Choice]
+    portion: int
+    """For a gang that is placed in portions, how many of its tasks come before."""
+    count: int = 0
+
+    def __post_init__(self) -> None:
+        self.count = len(self.tasks)
+
+    def groups(self) -> set[str]:
+        return {room.machine.group for room, _ in self.choices}
+
+
+def portions(job: Job, tasks: list[int], choices: list[Choice], picture: Picture, limits: Limits) -> list[Item]:
+    """Cut a job's placement into as many transactions as it needs: mostly one."""
+    cut: list[list[Choice]] = [[]]
+    groups: set[str] = set()
+    size = 0
+    for room, n in choices:
+        group = room.machine.group
+        more = HOLD_BYTES + (0 if group in groups else picture.groups[group].size)
+        if cut[-1] and (len(groups | {group}) > limits.ops - 1 or size + more > limits.txn_bytes):
+            cut.append([])
+            groups, size, more = set(), 0, HOLD_BYTES + picture.groups[group].size
+        groups.add(group)
+        size += more
+        cut[-1].append((room, n))
+    items = []
+    done = 0
+    for part in cut:
+        count = sum(n for _, n in part)
+        portion = job.portion + done if job.spec.kind == "gang" else 0
+        items.append(Item(job.id, tasks[done : done + count], part, portion))
+        done += count
+    return items
+
+
+class Batch:
+    """Jobs that follow one another in the queue and share a transaction, for each group in it costs one change."""
+
+    def __init__(self, picture: Picture, limits: Limits) -> None:
+        self.picture = picture
+        self.limits = limits
+        self.items: list[Item] = []
+        self.used: dict[str, tuple[float, float]] = {}
+        """What its jobs take, by team."""
+        self._jobs: set[str] = set()
+        self._groups: set[str] = set()
+        self._bytes = 0
+
+    def changes(self) -> int:
+        return len(self.items) + len(self._groups)
+
+    def _size(self, item: Item) -> int:
+        job = self.picture.jobs[item.job_id]
+        groups = self.picture.groups
+        size = JOB_BYTES + len(job.record.finished) + HOLD_BYTES * len(item.choices)
+        return size + sum(groups[key].size for key in item.groups() - self._groups if key in groups)
+
+    def takes(self, item: Item) -> bool:
+        """Whether there is room for one more; the first is always taken."""
+        if not self.items:
+            return True
+        job = self.picture.jobs.get(item.job_id)
+        if job is None or item.job_id in self._jobs:
+            return False
+        changes = len(self.items) + 1 + len(self._groups | item.groups())
+        return changes <= self.limits.ops and self._bytes + self._size(item) <= self.limits.txn_bytes
+
+    def add(self, item: Item) -> None:
+        job = self.picture.jobs.get(item.job_id)
+        if job is None:
+            return
+        self._bytes += self._size(item)
+        self.items.append(item)
+        self._jobs.add(item.job_id)
+        self._groups |= item.groups()
+        cpus, gpus = self.used.get(job.spec.team, (0.0, 0.0))
+        self.used[job.spec.team] = (cpus + item.count * job.spec.cpus, gpus + item.count * job.spec.gpus)
+
+
+class Draft:
+    """The records that a batch would write, so far."""
+
+    def __init__(self, picture: Picture, grants: Grants) -> None:
+        self.picture = picture
+        self.grants = grants
+        self.edits: dict[str, Edit] = {}
+        self.usage: dict[str, tuple[float, float]] = {}
+        """For each team with a limit what the batch adds to its use."""
+        self._added: dict[str, tuple[float, float, float]] = {}
+
+    def allows(self, job: Job, item: Item) -> bool:
+        """Whether a job's tasks may go where they were planned, as far as the picture shows now."""
+        spec, picture = job.spec, self.picture
+        tasks = set(item.tasks)
+        if picture.finished(job) & tasks or picture.placed(job.id) & tasks:
+            return False
+        if spec.kind == "gang" and (job.portion != item.portion or (job.id in picture.held and not job.portion)):
+            return False
+        more = self.usage.get(spec.team, (0.0, 0.0))
+        if self.grants.limited(spec.team) and self.grants.allowed(spec.team, spec, *more) < item.count:
+            return False
         zones: dict[str, int] = {}
         for (name, _), hold in picture.held.get(job.id, {}).items():
             zones[picture.machines[name].zone] = zones.get(picture.machines[name].zone, 0) + len(hold.tasks)
-        left = list(tasks)
-        records = {}
-        for room, n in choices:
+        for room, n in item.choices:
             machine = picture.machines.get(room.machine.name)
             if machine is None or machine.record.retiring:
-                return None
+                return False
+            cpus, gpus, memory = self._added.get(machine.name, (0.0, 0.0, 0.0))
             kind = room.type
             if (
-                machine.cpus + n * spec.cpus > kind.cpus + EPS
-                or machine.gpus + n * spec.gpus > kind.gpus + EPS
-                or machine.memory_gb + n * spec.memory_gb > kind.memory_gb + EPS
+                machine.cpus + cpus + n * spec.cpus > kind.cpus + EPS
+                or machine.gpus + gpus + n * spec.gpus > kind.gpus + EPS
+                or machine.memory_gb + memory + n * spec.memory_gb > kind.memory_gb + EPS
             ):
-                return None
+                return False
             zones[machine.zone] = zones.get(machine.zone, 0) + n
-            group = picture.groups[machine.group]
-            if group.key not in records:
-                records[group.key] = group.copy()
-                txn.guard(group.key, group.version)
-            record = records[group.key].machines[machine.name]
+        if spec.same_zone and len(zones) > 1:
+            return False
+        return not spec.spread or max(zones.values()) <= (spec.tasks + 1) // 2
+
+    def add(self, job: Job, item: Item, number: int, wall_us: int, host: str) -> None:
+        spec = job.spec
+        left = list(item.tasks)
+        for room, n in item.choices:
+            machine = self.picture.machines[room.machine.name]
+            edit = self.edits.setdefault(machine.group, Edit(self.picture.groups[machine.group]))
+            record = edit.machine(machine.name)
             record.holds.append(
                 HoldRecord(
-                    job.id, job.record.attempt + 1, encode_runs(left[:n]), spec.team, spec.cpus, spec.gpus,
-                    spec.memory_gb, ctl.kernel.wall_us,
+                    job.id, number, encode_runs(left[:n]), spec.team, spec.cpus, spec.gpus, spec.memory_gb, wall_us,
+                    by=host,
                 )  # fmt: skip
             )
             del left[:n]
-            record.images = cached(record.images, spec.image, spec.image_gb, kind.cache_gb)
-        if spec.same_zone and len(zones) > 1:
-            return None
-        if spec.spread and max(zones.values()) > (spec.tasks + 1) // 2:
-            return None
-        txn.put(LIVE + job.id, job.value(attempt=job.record.attempt + 1))
-        for key, changed in records.items():
-            txn.put(key, msgspec.to_builtins(changed))
-        limit = ctl.settings.cluster.state.value_kb * 1024 * 0.95
-        if any(len(msgspec.json.encode(value)) > limit for value in txn.puts.values()):
-            ctl.kernel.log("error", f"{job.id}: a record would grow over its limit")
-            return None
-        return txn
+            record.images = cached(record.images, spec.image, spec.image_gb, room.type.cache_gb)
+            cpus, gpus, memory = self._added.get(machine.name, (0.0, 0.0, 0.0))
+            self._added[machine.name] = (cpus + n * spec.cpus, gpus + n * spec.gpus, memory + n * spec.memory_gb)
+        if self.grants.limited(spec.team):
+            cpus, gpus = self.usage.get(spec.team, (0.0, 0.0))
+            self.usage[spec.team] = (cpus + item.count * spec.cpus, gpus + item.count * spec.gpus)
+
+
+def attempt_of(job: Job) -> int:
+    """The attempt number of the next placement: a gang's portions all have the same one."""
+    return job.record.attempt if job.portion else job.record.attempt + 1
 
 
 def cached(images: list[tuple[str, float]], image: str, size: float, cache_gb: float) -> list[tuple[str, float]]:
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -5,29 +5,35 @@
 import random
 from collections.abc import Iterable
 from dataclasses import replace
-from itertools import islice
+from typing import Any
 
 from ashtray.config.operators import Knobs
 from ashtray.config.settings import Team
 from ashtray.jobs.model import Job
 from ashtray.kernel import SECOND_US
-from ashtray.placement.picture import Picture
+from ashtray.placement.picture import EPS, Picture
 from ashtray.placement.rules import Ask, Room, rank
 from ashtray.teams.limits import tasks_within, within_guarantee
 
+Demand = tuple[Any, ...]
 Choice = tuple[Room, int]
 """A machine and how many tasks it gets."""
 
 
 def queue(picture: Picture, teams: dict[str, Team]) -> tuple[list[Job], set[str]]:
-    """All live jobs, the first to be served first: priority, guarantee, deadline or age.
+    """The jobs with tasks that wait, the first to be served first: priority, guarantee, deadline or age.
 
-    Also the names of those that are within their team's guarantee.
+    Also the names of all live jobs that are within their team's guarantee.
     """
-    by_age = sorted(picture.jobs.values(), key=lambda job: (job.record.accepted_us, job.id))
     inside: set[str] = set()
-    for team in teams.values():
-        inside |= within_guarantee(team, (job for job in by_age if job.spec.team == team.name))
+    by_team: dict[str, list[Job]] = {team.name: [] for team in teams.values() if team.cpus or team.gpus}
+    if by_team:
+        for job in picture.jobs.values():
+            if job.spec.team in by_team:
+                by_team[job.spec.team].append(job)
+        for name, jobs in by_team.items():
+            jobs.sort(key=lambda job: (job.record.accepted_us, job.id))
+            inside |= within_guarantee(teams[name], ((job, len(picture.finished(job))) for job in jobs))
 
     def rank(job: Job) -> tuple[int, int, int, int, str]:
         due = job.record.accepted_us
@@ -36,7 +42,7 @@
             due = min(due, due + job.spec.deadline_us - 2 * job.spec.estimate_us)
         return job.spec.priority, job.id not in inside, due, job.record.accepted_us, job.id
 
-    return sorted(by_age, key=rank), inside
+    return sorted((picture.jobs[job_id] for job_id in picture.waiting()), key=rank), inside
 
 
 def back_off_us(job: Job) -> int:
@@ -50,30 +56,33 @@
     """Room and limits that are left while jobs are given places, in the queue's order."""
 
     def __init__(
-        self, picture: Picture, teams: dict[str, Team], knobs: Knobs, rng: random.Random, most_open: int
+        self, picture: Picture, teams: dict[str, Team], knobs: Knobs, rng: random.Random, full: float
     ) -> None:
         self.picture = picture
         self.teams = teams
         self.knobs = knobs
         self.rng = rng
-        self.most_open = most_open
-        """How many tasks of an array may hold room at once.
-
-        Tasks are placed lowest first, so the runs of finished tasks in the job's record are no more than those
-        that are open: this keeps the record of 100,000 tasks within the state service's limit for a value.
-        """
         self.rooms: list[Room] = []
+        kinds, groups = picture.types, picture.groups
         for machine in picture.machines.values():
-            kind = picture.types.get(machine.type)
+            kind = kinds.get(machine.type)
             if kind is not None and not machine.record.retiring:
-                self.rooms.append(
-                    Room(
-                        machine, kind, kind.cpus - machine.cpus, kind.gpus - machine.gpus,
-                        kind.memory_gb - machine.memory_gb,
-                    )  # fmt: skip
-                )
+                room = Room(
+                    machine, kind, kind.cpus - machine.cpus, kind.gpus - machine.gpus,
+                    kind.memory_gb - machine.memory_gb,
+                )  # fmt: skip
+                # Nothing more is put into a record that is nearly as large as a value may be.
+                if groups[machine.group].size > full:
+                    room.cpus = room.gpus = room.memory_gb = -1.0
+                self.rooms.append(room)
+        self.ordinary = [room for room in self.rooms if not room.machine.record.spot]
         self.usage = {name: picture.team_usage(name) for name in teams}
         self.scarcity = self._scarcity()
+        self._most: dict[Demand, int] = {}
+        """For demands that could not be met in full: how much room there was at most.  It only shrinks."""
+        self._soon: dict[str, tuple[float, float, float]] | None = None
+        self.visits = 0
+        """Rooms looked at closely: what the work of a plan grows with."""
 
     def _scarcity(self) -> tuple[float, float, float]:
         """The share of each resource that is in use: what is scarce weighs more."""
@@ -93,19 +102,12 @@
 
     def wanted(self, job: Job, wall_us: int) -> list[int]:
         """The tasks that are to be given a place now, lowest first."""
-        spec = job.spec
         if job.record.errors and wall_us - job.record.error_us < back_off_us(job):
             return []
-        placed = self.picture.placed(job.id)
-        if spec.kind == "gang":
-            if placed:
-                return []
-            return list(range(spec.tasks))
-        free = (n for n in range(spec.tasks) if n not in placed and n not in job.finished)
-        left = list(islice(free, max(self.most_open - len(placed), 0)))
-        team = self.teams.get(spec.team)
-        if team is not None:
-            left = left[: tasks_within(team, *self.usage[team.name], spec)]
+        left = self.picture.waiting().get(job.id, [])
+        team = self.teams.get(job.spec.team)
+        if team is not None and job.spec.kind != "gang":
+            left = left[: tasks_within(team, *self.usage[team.name], job.spec)]
         return left
 
     def ask(self, job: Job) -> Ask:
@@ -127,29 +129,39 @@
         return sorted({room.machine.zone for room in self.rooms})
 
     def place(
-        self, job: Job, count: int, max_groups: int, widen: float, image_within_s: float | None = None
+        self, job: Job, count: int, widen: float, image_within_s: float | None = None
     ) -> list[Choice]:
         """Choose room for tasks of a job and take it; for a gang all of it or none."""
         spec = job.spec
-        if spec.kind == "gang" and not self._team_allows(job, count):
+        gang = spec.kind == "gang"
+        if gang and not self._team_allows(job, count):
+            return []
+        demand = (
+            spec.cpus, spec.gpus, spec.memory_gb, spec.zone, spec.spot, spec.same_zone, spec.spread,
+            tuple(spec.types or ()), image_within_s and spec.image,
+        )  # fmt: skip
+        most = self._most.get(demand, count)
+        if most < (count if gang else 1):
             return []
         ask = self.ask(job)
         ask.image_within_s = image_within_s
-        if spec.same_zone and ask.zone is None and len(self.zones()) > 1:
-            best: list[Choice] = []
-            for zone in self.zones():
-                ask.zone = zone
-                choices = self._choose(ask, count, max_groups, widen)
-                if sum(n for _, n in choices) > sum(n for _, n in best):
-                    best = choices
-            choices = best
-        else:
-            choices = self._choose(ask, count, max_groups, widen)
-        if spec.kind == "gang" and sum(n for _, n in choices) < count:
+        choices = self._in_a_zone(ask, count, widen)
+        total = sum(n for _, n in choices)
+        if total < count and not spec.spread:
+            self._most[demand] = total if gang else 0
+        if gang and total < count:
             return []
         self.take(job, choices)
         return choices
 
+    def _in_a_zone(self, ask: Ask, count: int, widen: float) -> list[Choice]:
+        if not ask.spec.same_zone or ask.zone is not None or len(self.zones()) < 2:
+            return self._choose(ask, count, widen)
+        found = []
+        for zone in self.zones():
+            found.append(self._choose(replace(ask, zone=zone), count, widen))
+        return max(found, key=lambda choices: sum(n for _, n in choices))
+
     def _team_allows(self, job: Job, count: int) -> bool:
         team = self.teams.get(job.spec.team)
         return team is None or tasks_within(team, *self.usage[team.name], job.spec) >= count
@@ -161,35 +173,43 @@
         """
         if not self._team_allows(job, count):
             return False
-        soon: dict[int, Room] = {}
+        if self._soon is None:
+            self._soon = self._stopping()
+        if not self._soon:
+            return False
+        later: dict[int, Room] = {}
         rooms = []
         for room in self.rooms:
-            c, g, m = self._stopping(room)
-            later = Room(room.machine, room.type, room.cpus + c, room.gpus + g, room.memory_gb + m)
-            soon[id(later)] = room
-            rooms.append(later)
+            extra = self._soon.get(room.machine.name)
+            if extra is not None:
+                c, g, m = extra
+                now, room = room, Room(room.machine, room.type, room.cpus + c, room.gpus + g, room.memory_gb + m)
+                later[id(room)] = now
+            rooms.append(room)
         ask = self.ask(job)
         ask.image_within_s = image_within_s
-        choices = self._choose(ask, count, 10_000, 0.0, rooms)
+        choices = self._choose(ask, count, 0.0, rooms)
         if sum(n for _, n in choices) < count:
             return False
-        self.take(job, [(soon[id(room)], n) for room, n in choices])
+        self.take(job, [(later.get(id(room), room), n) for room, n in choices])
         return True
 
-    def _stopping(self, room: Room) -> tuple[float, float, float]:
-        """The room of tasks that are about to leave a machine."""
-        cpus = gpus = memory = 0.0
-        for hold in room.machine.holds:
-            job = self.picture.jobs.get(hold.job)
-            if hold.record.stop_us >= 0 or job is None or hold.attempt <= job.record.broken:
-                n = len(hold.tasks)
-                cpus += n * hold.record.cpus
-                gpus += n * hold.record.gpus
-                memory += n * hold.record.memory_gb
-        return cpus, gpus, memory
+    def _stopping(self) -> dict[str, tuple[float, float, float]]:
+        """The room of tasks that are about to leave, by machine."""
+        found: dict[str, tuple[float, float, float]] = {}
+        jobs = self.picture.jobs
+        for job_id, holds in self.picture.held.items():
+            job = jobs.get(job_id)
+            for (name, _), hold in holds.items():
+                if job is None or hold.record.stop_us >= 0 or hold.attempt <= job.record.broken:
+                    n = len(hold.tasks)
+                    c, g, m = found.get(name, (0.0, 0.0, 0.0))
+                    r = hold.record
+                    found[name] = (c + n * r.cpus, g + n * r.gpus, m + n * r.memory_gb)
+        return found
 
     def _choose(
-        self, ask: Ask, count: int, max_groups: int, widen: float, among: list[Room] | None = None
+        self, ask: Ask, count: int, widen: float, among: list[Room] | None = None
     ) -> list[Choice]:
         """The best machines, or, seldom, a random one of the best few, until all tasks have room.
 
@@ -198,23 +218,25 @@
         spec = ask.spec
         zone_room = dict(ask.zone_room) if ask.zone_room is not None else None
         trial = replace(ask, zone_room=zone_room)
-        rooms = rank([room for room in (among or self.rooms) if room.fits(spec) > 0], trial, self.knobs, self.rng)
-        groups: set[str] = set()
+        cpus, gpus, memory = spec.cpus - EPS, spec.gpus - EPS, spec.memory_gb - EPS
+        if among is None:
+            among = self.rooms if spec.spot else self.ordinary
+        rooms = [r for r in among if r.cpus >= cpus and r.gpus >= gpus and r.memory_gb >= memory]
+        self.visits += len(rooms)
+        ranked = rank(rooms, trial, count, self.knobs, self.rng)
+        ranked.reverse()
         choices: list[Choice] = []
-        while count > 0 and rooms:
+        while count > 0 and ranked:
             pick = 0
             if widen > 0 and self.rng.random() < widen:
-                pick = self.rng.randrange(min(self.knobs.top, len(rooms)))
-            room = rooms.pop(pick)
+                pick = self.rng.randrange(min(self.knobs.top, len(ranked)))
+            room = ranked.pop(-1 - pick)
             zone = room.machine.zone
             n = min(count, room.fits(spec), trial.zone_allows(zone))
             if n <= 0 or trial.zone not in (None, zone):
                 continue
-            if room.machine.group not in groups and len(groups) >= max_groups:
-                continue
             choices.append((room, n))
             count -= n
-            groups.add(room.machine.group)
             if spec.same_zone:
                 trial.zone = zone
             if trial.zone_room is not None:
--- a/ashtray/placement/preemption.py
+++ b/ashtray/placement/preemption.py
@@ -8,11 +8,11 @@
 
 from ashtray.config.settings import Team
 from ashtray.jobs.model import Job
-from ashtray.placement.picture import EPS, Hold, Picture
+from ashtray.placement.picture import EPS, Edit, Hold, Picture
 from ashtray.placement.plan import Plan
 from ashtray.placement.rules import VALIDATORS, Room
 from ashtray.runs import encode_runs
-from ashtray.store.client import Txn
+from ashtray.store.client import Limits, Txn
 
 Victims = dict[str, dict[tuple[str, int], set[int]]]
 """For each machine the tasks to stop, by job and attempt."""
@@ -90,19 +90,23 @@
     return victims
 
 
-def stop_victims(picture: Picture, victims: Victims, max_ops: int) -> Txn | None:
+def stop_victims(picture: Picture, victims: Victims, limits: Limits) -> Txn | None:
     """The transaction that marks the victims to be stopped."""
-    records = {}
+    edits: dict[str, Edit] = {}
     txn = Txn()
+    size = 0
     for name, tasks in victims.items():
         machine = picture.machines.get(name)
         if machine is None:
             return None
         group = picture.groups[machine.group]
-        if group.key not in records:
-            records[group.key] = group.copy()
+        if group.key not in edits:
+            size += group.size
+            if edits and (len(edits) >= limits.ops or size > limits.txn_bytes):
+                break
+            edits[group.key] = Edit(group)
             txn.guard(group.key, group.version)
-        record = records[group.key].machines[name]
+        record = edits[group.key].machine(name)
         kept = []
         for hold, known in zip(record.holds, machine.holds, strict=True):
             stop = known.tasks & tasks.get((hold.job, hold.attempt), set())
@@ -115,8 +119,8 @@
             grace_us = job.spec.save_us if job.spec.checkpoint_us else 0
             kept.append(msgspec.structs.replace(hold, tasks=encode_runs(stop), stop_us=grace_us))
         record.holds = kept
-    if not records or len(records) > max_ops:
+    if not edits:
         return None
-    for key, changed in records.items():
-        txn.put(key, msgspec.to_builtins(changed))
+    for key, edit in edits.items():
+        txn.put(key, edit.value(picture.is_live))
     return txn
--- a/ashtray/placement/rules.py
+++ b/ashtray/placement/rules.py
@@ -5,7 +5,8 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import Any
 
 from ashtray.config.operators import Knobs
 from ashtray.jobs.model import JobSpec
@@ -52,6 +53,8 @@
     image_within_s: float | None = None
     """Only machines that have the image, or fetch it within this time, will do."""
     scarcity: tuple[float, float, float] = (1.0, 1.0, 1.0)
+    few: dict[str, int] = field(default_factory=dict)
+    """For each group 0 if it has room for all the tasks, or else how many such groups they would need."""
 
     def zone_allows(self, zone: str) -> int:
         if self.zone_room is None:
@@ -132,6 +135,13 @@
     return math.ceil(packing_score(room, ask) * knobs.buckets)
 
 
+FEW_GROUPS = "few-groups"
+
+
+def _few_groups(room: Room, ask: Ask, knobs: Knobs) -> float:
+    return ask.few.get(room.machine.group, 0)
+
+
 PREFERENCES = {
     rule.name: rule
     for rule in (
@@ -139,6 +149,7 @@
         Preference("image", "it would have to fetch the image", _image),
         Preference("scarce", "its GPUs are kept for jobs that need them", _scarce),
         Preference("spot", "cheap machines are for the jobs that may use them", _spot),
+        Preference(FEW_GROUPS, "the tasks would be in more groups", _few_groups),
         Preference("packing", "it would leave more room unused", _packing),
     )
 }
@@ -148,10 +159,42 @@
     return all(rule.holds(room, ask) for rule in VALIDATORS)
 
 
-def rank(rooms: list[Room], ask: Ask, knobs: Knobs, rng: random.Random) -> list[Room]:
-    """Filter, then rank strictly; among equals the order is random."""
+def rank(rooms: list[Room], ask: Ask, count: int, knobs: Knobs, rng: random.Random) -> list[Room]:
+    """Filter, then rank strictly; among equals the order is random.  Equal machines share one verdict.
+
+    After each machine come first those of its group that no rule up to `few-groups` tells from it: a commit costs
+    a change for each group.
+    """
     rules = [PREFERENCES[name] for name in knobs.rules]
-    left = [room for room in rooms if valid(room, ask)]
-    rng.shuffle(left)
-    left.sort(key=lambda room: tuple(rule.score(room, ask, knobs) for rule in rules))
-    return left
+    upto = knobs.rules.index(FEW_GROUPS) + 1 if FEW_GROUPS in knobs.rules else 0
+    verdicts: dict[Any, tuple[float, ...] | None] = {}
+    image = ask.spec.image
+    fits: dict[str, int] = {}
+    judged: list[tuple[Room, Any]] = []
+    for room in rooms:
+        m = room.machine
+        key = (
+            room.type.name, m.zone, m.record.spot, m.record.retiring, m.record.errors, image in m.images, room.cpus,
+            room.gpus, room.memory_gb,
+        )  # fmt: skip
+        if key not in verdicts:
+            verdicts[key] = () if valid(room, ask) else None
+        if verdicts[key] is not None:
+            judged.append((room, key))
+            fits[m.group] = fits.get(m.group, 0) + room.fits(ask.spec)
+    ask.few = {group: 0 if fit >= count else -(-count // fit) for group, fit in fits.items()}
+    scored: list[tuple[tuple[float, ...], float, Room]] = []
+    for room, key in judged:
+        full = (*key, ask.few[room.machine.group])
+        score = verdicts.get(full)
+        if score is None:
+            score = verdicts[full] = tuple(rule.score(room, ask, knobs) for rule in rules)
+        scored.append((score, rng.random(), room))
+    scored.sort(key=lambda entry: entry[:2])
+    if not upto:
+        return [room for _, _, room in scored]
+    companies: dict[tuple[Any, ...], list[Room]] = {}
+    for score, _, room in scored:
+        companies.setdefault((score[:upto], room.machine.group), []).append(room)
+    # The first of each company stands where it was ranked: a dict keeps its order.
+    return [room for company in companies.values() for room in company]
--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -4,15 +4,21 @@
 
 import heapq
 import itertools
+from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import IntEnum
 from typing import Any
 from urllib.parse import quote
 
 from ashtray.config.settings import StateLimits
-from ashtray.kernel import SECOND_US, Call, Fiber, Kernel, Reply, Signal, Sleep
+from ashtray.kernel import SECOND_US, Call, Fiber, Kernel, Reply, Signal, Sleep, Wait
 
 CALL_US = 1_200_000
+OVERDRAFT = 0.2
+"""The part of a second's budget that urgent requests may overdraw."""
+SURE = (200, 400, 409, 429, 503)
+OUTCOMES = {0: "unanswered", 200: "good", 404: "good", 409: "conflicted"}
 
 
 class Urgency(IntEnum):
@@ -39,34 +45,49 @@
         self.level = min(self.rate * self.burst_s, self.level + self.rate * (now_us - self.at_us) / SECOND_US)
         self.at_us = now_us
 
-    def has(self, amount: float) -> bool:
+    def has(self, amount: float, overdraft: float = 0.0) -> bool:
         # A request larger than the whole bucket goes out on a full one and leaves a debt.
-        return self.level >= min(amount, self.rate * self.burst_s)
+        return self.level + overdraft >= min(amount, self.rate * self.burst_s)
 
-    def wait_us(self, amount: float) -> int:
-        short = min(amount, self.rate * self.burst_s) - self.level
+    def wait_us(self, amount: float, overdraft: float = 0.0) -> int:
+        short = min(amount, self.rate * self.burst_s) - self.level - overdraft
         return int(max(short, 0.0) / self.rate * SECOND_US) + 1000
 
 
 class Lane:
-    """Requests of one sort that wait for their budget, the most urgent first."""
+    """Requests of one sort that wait for their budget, the most urgent first.
 
-    def __init__(self, kernel: Kernel, bucket: Bucket) -> None:
+    What a user or a lease waits for may overdraw it a little: large commits leave debts, and a submission would
+    wait for seconds until one is paid.
+    """
+
+    def __init__(self, kernel: Kernel, bucket: Bucket, overdraft: float) -> None:
         self.kernel = kernel
         self.bucket = bucket
+        self.overdraft = overdraft
         self.waiting: list[tuple[int, int, float, Signal]] = []
         self.hold_until_us = 0
+        self.throttled = False
+        """Something had to wait since this was last looked at."""
         self._seq = itertools.count()
         self._pumping = False
+        self._news = Signal()
+
+    def _overdraft(self, urgency: int) -> float:
+        return self.overdraft if urgency <= Urgency.ACCEPT else 0.0
 
     def admit(self, urgency: Urgency, amount: float) -> Fiber[None]:
         self.bucket.refill(self.kernel.now_us)
-        if self.waiting or self.kernel.now_us < self.hold_until_us or not self.bucket.has(amount):
+        first = not self.waiting or self.waiting[0][0] > urgency
+        has = self.bucket.has(amount, self._overdraft(urgency))
+        if not first or self.kernel.now_us < self.hold_until_us or not has:
+            self.throttled = True
             signal = Signal()
             heapq.heappush(self.waiting, (int(urgency), next(self._seq), amount, signal))
             if not self._pumping:
                 self._pumping = True
                 self.kernel.spawn(self._pump())
+            self.kernel.fire(self._news)
             yield signal
         else:
             self.bucket.level -= amount
@@ -74,15 +95,17 @@
     def _pump(self) -> Fiber[None]:
         while self.waiting:
             self.bucket.refill(self.kernel.now_us)
-            _, _, amount, signal = self.waiting[0]
+            urgency, _, amount, signal = self.waiting[0]
+            overdraft = self._overdraft(urgency)
             if self.kernel.now_us < self.hold_until_us:
                 yield Sleep(self.hold_until_us - self.kernel.now_us)
-            elif self.bucket.has(amount):
+            elif self.bucket.has(amount, overdraft):
                 heapq.heappop(self.waiting)
                 self.bucket.level -= amount
                 self.kernel.fire(signal)
             else:
-                yield Sleep(self.bucket.wait_us(amount))
+                # Something more urgent may come meanwhile.
+                yield Wait(self._news, self.bucket.wait_us(amount, overdraft))
         self._pumping = False
 
 
@@ -94,10 +117,14 @@
         self.address = address
         self.limits = limits
         self.headroom = headroom
-        self.requests = Lane(kernel, Bucket(limits.rps, 1.0, kernel.now_us))
-        self.changes = Lane(kernel, Bucket(limits.write_rps, 1.0, kernel.now_us))
+        self.requests = Lane(kernel, Bucket(limits.rps, 1.0, kernel.now_us), limits.rps * OVERDRAFT)
+        self.changes = Lane(
+            kernel, Bucket(limits.write_rps, 1.0, kernel.now_us), limits.write_rps * OVERDRAFT
+        )
         self.used = 0
         """Changes sent since the start: peers share the budget by need."""
+        self.counts: Counter[str] = Counter()
+        """What the budgets went to since the last report, by purpose and outcome."""
 
     def backlog(self) -> int:
         return len(self.requests.waiting) + len(self.changes.waiting)
@@ -110,13 +137,16 @@
             lane.bucket.refill(self.kernel.now_us)
             lane.bucket.rate = rate * self.headroom
 
-    def request(self, urgency: Urgency, method: str, path: str, body: Any = None, tries: int = 3) -> Fiber[Reply]:
+    def request(
+        self, urgency: Urgency, method: str, path: str, body: Any = None, tries: int = 3, purpose: str = "read"
+    ) -> Fiber[Reply]:
         """One request; a 429 is tried again after a pause, for it says that nothing was executed."""
         reply = Reply(0)
         asked_us = self.kernel.now_us
         for n in range(tries):
             yield from self.requests.admit(urgency, 1)
             reply = yield Call(self.address, method, path, body, CALL_US)
+            self.counts[f"{purpose} {OUTCOMES.get(reply.status, 'refused')}"] += 1
             if reply.status != 429:
                 break
             self._hold(self.requests, n)
@@ -141,14 +171,14 @@
         path = f"/store?under={quote(prefix, safe='')}&page=1000"
         if after is not None:
             path += f"&after={quote(after, safe='')}"
-        return (yield from self.request(Urgency.KEEP_ALIVE, "GET", path))
+        return (yield from self.request(Urgency.KEEP_ALIVE, "GET", path, purpose="load"))
 
     def follow(self, prefix: str, revision: int) -> Fiber[Reply]:
         path = f"/follow?under={quote(prefix, safe='')}&after={revision}&wait_ms=0"
-        return (yield from self.request(Urgency.KEEP_ALIVE, "GET", path, tries=1))
+        return (yield from self.request(Urgency.KEEP_ALIVE, "GET", path, tries=1, purpose="follow"))
 
     def commit(
-        self, build: Callable[[], Txn | None], changes: int, urgency: Urgency
+        self, build: Callable[[], Txn | None], changes: int, urgency: Urgency, purpose: str
     ) -> Fiber[tuple[Txn | None, Reply]]:
         """Commit what `build` makes.  It is called once the budget for about so many changes is there, not
         before, so that what waits for its turn does not grow stale meanwhile."""
@@ -165,6 +195,10 @@
             self.requests.bucket.level -= 1
             self.used += txn.changes()
             reply = yield Call(self.address, "POST", "/txn", txn.body(), CALL_US)
+            outcome = OUTCOMES.get(reply.status, "refused")
+            self.counts[f"{purpose} {outcome}"] += 1
+            self.counts[f"{purpose} {outcome} changes"] += txn.changes()
+            txn.doubt = reply.status not in SURE
             if reply.status != 429:
                 break
             self._hold(self.changes, n)
@@ -172,10 +206,29 @@
         return txn, reply
 
     def open_lease(self, life_us: int) -> Fiber[Reply]:
-        return (yield from self.request(Urgency.KEEP_ALIVE, "POST", "/leases", {"life_ms": life_us // 1000}))
+        body = {"life_ms": life_us // 1000}
+        return (yield from self.request(Urgency.KEEP_ALIVE, "POST", "/leases", body, purpose="lease"))
 
     def renew_lease(self, lease: int) -> Fiber[Reply]:
-        return (yield from self.request(Urgency.KEEP_ALIVE, "POST", f"/leases/{lease}/renew", {}))
+        path = f"/leases/{lease}/renew"
+        return (yield from self.request(Urgency.KEEP_ALIVE, "POST", path, {}, purpose="lease"))
+
+
+TXN_BYTES = 64 * 1024
+"""What the state service takes in one transaction, in all."""
+
+
+@dataclass(frozen=True)
+class Limits:
+    """How much may go into one transaction and one value; sizes are estimates, so a part is kept in reserve."""
+
+    ops: int
+    txn_bytes: int
+    value_bytes: int
+
+    @classmethod
+    def of(cls, limits: StateLimits) -> Limits:
+        return cls(limits.txn_ops, int(TXN_BYTES * 0.85), int(limits.value_kb * 1024))
 
 
 class Txn:
@@ -186,6 +239,8 @@
         self.puts: dict[str, Any] = {}
         self.leases: dict[str, int] = {}
         self.removes: list[str] = []
+        self.doubt = False
+        """It got no answer: it may have been applied, or may still be."""
 
     def guard(self, key: str, version: int) -> Txn:
         self.guards[key] = version
--- a/ashtray/store/follower.py
+++ b/ashtray/store/follower.py
@@ -5,11 +5,12 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from ashtray.kernel import SECOND_US, Fiber, Kernel, Signal, Sleep, Wait
+from ashtray.kernel import SECOND_US, Fiber, Kernel, Reply, Signal, Sleep, Wait
 from ashtray.store.client import StoreClient, Txn, Urgency
 
-IDLE_US = 200_000
-BUSY_US = 80_000
+SHARE = 0.4
+"""Of the requests that the state service takes, the part that all controllers together spend on following."""
+LEAST_US = 75_000
 
 
 class Mirror(Protocol):
@@ -38,12 +39,14 @@
         self.mirror = mirror
         self.changed = changed
         self.revision = 0
+        self.controllers = 1
+        """How many follow: they share the requests."""
         self.loaded = False
+        self._paged = False
         self.read_us = -(10**15)
         """When the last round that succeeded began."""
         self.failed_since_us: int | None = None
         self._waiters: list[Signal] = []
-        self._kick = Signal()
 
     def run(self) -> Fiber[None]:
         while True:
@@ -61,22 +64,20 @@
                 self.kernel.log("error", "state service does not answer")
             for signal in waiters:
                 self.kernel.fire(signal, "fresh" if good else "failed")
-            if not good:
-                yield Sleep(int(self.kernel.rng.uniform(0.2, 0.4) * SECOND_US))
-            elif self._waiters:
-                yield Sleep(BUSY_US)
+            if good:
+                pause_us = int(max(self.controllers / (SHARE * self.store.limits.rps) * SECOND_US, LEAST_US))
+                yield Sleep(max(0, pause_us - (self.kernel.now_us - began_us)))
             else:
-                woken = yield Wait(self._kick, IDLE_US)
-                if woken:
-                    yield Sleep(max(0, BUSY_US - (self.kernel.now_us - began_us)))
+                yield Sleep(int(self.kernel.rng.uniform(0.2, 0.4) * SECOND_US))
 
     def _round(self) -> Fiber[bool]:
-        if not self.loaded and not (yield from self._load()):
+        if not self._paged and not (yield from self._load()):
             return False
-        reply = yield from self.store.follow(self.prefix, self.revision)
+        reply: Reply = yield from self.store.follow(self.prefix, self.revision)
         if reply.status == 410:
-            self.loaded = False
-            return (yield from self._load())
+            # Too far behind: read everything anew.
+            self.loaded = self._paged = False
+            return (yield from self._round())
         if reply.status != 200:
             return False
         for change in reply.body["log"]:
@@ -85,6 +86,9 @@
             else:
                 self.mirror.remove(change["remove"], change["stamp"])
         self.revision = max(self.revision, reply.body["ledger"])
+        # Not before: pages are of different moments, and a job read later than the groups that hold its tasks
+        # would be placed twice.
+        self.loaded = True
         return True
 
     def _load(self) -> Fiber[bool]:
@@ -103,27 +107,24 @@
             if not reply.body["truncated"] or not reply.body["items"]:
                 break
         self.revision = revision
-        self.loaded = True
+        self._paged = True
         return True
 
-    def hint(self) -> None:
-        """Somebody changed something: look soon."""
-        self.kernel.fire(self._kick)
-
     def barrier(self) -> Fiber[bool]:
         """Wait for a round that begins after now; False when it fails."""
         signal = Signal()
         self._waiters.append(signal)
-        self.kernel.fire(self._kick)
         outcome = yield Wait(signal, 3 * SECOND_US)
         return bool(outcome == "fresh")
 
-    def commit(self, build: Callable[[], Txn | None], changes: int, urgency: Urgency) -> Fiber[bool | None]:
+    def commit(
+        self, build: Callable[[], Txn | None], changes: int, urgency: Urgency, purpose: str
+    ) -> Fiber[bool | None]:
         """Commit what `build` makes of the picture as it is then; on success the picture shows it at once.
 
         False: a conflict, a refusal, or the outcome is unknown.  None: there was nothing to commit any more.
         """
-        txn, reply = yield from self.store.commit(build, changes, urgency)
+        txn, reply = yield from self.store.commit(build, changes, urgency, purpose)
         if txn is None:
             return None
         if reply.status != 200:
--- a/ashtray/teams/limits.py
+++ b/ashtray/teams/limits.py
@@ -27,12 +27,15 @@
     return tasks_within(team, 0.0, 0.0, spec) >= (1 if spec.kind == "array" else spec.tasks)
 
 
-def within_guarantee(team: Team, jobs: Iterable[Job]) -> set[str]:
-    """The jobs, given in order of acceptance, that fit into the guarantee together with those before them."""
+def within_guarantee(team: Team, jobs: Iterable[tuple[Job, int]]) -> set[str]:
+    """The jobs that fit into the guarantee together with those before them.
+
+    They are given in order of acceptance, each with the number of its tasks that are done.
+    """
     cpus = gpus = 0.0
     inside: set[str] = set()
-    for job in jobs:
-        left = job.spec.tasks - len(job.finished)
+    for job, done in jobs:
+        left = job.spec.tasks - done
         cpus += left * job.spec.cpus
         gpus += left * job.spec.gpus
         if cpus <= team.cpus + EPS and gpus <= team.gpus + EPS:
--- a/ashtray/workers/desk.py
+++ b/ashtray/workers/desk.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from ashtray.jobs.model import Job
-from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Signal, Sleep
+from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Signal, Sleep, Wait
 from ashtray.placement.picture import Group, Machine
 from ashtray.store.client import Txn, Urgency
 from ashtray.workers import messages
-from ashtray.workers.folding import Evidence, adoption, build_fold, hold_is_dead
+from ashtray.workers.folding import Evidence, Fold, adoption, hold_is_dead
 from ashtray.workers.messages import Report, TaskKey, parse_report
 
 if TYPE_CHECKING:
@@ -18,6 +18,9 @@
 
 TOKEN_SHIFT = 40
 FOLD_US = 150_000
+LAZY_US = 1_700_000
+"""A fold waits no longer for company: what a job does last shows within 3 s, report and commit included."""
+ADOPT_US = 200_000
 DIRECT_US = 1_500_000
 STICK_US = 30 * SECOND_US
 FRESH_US = 3 * SECOND_US
@@ -44,6 +47,10 @@
     answered: tuple[int, int] | None = None
     """Orders went out in the answer to this report: nothing is told directly until a later report."""
     notice_until_us: int | None = None
+    settled: tuple[Machine, Report] | None = None
+    """The record and the report that agreed when they were last compared."""
+    clears: list[dict[str, Any]] = field(default_factory=list)
+    """Ended tasks that may be forgotten: told with the next answer, for nothing waits for that."""
 
 
 class Desk:
@@ -53,11 +60,16 @@
         self.workers: dict[str, Worker] = {}
         self._counter = 0
         self._fold_kick = Signal()
-        self._dirty: set[str] = set()
-        self._lines: list[str] = []
-        self._paces: list[tuple[Job, int]] = []
+        self._dirty: dict[str, set[str]] = {}
+        """For each group the machines with something to fold."""
+        self._urgent = False
+        self._folded: Fold | None = None
+        self._fold_us = 0
+        """When the last fold was committed, and how many changes it took."""
+        self._fold_cost = 0
         self._failures = 0
-        self._adopting: set[str] = set()
+        self._strangers: dict[str, Report] = {}
+        self._stranger_kick = Signal()
 
     # Reports
 
@@ -88,7 +100,7 @@
             # A report that was held back on its way: its sender gave it up long ago.
             self.kernel.answer(request_id, 503, {"error": "old report"})
             return
-        foreman = self._foreman(worker)
+        foreman = self._foreman(worker, report)
         if foreman is not None:
             worker.sent_away_us = self.kernel.now_us
             worker.token, worker.exact = 0, False
@@ -107,22 +119,27 @@
             for key, seen in report.tasks.items()
             if seen.state != "ended" and self.ctl.picture.is_over(key[0])
         ]
-        if self.kernel.now_us < worker.direct_bad_until_us and not worker.tending:
+        if not worker.tending:
             machine = self.ctl.picture.machines.get(worker.name)
             if machine is not None and self._owns(worker, machine):
-                orders = self._orders(worker, machine)
-                if orders:
+                told = self._review(worker, machine)
+                if told and self.kernel.now_us < worker.direct_bad_until_us:
+                    orders = told
                     worker.answered = (report.session, report.tick)
-        self.kernel.answer(request_id, 200, messages.report_answer(worker.token, orders))
+                # A clear needs no such care: the attempt that it ends has no hold, and will never be launched again.
+                orders = orders + worker.clears
+        self.kernel.answer(request_id, 200, messages.report_answer(worker.token, orders[:MAX_ORDERS]))
         self.tend(worker)
 
-    def _foreman(self, worker: Worker) -> str | None:
+    def _foreman(self, worker: Worker, report: Report) -> str | None:
         """Another controller that this worker had better report to; a hint, never relied on."""
         now = self.kernel.now_us
         if now < worker.sticks_until_us:
             return self.ctl.presence.better_connected()
         machine = self.ctl.picture.machines.get(worker.name)
-        foreman = self.ctl.presence.foreman(machine.group if machine is not None else worker.name)
+        # Machines that are new report to one controller for each type, so that one adopts them together.
+        key = machine.group if machine is not None else f"{report.type}.{report.zone}"
+        foreman = self.ctl.presence.foreman(key)
         if foreman == self.ctl.settings.host_name:
             return self.ctl.presence.better_connected()
         if SECOND_US // 2 < now - worker.sent_away_us < 20 * SECOND_US:
@@ -156,19 +173,35 @@
 
     def tend(self, worker: Worker) -> None:
         worker.again = True
-        if not worker.tending:
+        if not worker.tending and self._needs(worker):
             self.kernel.spawn(self._tend(worker))
 
-    def tend_all(self) -> None:
-        """The picture has changed: see to the workers whose part of it is not as reported."""
-        for worker in self.workers.values():
-            if worker.token and worker.report is not None and not worker.tending:
-                machine = self.ctl.picture.machines.get(worker.name)
-                if machine is not None and self._wants(worker, machine):
+    def tend_all(self, names: Iterable[str]) -> None:
+        """These machines' part of the picture has changed: see to their workers."""
+        for name in names:
+            worker = self.workers.get(name)
+            if worker is not None:
+                worker.settled = None
+                if worker.token and worker.report is not None:
                     self.tend(worker)
 
-    def _wants(self, worker: Worker, machine: Machine) -> bool:
-        return self._owns(worker, machine) and bool(self._orders(worker, machine, peek=True))
+    def _needs(self, worker: Worker) -> bool:
+        """Compare report and record; says whether there is anything to tell the worker directly."""
+        report = worker.report
+        if not worker.token or report is None:
+            return False
+        if self.kernel.now_us - worker.heard_us > int(self.ctl.settings.cluster.workers.lease_s * SECOND_US):
+            return False
+        machine = self.ctl.picture.machines.get(worker.name)
+        if machine is None:
+            self._strangers[worker.name] = report
+            self.kernel.fire(self._stranger_kick)
+            return False
+        self._see(worker, machine, report)
+        if not self._owns(worker, machine):
+            return False
+        direct = self.kernel.now_us >= worker.direct_bad_until_us and worker.answered is None
+        return direct and bool(self._review(worker, machine))
 
     def _owns(self, worker: Worker, machine: Machine) -> bool:
         return worker.exact and machine.record.token == worker.token
@@ -178,43 +211,49 @@
             return
         worker.tending = True
         try:
-            yield from self._tend_once(worker)
+            for _ in range(4):
+                worker.again = False
+                if self._needs(worker):
+                    yield from self._direct(worker, self._review(worker, self.ctl.picture.machines[worker.name]))
+                if not worker.again:
+                    break
         finally:
             worker.tending = False
 
-    def _tend_once(self, worker: Worker) -> Fiber[None]:
-        calls = 0
-        while worker.again and worker.token and worker.report is not None and calls < 4:
-            worker.again = False
-            if self.kernel.now_us - worker.heard_us > int(self.ctl.settings.cluster.workers.lease_s * SECOND_US):
-                break
-            direct = self.kernel.now_us >= worker.direct_bad_until_us and worker.answered is None
-            if not worker.exact:
-                if direct:
-                    calls += 1
-                    yield from self._direct(worker, [])
-                continue
-            machine = self.ctl.picture.machines.get(worker.name)
-            if machine is None:
-                if worker.name not in self._adopting:
-                    self._adopting.add(worker.name)
-                    try:
-                        yield from self._adopt(worker)
-                    finally:
-                        self._adopting.discard(worker.name)
-                continue
-            self.fold_soon(machine.group)
-            if not self._owns(worker, machine):
-                continue
-            orders = self._orders(worker, machine)
-            if orders and direct:
-                calls += 1
-                yield from self._direct(worker, orders)
-
-    def _orders(self, worker: Worker, machine: Machine, peek: bool = False) -> list[dict[str, Any]]:
-        """The orders that bring a worker in line with the record of its machine."""
+    def _see(self, worker: Worker, machine: Machine, report: Report) -> None:
+        """Mark a machine whose record is to be folded."""
+        if not worker.exact:
+            return
+        picture = self.ctl.picture
+        record = machine.record
+        news = record.token < worker.token or (report.notice_us is not None and not record.retiring)
+        urgent = news
+        sure = record.token == worker.token and not worker.in_flight and worker.answered is None
+        for hold in machine.holds:
+            ended = 0
+            for task in hold.tasks:
+                seen = report.tasks.get((hold.job, hold.attempt, task))
+                if seen is None:
+                    news = news or (sure and hold_is_dead(picture, hold.job, hold.attempt, hold.record.stop_us))
+                elif seen.state == "ended":
+                    ended += 1
+                    # A failure and the end of a job are not kept waiting for company.
+                    urgent = urgent or seen.cause != "done"
+            if ended:
+                news = True
+                job = picture.jobs.get(hold.job)
+                if job is not None:
+                    last = job.id not in picture.waiting() and ended >= len(picture.placed(job.id))
+                    urgent = urgent or last or job.spec.kind == "gang"
+        if news:
+            self.fold_soon(machine, urgent)
+
+    def _review(self, worker: Worker, machine: Machine) -> list[dict[str, Any]]:
+        """The orders that bring a worker in line with the record of its machine; ended tasks go to `clears`."""
         report = worker.report
         assert report is not None
+        if worker.settled is not None and worker.settled[0] is machine and worker.settled[1].tasks == report.tasks:
+            return []
         picture = self.ctl.picture
         kills: list[dict[str, Any]] = []
         launches: list[dict[str, Any]] = []
@@ -235,11 +274,18 @@
                     kills.append(messages.kill(key, grace))
                 elif over and seen.state == "saving":
                     kills.append(messages.kill(key, 0))
+        worker.clears = []
         for key, seen in report.tasks.items():
             if key not in held:
                 # Freed before: an ended task may be forgotten now, and anything else has no right to be there.
-                kills.append(messages.clear(key) if seen.state == "ended" else messages.kill(key, 0))
-        return (kills + launches)[:MAX_ORDERS]
+                if seen.state == "ended":
+                    worker.clears.append(messages.clear(key))
+                else:
+                    kills.append(messages.kill(key, 0))
+        orders = (kills + launches)[:MAX_ORDERS]
+        if not orders and fresh:
+            worker.settled = (machine, report)
+        return orders
 
     def _direct(self, worker: Worker, orders: list[dict[str, Any]]) -> Fiber[None]:
         report = worker.report
@@ -265,34 +311,47 @@
             worker.exact = False
         worker.direct_bad_until_us = self.kernel.now_us + 10 * SECOND_US
 
-    def _adopt(self, worker: Worker) -> Fiber[None]:
-        yield from self.ctl.follower.barrier()
-        if worker.name in self.ctl.picture.machines or worker.report is None:
-            worker.again = True
+    def adopt(self) -> Fiber[None]:
+        """Wait for machines that are in no group, and add them, those of one type together."""
+        if not self._strangers:
+            yield self._stranger_kick
+        yield Sleep(ADOPT_US)
+        if not (yield from self.ctl.follower.barrier()):
             return
-        report = worker.report
+        taken: list[str] = []
 
         def build() -> Txn | None:
-            if worker.name in self.ctl.picture.machines:
+            known = self.ctl.picture.machines
+            self._strangers = {name: report for name, report in self._strangers.items() if name not in known}
+            kinds: dict[tuple[str, str], dict[str, Report]] = {}
+            for name, report in self._strangers.items():
+                kinds.setdefault((report.type, report.zone), {})[name] = report
+            if not kinds:
                 return None
-            return adoption(self.ctl.picture, report, worker.token, self.ctl.knobs.group_size)
-
-        if (yield from self.ctl.follower.commit(build, 2, Urgency.FREE)):
-            self.kernel.log("info", f"{worker.name} ({report.type}, {report.zone}) is up")
-            worker.again = True
-            self.ctl.peers.hint()
+            largest = max(kinds.values(), key=len)
+            txn, taken[:] = adoption(self.ctl.picture, largest, self.ctl.knobs.group_size, self.ctl.limits)
+            return txn
+
+        if (yield from self.ctl.follower.commit(build, 2, Urgency.FREE, "adopt")):
+            for name in taken:
+                report = self._strangers.pop(name)
+                self.kernel.log("info", f"{name} ({report.type}, {report.zone}) is up")
         else:
+            # Those that another controller adopts meanwhile, or that are gone, do not report here again.
+            self._strangers.clear()
             yield Sleep(int(self.kernel.rng.uniform(0.02, 0.2) * SECOND_US))
 
     # Folding
 
-    def fold_soon(self, group: str) -> None:
-        self._dirty.add(group)
+    def fold_soon(self, machine: Machine, urgent: bool) -> None:
+        self._dirty.setdefault(machine.group, set()).add(machine.name)
+        if urgent:
+            self._urgent = True
         self.kernel.fire(self._fold_kick)
 
     def _evidence(self, group: Group) -> dict[str, Evidence]:
         evidence = {}
-        for name in group.machines:
+        for name in self._dirty.get(group.key, group.machines):
             worker = self.workers.get(name)
             if worker is not None and worker.token and worker.report is not None and worker.exact:
                 # While orders are on their way, what is not listed may be about to start.
@@ -301,36 +360,54 @@
         return evidence
 
     def _fold(self) -> Txn | None:
-        groups = [g for key in sorted(self._dirty) if (g := self.ctl.picture.groups.get(key)) is not None]
-        evidence: dict[str, Evidence] = {}
-        for group in groups:
-            evidence |= self._evidence(group)
-        limits = self.ctl.settings.cluster.state
-        fold = build_fold(self.kernel, self.ctl.picture, groups, evidence, limits.txn_ops)
-        if fold is None:
-            return None
-        txn, self._lines, self._paces = fold
-        return txn
+        picture = self.ctl.picture
+        fold = Fold(self.kernel, picture, self.ctl.limits)
+        for job_id in sorted(picture.completed()):
+            if self.ctl.placer.mine(picture.jobs[job_id]):
+                fold.end(picture.jobs[job_id])
+        # Those that were marked first come first, for not all may fit.
+        for key, names in list(self._dirty.items()):
+            group = picture.groups.get(key)
+            if group is not None:
+                fold.add(group, names, self._evidence(group))
+            self._unmark(key, names if group is None else fold.idle)
+        self._folded = fold
+        return fold.transaction()
+
+    def _unmark(self, group: str, names: set[str]) -> None:
+        self._dirty[group] = self._dirty[group] - names
+        if not self._dirty[group]:
+            del self._dirty[group]
+
+    def _pace_us(self) -> int:
+        """How long to wait for company: folds may take about half of this controller's share of the changes."""
+        rate = self.ctl.store.changes.bucket.rate
+        return min(int(2 * self._fold_cost / max(rate, 0.1) * SECOND_US), LAZY_US)
 
     def fold(self) -> Fiber[None]:
         """Wait until there is something to fold, and fold it."""
-        if not self._dirty:
-            yield self._fold_kick
+        mine = [j for j in self.ctl.picture.completed() if self.ctl.placer.mine(self.ctl.picture.jobs[j])]
+        if not self._dirty and not mine:
+            yield Wait(self._fold_kick, SECOND_US // 4)
+            return
         yield Sleep(FOLD_US)
-        changes = min(len(self._dirty) + 1, self.ctl.settings.cluster.state.txn_ops)
-        good = yield from self.ctl.follower.commit(self._fold, changes, Urgency.FREE)
-        if good is None:
-            self._dirty.clear()
+        while not self._urgent and not mine and self.kernel.now_us < self._fold_us + self._pace_us():
+            yield Wait(self._fold_kick, self._fold_us + self._pace_us() - self.kernel.now_us)
+        self._urgent = False
+        changes = min(len(self._dirty) + 1, self.ctl.limits.ops)
+        good = yield from self.ctl.follower.commit(self._fold, changes, Urgency.FREE, "fold")
+        folded = self._folded
+        if good and folded is not None:
             self._failures = 0
-        elif good:
-            self._failures = 0
-            for line in self._lines:
+            self._fold_us = self.kernel.now_us
+            self._fold_cost = changes
+            for key in list(self._dirty):
+                self._unmark(key, folded.taken)
+            for line in folded.lines:
                 self.kernel.log("info", line)
-            for job, placed_us in self._paces:
+            for job, placed_us in folded.paces:
                 self.ctl.pace.learn(job, placed_us, self.kernel.wall_us)
-            self.tend_all()
-            self.ctl.peers.hint()
-        else:
+        elif good is False:
             self._failures = min(self._failures + 1, 5)
             yield Sleep(int(self.kernel.rng.uniform(0.0, 0.03) * 2**self._failures * SECOND_US))
             yield from self.ctl.follower.barrier()
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -2,18 +2,28 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
-import msgspec
-
 from ashtray.jobs.model import LIVE, OVER, Job
 from ashtray.kernel import Kernel
-from ashtray.placement.picture import GROUP, MEMBER, Group, GroupRecord, MachineRecord, Picture
+from ashtray.placement.picture import ADOPTED, GROUP, Edit, Group, Machine, MachineRecord, MachineType, Picture
 from ashtray.runs import encode_runs
-from ashtray.store.client import Txn
+from ashtray.store.client import Limits, Txn
 from ashtray.workers.messages import Report, TaskState
 
+BYTES_PER_TASK = 32
+"""A job with more than one task for so many bytes of a value keeps its completed tasks in its own record."""
+
+NEW_MACHINE_BYTES = 100
+MACHINE_BYTES = 450
+HOLD_BYTES = 110
+CPUS_PER_HOLD = 8
+GROUP_SHARE = 0.6
+"""Of a value, what a group's machines may be expected to take: estimates of their records' sizes."""
+SPILL_SHARE = 0.7
+"""Nor does a group whose record takes more than this part of a value keep any more of them."""
+
 
 @dataclass
 class JobFold:
@@ -25,6 +35,8 @@
     successes: int = 0
     placed_us: int = 0
     """When the last task that completed was placed."""
+    spilt: bool = False
+    """What completed is written into the job's own record, not into the group's."""
 
     def add(self, other: JobFold) -> None:
         self.finished |= other.finished
@@ -32,9 +44,7 @@
         self.errors += other.errors
         self.successes += other.successes
         self.placed_us = max(self.placed_us, other.placed_us)
-
-    def changes_record(self) -> bool:
-        return bool(self.finished or self.broken or self.errors)
+        self.spilt = self.spilt or other.spilt
 
 
 def hold_is_dead(picture: Picture, job_id: str, attempt: int, stop_us: int) -> bool:
@@ -57,9 +67,10 @@
 
 
 def fold_machine(
-    picture: Picture, group: Group, name: str, record: MachineRecord, evidence: Evidence, folds: dict[str, JobFold]
+    picture: Picture, machine: Machine, record: MachineRecord, evidence: Evidence, folds: dict[str, JobFold],
+    later: Container[str] = (),
 ) -> bool:
-    """Apply a report to a machine's record; says whether anything changed."""
+    """Apply a report to a copy of a machine's record, but for some jobs; says whether anything changed."""
     changed = False
     report = evidence.report
     if evidence.exact and record.token < evidence.token:
@@ -72,7 +83,10 @@
     # A later owner may already have launched what this report does not list: absence is then no evidence.
     sure = evidence.exact and record.token == evidence.token
     kept = []
-    for hold, known in zip(record.holds, group.machines[name].holds, strict=True):
+    for hold, known in zip(record.holds, machine.holds, strict=True):
+        if hold.job in later:
+            kept.append(hold)
+            continue
         tasks = known.tasks
         dead = hold_is_dead(picture, hold.job, hold.attempt, hold.stop_us)
         left = set()
@@ -110,6 +124,8 @@
     fold = folds.setdefault(job_id, JobFold())
     if cause == "done":
         fold.successes += 1
+        if job.spec.kind == "service":
+            return
         # The tasks of a gang complete together, so one that is done speaks for all.
         fold.finished |= set(range(job.spec.tasks)) if job.spec.kind == "gang" else {task}
     else:
@@ -119,11 +135,10 @@
             fold.broken = max(fold.broken, attempt)
 
 
-def put_job(kernel: Kernel, txn: Txn, job: Job, fold: JobFold) -> bool:
+def put_job(kernel: Kernel, picture: Picture, txn: Txn, job: Job, fold: JobFold) -> bool:
     """Add a job's change to a transaction; says whether the job is done with it."""
     txn.guard(LIVE + job.id, job.version)
-    finished = job.finished | fold.finished
-    if job.spec.kind != "service" and len(finished) >= job.spec.tasks:
+    if ends_with(picture, job, fold):
         txn.remove(LIVE + job.id).put(OVER + job.id, job.over("done", job.spec.tasks))
         return True
     errors = job.record.errors
@@ -134,7 +149,7 @@
     txn.put(
         LIVE + job.id,
         job.value(
-            finished=finished if job.spec.kind != "service" else job.finished,
+            finished=job.finished | fold.finished if fold.spilt else None,
             broken=max(job.record.broken, fold.broken),
             errors=errors,
             error_us=kernel.wall_us if fold.errors else job.record.error_us,
@@ -143,64 +158,159 @@
     return False
 
 
-def build_fold(
-    kernel: Kernel, picture: Picture, groups: Iterable[Group], evidence: dict[str, Evidence], max_ops: int
-) -> tuple[Txn, list[str], list[tuple[Job, int]]] | None:
-    """One transaction that folds as much as fits of what is known of some groups' machines."""
-    txn = Txn()
-    folds: dict[str, JobFold] = {}
-    lines: list[str] = []
-    ops = 0
-    for group in groups:
-        record = group.copy()
-        changed = False
-        for name in group.machines:
-            if name not in evidence:
+def ends_with(picture: Picture, job: Job, fold: JobFold) -> bool:
+    """Whether all tasks of a job are done.
+
+    Tasks once done stay done, so a late picture can only make a job end later.
+    """
+    if job.spec.kind == "service":
+        return False
+    tasks = job.spec.tasks
+    known = picture.finished(job)
+    return len(known) + len(fold.finished) >= tasks and len(known | fold.finished) >= tasks
+
+
+class Fold:
+    """One transaction that folds as much as fits of what is known of some machines."""
+
+    def __init__(self, kernel: Kernel, picture: Picture, limits: Limits) -> None:
+        self.kernel = kernel
+        self.picture = picture
+        self.limits = limits
+        self.jobs: dict[str, JobFold] = {}
+        self.lines: list[str] = []
+        self.paces: list[tuple[Job, int]] = []
+        """For jobs with tasks that completed, when one of these was placed."""
+        self.idle: set[str] = set()
+        """Machines whose reports say nothing that their records do not."""
+        self.taken: set[str] = set()
+        self._edits: dict[str, Edit] = {}
+        self._ops = 0
+        self._bytes = 0
+
+    def add(self, group: Group, names: Iterable[str], evidence: dict[str, Evidence]) -> None:
+        """Fold the reports of some of a group's machines, as far as there is room for the changes."""
+        edit = Edit(group)
+        for name in sorted(names):
+            machine, known = group.machines.get(name), evidence.get(name)
+            if machine is None or known is None:
+                self.idle.add(name)
                 continue
-            machine = msgspec.convert(msgspec.to_builtins(record.machines[name]), MachineRecord)
+            record = edit.copy_of(name)
             trial: dict[str, JobFold] = {}
-            if not fold_machine(picture, group, name, machine, evidence[name], trial):
+            if not fold_machine(self.picture, machine, record, known, trial):
+                self.idle.add(name)
                 continue
-            # A job that ends takes two changes, its short record and the removal of the long one.
-            news = sum(2 for j, f in trial.items() if f.changes_record() and not _writes(folds, j))
-            if ops + (not changed) + news > max_ops and ops:
+            # Each job that ends costs two changes: more than a transaction takes on one machine are folded in turns.
+            later = set(list(trial)[max((self.limits.ops - 1) // 2, 1):])
+            if later:
+                record, trial = edit.copy_of(name), {}
+                fold_machine(self.picture, machine, record, known, trial, later)
+            full = group.size > self.limits.value_bytes * SPILL_SHARE
+            ops = (group.key not in self._edits) + sum(self._ops_of(j, fold, full) for j, fold in trial.items())
+            size = 0 if group.key in self._edits else group.size
+            if self._ops and (self._ops + ops > self.limits.ops or self._bytes + size > self.limits.txn_bytes):
                 continue
-            ops += (not changed) + news
-            changed = True
-            record.machines[name] = machine
+            self._ops += ops
+            self._bytes += size
+            self._edits[group.key] = edit
+            edit.replace(name, record)
+            self.taken.add(name)
             for job_id, fold in trial.items():
-                folds.setdefault(job_id, JobFold()).add(fold)
-        if changed:
-            txn.guard(group.key, group.version).put(group.key, msgspec.to_builtins(record))
-    if not ops:
-        return None
-    for job_id, fold in folds.items():
-        if fold.changes_record():
-            if put_job(kernel, txn, picture.jobs[job_id], fold):
-                lines.append(f"{job_id} is done")
-            elif fold.broken or fold.errors:
-                lines.append(f"{job_id} lost tasks: gang attempt {fold.broken}, errors {fold.errors}")
-    paces = [(picture.jobs[job_id], fold.placed_us) for job_id, fold in folds.items() if fold.placed_us]
-    return txn, lines, paces
-
-
-def _writes(folds: dict[str, JobFold], job_id: str) -> bool:
-    return job_id in folds and folds[job_id].changes_record()
-
-
-def adoption(picture: Picture, report: Report, token: int, size: int) -> Txn:
-    """Add an unknown machine to a group of its type and zone that has room, or to a new one."""
-    machine = MachineRecord(address=report.address, spot=report.spot, token=token)
-    txn = Txn().guard(MEMBER + report.machine, 0)
-    for key in sorted(picture.groups):
-        group = picture.groups[key]
-        if (group.record.type, group.record.zone) == (report.type, report.zone) and len(group.machines) < size:
-            record = group.copy()
-            record.machines[report.machine] = machine
-            txn.guard(key, group.version)
+                self.jobs.setdefault(job_id, JobFold()).add(fold)
+                if fold.finished and not self.jobs[job_id].spilt:
+                    edit.add_done(job_id, fold.finished)
+
+    def _ops_of(self, job_id: str, fold: JobFold, full: bool) -> int:
+        """How many more changes a job's part costs; the end of one, its short record and its removal, costs two."""
+        job = self.picture.jobs[job_id]
+        both = JobFold()
+        before = self.jobs.get(job_id)
+        if before is not None:
+            both.add(before)
+        both.add(fold)
+        # What completed goes into the job's own record where it could fill the group's.
+        large = job.spec.tasks > self.limits.value_bytes / BYTES_PER_TASK
+        fold.spilt = both.spilt = both.spilt or (bool(fold.finished) and (large or full))
+        return self._cost(job, both) - (self._cost(job, before) if before is not None else 0)
+
+    def _cost(self, job: Job, fold: JobFold) -> int:
+        if ends_with(self.picture, job, fold):
+            return 2
+        return 1 if self._writes(job, fold) else 0
+
+    def _writes(self, job: Job, fold: JobFold) -> bool:
+        return bool(fold.spilt or fold.broken or fold.errors or (fold.successes and job.record.errors))
+
+    def end(self, job: Job) -> None:
+        """End a job all of whose tasks are known to be done: their groups may have been folded apart."""
+        if job.id not in self.jobs and self._ops + 2 <= self.limits.ops:
+            self._ops += 2
+            self.jobs[job.id] = JobFold()
+
+    def transaction(self) -> Txn | None:
+        if not self._ops:
+            return None
+        txn = Txn()
+        self.paces = [(self.picture.jobs[j], fold.placed_us) for j, fold in self.jobs.items() if fold.placed_us]
+        ended: set[str] = set()
+        for job_id, fold in self.jobs.items():
+            job = self.picture.jobs[job_id]
+            if ends_with(self.picture, job, fold) or self._writes(job, fold):
+                if put_job(self.kernel, self.picture, txn, job, fold):
+                    ended.add(job_id)
+                    self.lines.append(f"{job_id} is done")
+                elif fold.broken or fold.errors:
+                    self.lines.append(f"{job_id} lost tasks: gang attempt {fold.broken}, errors {fold.errors}")
+        for key, edit in self._edits.items():
+            value = edit.value(lambda job_id: self.picture.is_live(job_id) and job_id not in ended)
+            txn.guard(key, edit.group.version).put(key, value)
+        return txn
+
+
+def group_size(kind: MachineType | None, value_bytes: int) -> int:
+    """How many machines of a type share a record: as many as a value holds with the holds that they may take.
+
+    Fewer, larger groups mean fewer changes, for a placement or a fold costs one for each group.
+    """
+    holds = max(kind.gpus, kind.cpus / CPUS_PER_HOLD, 1.0) if kind is not None else 1.0
+    return max(int(value_bytes * GROUP_SHARE / (MACHINE_BYTES + holds * HOLD_BYTES)), 1)
+
+
+def adoption(
+    picture: Picture, strangers: dict[str, Report], fixed: int | None, limits: Limits
+) -> tuple[Txn, list[str]]:
+    """Add unknown machines of one type and zone to groups that have room, or to new ones.
+
+    The version of their type's key is guarded and raised: who passes has seen all earlier adoptions, so no machine
+    gets into two groups.
+    """
+    first = next(iter(strangers.values()))
+    size = fixed or group_size(picture.types.get(first.type), limits.value_bytes)
+    kind = (first.type, first.zone)
+    lock = f"{ADOPTED}{first.type}.{first.zone}"
+    groups = (group for _, group in sorted(picture.groups.items()) if (group.type, group.zone) == kind)
+    open_groups = [group for group in groups if len(group.machines) < size]
+    txn = Txn().guard(lock, picture.version(lock)).put(lock, picture.version(lock))
+    taken: list[str] = []
+    left = sorted(strangers)
+    room = limits.txn_bytes
+    for _ in range(limits.ops - 1):
+        if not left or room <= 0:
             break
-    else:
-        key = f"{GROUP}{report.type}.{report.zone}.{report.machine}"
-        record = GroupRecord(report.type, report.zone, {report.machine: machine})
-        txn.guard(key, 0)
-    return txn.put(key, msgspec.to_builtins(record)).put(MEMBER + report.machine, key)
+        if open_groups:
+            group = open_groups.pop(0)
+        else:
+            key = f"{GROUP}{first.type}.{first.zone}.{left[0]}"
+            while picture.version(key):
+                key += "+"
+            group = Group(key, {"type": first.type, "zone": first.zone, "machines": {}}, 0)
+        edit = Edit(group)
+        part = left[: size - len(group.machines)]
+        left = left[len(part):]
+        for name in part:
+            edit.replace(name, MachineRecord(address=strangers[name].address, spot=strangers[name].spot))
+        taken += part
+        room -= group.size + NEW_MACHINE_BYTES * len(part)
+        txn.guard(group.key, group.version).put(group.key, edit.value(picture.is_live))
+    return txn, taken
