--- a/ashtray/fleet/forecast.py
+++ b/ashtray/fleet/forecast.py
@@ -96,6 +96,7 @@
         self.fleet = fleet
         self.steps = MAX_STEPS
         self._heaps: dict[tuple[Any, ...], list[tuple[int, int]]] = {}
+        self._taken: list[tuple[int, int]] = []
 
     def _heap(self, ask: Ask) -> list[tuple[int, int]]:
         spec = ask.spec
@@ -132,9 +133,23 @@
         got = self.fleet[n].take(ask.spec, at_us, most, run_us)
         again_us = self.fleet[n].earliest_us(ask.spec)
         if again_us < NEVER_US and (got or again_us > at_us):
-            heapq.heappush(heap, (again_us, n))
+            if ask.spec.kind == "gang":
+                self._taken.append((again_us, n))
+            else:
+                heapq.heappush(heap, (again_us, n))
         return got
 
+    def served(self, ask: Ask) -> None:
+        """A job's tasks have their places: what its gang took may be taken again after it.
+
+        Not before, for its tasks run at the same time: found by the model test, a gang waited for ever for a
+        second machine because the forecast ran half of it after the other half.
+        """
+        heap = self._heap(ask)
+        for entry in self._taken:
+            heapq.heappush(heap, entry)
+        self._taken.clear()
+
     def add(self, future: Future, ask: Ask) -> None:
         """A machine that is wished for: this job may use it, and so may others that it suits."""
         n = len(self.fleet)
--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -17,6 +17,7 @@
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Sleep
 from ashtray.placement.picture import FLEET, TYPES, Edit, Machine, MachineType
 from ashtray.placement.plan import queue
+from ashtray.placement.preemption import Victims, orderly, stop_victims
 from ashtray.placement.rules import Ask, Room
 from ashtray.store.client import Bucket, Txn, Urgency
 
@@ -27,6 +28,8 @@
 LIST_US = 2 * SECOND_US
 ROUND_US = SECOND_US // 2
 TYPES_US = 60 * SECOND_US
+DEARER = 0.2
+"""A kind of machine that costs so much more than the cheapest is taken only when time runs out."""
 MAX_WISHES = 300
 MAX_COMMITS = 12
 """Commits in a row for one step: what is left then waits for the next round."""
@@ -234,9 +237,32 @@
                     lost.append(name)
             else:
                 self.idle_since.pop(name, None)
+        yield from self._spare_gangs()
         self._ending.update(name for name in lost if name not in picture.machines)
         yield from self._retire([name for name in lost if name in picture.machines])
 
+    def _spare_gangs(self) -> Fiber[None]:
+        """Stop gangs that are about to lose a machine in the orderly way: all their tasks at once, so that they save.
+
+        One that cannot be told in one transaction is left to its last checkpoint, for a part would lose it all.
+        """
+        picture = self.ctl.picture
+        seen: set[str] = set()
+        for machine in list(picture.machines.values()):
+            if not machine.record.retiring or machine.name in self._ending:
+                continue
+            for hold in machine.holds:
+                job = picture.jobs.get(hold.job)
+                if job is None or job.id in seen or not orderly(job, hold):
+                    continue
+                seen.add(job.id)
+                victims: Victims = {}
+                for (name, _), held in picture.held[job.id].items():
+                    victims.setdefault(name, {}).setdefault((job.id, held.attempt), set()).update(held.tasks)
+                build = partial(stop_victims, picture, victims, self.ctl.limits, whole=True)
+                if (yield from self.ctl.follower.commit(build, len(victims), Urgency.FREE, "stop")):
+                    self.kernel.log("info", f"{job.id} saves: {machine.name} goes")
+
     def _silences(self) -> dict[str, int]:
         """For how long nobody has heard each worker, as far as this controller can tell."""
         now = self.kernel.now_us
@@ -478,13 +504,19 @@
         if job.spec.same_zone and ask.zone is None and offers:
             ask.zone = offers[0][1][1]
         bars: list[tuple[int, Kind]] = []
+        latest_us = ctl.pace.latest_start_us(job)
         for price, kind in offers:
             if ask.zone not in (None, kind[1]) or ask.zone_allows(kind[1]) <= 0:
                 continue
             dearer = max(price / cheapest - 1.0, 0.0) if cheapest else 0.0
             worth_us = int(ctl.pace.patience_s(job) * SECOND_US * dearer)
             ready_us = wall_us + ctl.picture.types[kind[0]].boot_us
-            bars.append((ready_us + worth_us + SECOND_US, kind))
+            bar_us = ready_us + worth_us + SECOND_US
+            if latest_us is not None:
+                # What is there will do while the job can still be done in time: a machine that boots for one short
+                # task costs more than it does.
+                bar_us = max(bar_us, latest_us if dearer > DEARER else (wall_us + latest_us) // 2)
+            bars.append((bar_us, kind))
         while left > 0 and forecast.steps > 0:
             at_us = forecast.earliest(ask)
             best = next((kind for bar_us, kind in bars if at_us > bar_us), None)
@@ -496,6 +528,7 @@
             if at_us >= NEVER_US:
                 break
             left -= forecast.take(ask, left, run_us)
+        forecast.served(ask)
 
     def _rent(self) -> Fiber[None]:
         # Until the list has caught up with a former runner's rentals, the same need would be met twice.
--- a/ashtray/jobs/pace.py
+++ b/ashtray/jobs/pace.py
@@ -8,6 +8,11 @@
 
 WEIGHT = 0.05
 UNKNOWN_US = 30 * SECOND_US
+TIMED = ("wait", "finished", "deadline")
+RESERVE = 1.5
+"""How many of its run times a task is given to be done in time."""
+UNTIMED = 10
+"""A class for which no aim states a time waits so many times as long before it takes dearer machines."""
 
 
 class Pace:
@@ -19,10 +24,33 @@
         waits = [o for o in objectives if o.kind == "wait" and o.job_class and o.within_s]
         self.urgent: dict[str, float] = {}
         """For each class with an aim on waiting, the shortest time that one states, in seconds."""
+        self._timed = {str(o.job_class) for o in objectives if o.kind in TIMED and o.job_class}
+        # An aim on what is within a guarantee is an aim for every class.
+        self._all_timed = not self._timed or any(o.kind == "guarantee" for o in objectives)
         for aim in waits:
             within_s = aim.within_s or 0.0
             self.urgent[str(aim.job_class)] = min(within_s, self.urgent.get(str(aim.job_class), within_s))
 
+        self._finished_s: dict[str, float] = {}
+        """For each class with an aim on being done, the shortest time that one states."""
+        for aim in objectives:
+            if aim.kind == "finished" and aim.job_class and aim.within_s:
+                name = str(aim.job_class)
+                self._finished_s[name] = min(aim.within_s, self._finished_s.get(name, aim.within_s))
+
+    def latest_start_us(self, job: Job) -> int | None:
+        """The time of day by which a job's tasks should start to be done in time, with some reserve.
+
+        None for jobs that should start at once, or for which no aim says by when.
+        """
+        if job.spec.job_class in self.urgent:
+            return None
+        within_s = self._finished_s.get(job.spec.job_class)
+        due_us = job.spec.deadline_us if within_s is None else int(within_s * SECOND_US)
+        if due_us is None or job.spec.job_class not in self._timed:
+            return None
+        return job.record.accepted_us + due_us - int(RESERVE * self.run_us(job))
+
     def learn(self, job: Job, placed_us: int, ended_us: int) -> None:
         if job.spec.estimate_us > 0:
             ratio = min(max(ended_us - placed_us, 0) / job.spec.estimate_us, 5.0)
@@ -36,4 +64,7 @@
 
     def patience_s(self, job: Job) -> float:
         """How long a job may wait for each time that a machine costs as much again as the cheapest."""
-        return self._patience_s / 4 if job.spec.job_class in self.urgent else self._patience_s
+        if job.spec.job_class in self.urgent:
+            return self._patience_s / 4
+        timed = self._all_timed or job.spec.job_class in self._timed
+        return self._patience_s if timed else self._patience_s * UNTIMED
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -17,13 +17,15 @@
 from ashtray.runs import encode_runs
 from ashtray.store.client import Limits, Txn, Urgency
 from ashtray.teams.grants import Grants
+from ashtray.workers.folding import Fold
 
 if TYPE_CHECKING:
     from ashtray.controller import Controller
 
 RETRY_US = SECOND_US // 2
+RIPE_US = SECOND_US
 RESHARE_US = SECOND_US // 4
-MAX_RESHARE_US = 4 * SECOND_US
+MAX_RESHARE_US = SECOND_US
 HOLD_BYTES = 160
 JOB_BYTES = 600
 """About what a hold, and a job's record, take of a transaction."""
@@ -43,11 +45,15 @@
         self.kick = Signal()
         self._seen = -1
         self._partial_us: dict[str, int] = {}
+        self._ripe: dict[str, int] = {}
+        """Since when urgent jobs of other controllers have had room in the plan."""
         self.counts: Counter[str] = Counter()
         """What the work went into since the last report."""
         self._hurry = False
         self._sent: tuple[Txn, list[str]] = (Txn(), [])
         """The last commit, and the teams with a limit that it placed for."""
+        self._folds: set[str] = set()
+        """The machines whose reports went with it."""
         self._short: dict[str, tuple[Job, int]] = {}
         """For teams the first job that their share does not allow, and how many of its tasks have room."""
         self._reshared: dict[str, tuple[int, int]] = {}
@@ -84,6 +90,7 @@
             return
         self.counts["rounds"] += 1
         plan = ctl.plan()
+        plan.add_freed(ctl.desk.light().freed)
         jobs, inside = queue(picture, ctl.teams)
         while jobs and not self.mine(jobs[-1]):
             jobs.pop()
@@ -98,6 +105,8 @@
         ctl = self.ctl
         began_us = ctl.kernel.now_us
         batch = Batch(ctl.picture, ctl.limits)
+        freed = {id(room) for room in plan.freed}
+        ripe: dict[str, int] = {}
         for job in jobs:
             if ctl.kernel.now_us - began_us > STALE_US:
                 self._again()
@@ -106,14 +115,21 @@
             if not tasks:
                 continue
             mine = self.mine(job)
+            urgent = job.spec.priority <= 1
             widen = self.widen() if mine else 0.0
             need = len(tasks) if job.spec.kind == "gang" else 1
             choices: list[Choice] = []
             # A class with an aim on waiting first looks where its image is there in time.
             aim_s = ctl.pace.urgent.get(job.spec.job_class)
             for within_s in (None,) if aim_s is None else (0.8 * aim_s, None):
-                choices = plan.place(job, len(tasks), widen, within_s)
+                # Room that only this controller knows of yet is for its own jobs, or for urgent ones: the others
+                # could not be placed there, and it would stand empty until a fold shows it.
+                choices = plan.place(job, len(tasks), widen, within_s, freed=mine or urgent)
                 if choices:
+                    if not mine and urgent:
+                        ripe.setdefault(job.id, self._ripe.get(job.id, began_us))
+                        if any(id(room) in freed for room, _ in choices):
+                            ctl.desk.hurry()
                     break
                 if (job.spec.kind == "gang" and job.spec.priority <= 1) or job.id in inside:
                     if plan.keep_soon(job, need, within_s):
@@ -128,6 +144,9 @@
                         return self._again()
             if not choices or not mine:
                 continue
+            if not urgent and any(began_us - since_us > RIPE_US for since_us in ripe.values()):
+                # An urgent job elsewhere has room but no commit yet: it may want the changes that this one would use.
+                continue
             if job.spec.kind != "gang" and sum(n for _, n in choices) < len(tasks):
                 # Room for a few of many tasks: several such commits are made one, for each costs changes.
                 if ctl.kernel.now_us - self._partial_us.get(job.id, 0) < PARTIAL_US:
@@ -146,6 +165,7 @@
                 batch.add(item)
         if batch.items and not (yield from self._commit(batch)):
             self._again()
+        self._ripe = ripe
         yield from self._reshare()
 
     def _granted(self, job: Job, choices: list[Choice], wanted: int, batch: Batch) -> list[Choice]:
@@ -184,9 +204,8 @@
                 continue
             build = partial(ctl.grants.reshare, team, job.spec, count, ctl.presence.live())
             good = yield from ctl.follower.commit(build, 1, Urgency.PLACE, "share")
-            # The longer it does not help, the seldomer it is tried: the limit may bind, and shares then move little.
-            allowed = ctl.grants.allowed(team, job.spec)
-            pause_us = RESHARE_US if allowed >= count else min(max(2 * pause_us, RESHARE_US), MAX_RESHARE_US)
+            # While it does not help it is tried ever more seldom: the limit itself may bind.
+            pause_us = RESHARE_US if good else min(max(2 * pause_us, RESHARE_US), MAX_RESHARE_US)
             self._reshared[team] = (ctl.kernel.now_us, pause_us)
             if good and (yield from ctl.follower.barrier()):
                 self._again()
@@ -221,6 +240,7 @@
             if good:
                 for line in lines:
                     ctl.kernel.log("info", line)
+                ctl.desk.folded(self._folds, ())
                 return len(lines) == len(batch.items)
             yield Sleep(int(ctl.kernel.rng.uniform(0.0, 0.02) * min(2**retry, 16) * SECOND_US))
             if not (yield from ctl.follower.barrier()):
@@ -236,7 +256,8 @@
         picture = ctl.picture
         txn = Txn()
         lines.clear()
-        draft = Draft(picture, ctl.grants)
+        fold = ctl.desk.light(batch.groups)
+        draft = Draft(picture, ctl.grants, fold)
         for item in batch.items:
             job = picture.jobs.get(item.job_id)
             if job is None or not draft.allows(job, item):
@@ -259,6 +280,7 @@
             ctl.kernel.log("error", f"{lines[0]}: a record would grow over its limit")
             return None
         self._sent = txn, list(draft.usage)
+        self._folds = {name for name in fold.taken if picture.machines[name].group in draft.edits}
         return txn
 
 
@@ -314,17 +336,17 @@
         self.used: dict[str, tuple[float, float]] = {}
         """What its jobs take, by team."""
         self._jobs: set[str] = set()
-        self._groups: set[str] = set()
+        self.groups: set[str] = set()
         self._bytes = 0
 
     def changes(self) -> int:
-        return len(self.items) + len(self._groups)
+        return len(self.items) + len(self.groups)
 
     def _size(self, item: Item) -> int:
         job = self.picture.jobs[item.job_id]
         groups = self.picture.groups
         size = JOB_BYTES + len(job.record.finished) + HOLD_BYTES * len(item.choices)
-        return size + sum(groups[key].size for key in item.groups() - self._groups if key in groups)
+        return size + sum(groups[key].size for key in item.groups() - self.groups if key in groups)
 
     def takes(self, item: Item) -> bool:
         """Whether there is room for one more; the first is always taken."""
@@ -333,7 +355,7 @@
         job = self.picture.jobs.get(item.job_id)
         if job is None or item.job_id in self._jobs:
             return False
-        changes = len(self.items) + 1 + len(self._groups | item.groups())
+        changes = len(self.items) + 1 + len(self.groups | item.groups())
         return changes <= self.limits.ops and self._bytes + self._size(item) <= self.limits.txn_bytes
 
     def add(self, item: Item) -> None:
@@ -343,7 +365,7 @@
         self._bytes += self._size(item)
         self.items.append(item)
         self._jobs.add(item.job_id)
-        self._groups |= item.groups()
+        self.groups |= item.groups()
         cpus, gpus = self.used.get(job.spec.team, (0.0, 0.0))
         self.used[job.spec.team] = (cpus + item.count * job.spec.cpus, gpus + item.count * job.spec.gpus)
 
@@ -351,13 +373,14 @@
 class Draft:
     """The records that a batch would write, so far."""
 
-    def __init__(self, picture: Picture, grants: Grants) -> None:
+    def __init__(self, picture: Picture, grants: Grants, fold: Fold) -> None:
         self.picture = picture
         self.grants = grants
+        self.fold = fold
         self.edits: dict[str, Edit] = {}
         self.usage: dict[str, tuple[float, float]] = {}
         """For each team with a limit what the batch adds to its use."""
-        self._added: dict[str, tuple[float, float, float]] = {}
+        self._added = {name: (-cpus, -gpus, -memory) for name, (cpus, gpus, memory) in fold.freed.items()}
 
     def allows(self, job: Job, item: Item) -> bool:
         """Whether a job's tasks may go where they were planned, as far as the picture shows now."""
@@ -395,7 +418,10 @@
         left = list(item.tasks)
         for room, n in item.choices:
             machine = self.picture.machines[room.machine.name]
-            edit = self.edits.setdefault(machine.group, Edit(self.picture.groups[machine.group]))
+            edit = self.edits.get(machine.group)
+            if edit is None:
+                group = self.picture.groups[machine.group]
+                edit = self.edits[machine.group] = self.fold.edits.get(machine.group) or Edit(group)
             record = edit.machine(machine.name)
             record.holds.append(
                 HoldRecord(
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import replace
 from typing import Any
 
@@ -75,6 +75,8 @@
                 if groups[machine.group].size > full:
                     room.cpus = room.gpus = room.memory_gb = -1.0
                 self.rooms.append(room)
+        self.freed: list[Room] = []
+        """Room that reports have freed and no commit has yet: only this controller knows of it."""
         self.ordinary = [room for room in self.rooms if not room.machine.record.spot]
         self.usage = {name: picture.team_usage(name) for name in teams}
         self.scarcity = self._scarcity()
@@ -84,6 +86,13 @@
         self.visits = 0
         """Rooms looked at closely: what the work of a plan grows with."""
 
+    def add_freed(self, freed: dict[str, tuple[float, float, float]]) -> None:
+        for name, (cpus, gpus, memory) in freed.items():
+            machine = self.picture.machines[name]
+            kind = self.picture.types.get(machine.type)
+            if kind is not None and not machine.record.retiring:
+                self.freed.append(Room(machine, kind, cpus, gpus, memory))
+
     def _scarcity(self) -> tuple[float, float, float]:
         """The share of each resource that is in use: what is scarce weighs more."""
         whole = [0.0, 0.0, 0.0]
@@ -129,23 +138,26 @@
         return sorted({room.machine.zone for room in self.rooms})
 
     def place(
-        self, job: Job, count: int, widen: float, image_within_s: float | None = None
+        self, job: Job, count: int, widen: float, image_within_s: float | None = None, freed: bool = False
     ) -> list[Choice]:
-        """Choose room for tasks of a job and take it; for a gang all of it or none."""
+        """Choose room for tasks of a job and take it; for a gang all of it or none.
+
+        `freed`: also the room that only this controller knows of.
+        """
         spec = job.spec
         gang = spec.kind == "gang"
         if gang and not self._team_allows(job, count):
             return []
         demand = (
             spec.cpus, spec.gpus, spec.memory_gb, spec.zone, spec.spot, spec.same_zone, spec.spread,
-            tuple(spec.types or ()), image_within_s and spec.image,
+            tuple(spec.types or ()), image_within_s and spec.image, freed,
         )  # fmt: skip
         most = self._most.get(demand, count)
         if most < (count if gang else 1):
             return []
         ask = self.ask(job)
         ask.image_within_s = image_within_s
-        choices = self._in_a_zone(ask, count, widen)
+        choices = self._in_a_zone(ask, count, widen, self.freed if freed else [])
         total = sum(n for _, n in choices)
         if total < count and not spec.spread:
             self._most[demand] = total if gang else 0
@@ -154,12 +166,12 @@
         self.take(job, choices)
         return choices
 
-    def _in_a_zone(self, ask: Ask, count: int, widen: float) -> list[Choice]:
+    def _in_a_zone(self, ask: Ask, count: int, widen: float, freed: list[Room]) -> list[Choice]:
         if not ask.spec.same_zone or ask.zone is not None or len(self.zones()) < 2:
-            return self._choose(ask, count, widen)
+            return self._choose(ask, count, widen, freed=freed)
         found = []
         for zone in self.zones():
-            found.append(self._choose(replace(ask, zone=zone), count, widen))
+            found.append(self._choose(replace(ask, zone=zone), count, widen, freed=freed))
         return max(found, key=lambda choices: sum(n for _, n in choices))
 
     def _team_allows(self, job: Job, count: int) -> bool:
@@ -209,7 +221,7 @@
         return found
 
     def _choose(
-        self, ask: Ask, count: int, widen: float, among: list[Room] | None = None
+        self, ask: Ask, count: int, widen: float, among: list[Room] | None = None, freed: Sequence[Room] = ()
     ) -> list[Choice]:
         """The best machines, or, seldom, a random one of the best few, until all tasks have room.
 
@@ -220,7 +232,7 @@
         trial = replace(ask, zone_room=zone_room)
         cpus, gpus, memory = spec.cpus - EPS, spec.gpus - EPS, spec.memory_gb - EPS
         if among is None:
-            among = self.rooms if spec.spot else self.ordinary
+            among = [*(self.rooms if spec.spot else self.ordinary), *freed]
         rooms = [r for r in among if r.cpus >= cpus and r.gpus >= gpus and r.memory_gb >= memory]
         self.visits += len(rooms)
         ranked = rank(rooms, trial, count, self.knobs, self.rng)
--- a/ashtray/placement/preemption.py
+++ b/ashtray/placement/preemption.py
@@ -90,8 +90,15 @@
     return victims
 
 
-def stop_victims(picture: Picture, victims: Victims, limits: Limits) -> Txn | None:
-    """The transaction that marks the victims to be stopped."""
+def orderly(job: Job, hold: Hold) -> bool:
+    """Whether a hold is part of a gang that could save if all of it were told to stop."""
+    spec = job.spec
+    going = hold.record.stop_us < 0 and hold.attempt > job.record.broken and not job.portion
+    return spec.kind == "gang" and spec.checkpoint_us > 0 and going
+
+
+def stop_victims(picture: Picture, victims: Victims, limits: Limits, whole: bool = False) -> Txn | None:
+    """The transaction that marks the victims to be stopped; all of them or none, if so asked."""
     edits: dict[str, Edit] = {}
     txn = Txn()
     size = 0
@@ -103,6 +110,8 @@
         if group.key not in edits:
             size += group.size
             if edits and (len(edits) >= limits.ops or size > limits.txn_bytes):
+                if whole:
+                    return None
                 break
             edits[group.key] = Edit(group)
             txn.guard(group.key, group.version)
--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -112,7 +112,7 @@
 class StoreClient:
     """One controller's way to the state service."""
 
-    def __init__(self, kernel: Kernel, address: str, limits: StateLimits, headroom: float = 0.92) -> None:
+    def __init__(self, kernel: Kernel, address: str, limits: StateLimits, headroom: float = 0.96) -> None:
         self.kernel = kernel
         self.address = address
         self.limits = limits
--- a/ashtray/teams/grants.py
+++ b/ashtray/teams/grants.py
@@ -98,6 +98,10 @@
             slack = [
                 sum(max(c[n] - used[h][n], 0.0) for h, c in shares.items() if h != self.host) for n in (0, 1)
             ]
+            # Nothing is moved that would not make room for what is wanted, be it for one task of an array.
+            most = _within(team, (free[0] + slack[0], free[1] + slack[1]))
+            if tasks_within(most, *used[self.host], spec) < (count if spec.kind == "gang" else can + 1):
+                return None
             for host, share in shares.items():
                 if host != self.host:
                     # All of it where half would not do.
--- a/ashtray/workers/desk.py
+++ b/ashtray/workers/desk.py
@@ -6,11 +6,12 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from ashtray.jobs.model import Job
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Signal, Sleep, Wait
 from ashtray.placement.picture import Group, Machine
 from ashtray.store.client import Txn, Urgency
 from ashtray.workers import messages
-from ashtray.workers.folding import Evidence, Fold, adoption, hold_is_dead
+from ashtray.workers.folding import Evidence, Fold, adoption, hold_is_dead, saves_now
 from ashtray.workers.messages import Report, TaskKey, parse_report
 
 if TYPE_CHECKING:
@@ -19,7 +20,13 @@
 TOKEN_SHIFT = 40
 FOLD_US = 150_000
 LAZY_US = 1_700_000
-"""A fold waits no longer for company: what a job does last shows within 3 s, report and commit included."""
+SCARCE_US = 4 * SECOND_US
+"""A fold waits no longer for company, the latter when commits wait for their budget.
+
+What ends a job, or failed, is folded at once: a job's end is to show within 3 s.
+"""
+MANY_TASKS = 40
+"""With more open tasks than these a job is not looked at for its end at each report."""
 ADOPT_US = 200_000
 DIRECT_US = 1_500_000
 STICK_US = 30 * SECOND_US
@@ -62,7 +69,9 @@
         self._fold_kick = Signal()
         self._dirty: dict[str, set[str]] = {}
         """For each group the machines with something to fold."""
-        self._urgent = False
+        self._urgent: set[str] = set()
+        """Groups whose fold does not wait for company; the others then wait on, for each costs a change."""
+        self._due = False
         self._folded: Fold | None = None
         self._fold_us = 0
         """When the last fold was committed, and how many changes it took."""
@@ -119,15 +128,19 @@
             for key, seen in report.tasks.items()
             if seen.state != "ended" and self.ctl.picture.is_over(key[0])
         ]
-        if not worker.tending:
-            machine = self.ctl.picture.machines.get(worker.name)
-            if machine is not None and self._owns(worker, machine):
-                told = self._review(worker, machine)
-                if told and self.kernel.now_us < worker.direct_bad_until_us:
-                    orders = told
-                    worker.answered = (report.session, report.tick)
-                # A clear needs no such care: the attempt that it ends has no hold, and will never be launched again.
-                orders = orders + worker.clears
+        machine = self.ctl.picture.machines.get(worker.name)
+        if machine is None:
+            # Only what reports is added: found on a simulated day, machines just deleted were added again when
+            # their removal was noticed, for their last reports were still known.
+            self._strangers[worker.name] = report
+            self.kernel.fire(self._stranger_kick)
+        elif not worker.tending and self._owns(worker, machine):
+            told = self._review(worker, machine)
+            if told and self.kernel.now_us < worker.direct_bad_until_us:
+                orders = told
+                worker.answered = (report.session, report.tick)
+            # A clear needs no such care: the attempt that it ends has no hold, and will never be launched again.
+            orders = orders + worker.clears
         self.kernel.answer(request_id, 200, messages.report_answer(worker.token, orders[:MAX_ORDERS]))
         self.tend(worker)
 
@@ -194,8 +207,6 @@
             return False
         machine = self.ctl.picture.machines.get(worker.name)
         if machine is None:
-            self._strangers[worker.name] = report
-            self.kernel.fire(self._stranger_kick)
             return False
         self._see(worker, machine, report)
         if not self._owns(worker, machine):
@@ -228,6 +239,7 @@
         record = machine.record
         news = record.token < worker.token or (report.notice_us is not None and not record.retiring)
         urgent = news
+        leaves_us = self._leaves_us(worker)
         sure = record.token == worker.token and not worker.in_flight and worker.answered is None
         for hold in machine.holds:
             ended = 0
@@ -239,15 +251,31 @@
                     ended += 1
                     # A failure and the end of a job are not kept waiting for company.
                     urgent = urgent or seen.cause != "done"
+            holder = picture.jobs.get(hold.job)
+            if leaves_us is not None and holder is not None and saves_now(holder, hold.record.stop_us, leaves_us):
+                news = urgent = True
             if ended:
                 news = True
-                job = picture.jobs.get(hold.job)
-                if job is not None:
-                    last = job.id not in picture.waiting() and ended >= len(picture.placed(job.id))
-                    urgent = urgent or last or job.spec.kind == "gang"
+                if holder is not None:
+                    urgent = urgent or holder.spec.kind == "gang" or self._all_ended(holder)
         if news:
             self.fold_soon(machine, urgent)
 
+    def _all_ended(self, job: Job) -> bool:
+        """Whether the workers that report here say that all that is left of a job has ended."""
+        picture = self.ctl.picture
+        if job.id in picture.waiting() or len(picture.placed(job.id)) > MANY_TASKS:
+            return False
+        for (name, _), hold in picture.held.get(job.id, {}).items():
+            worker = self.workers.get(name)
+            if worker is None or worker.report is None:
+                return False
+            for task in hold.tasks:
+                seen = worker.report.tasks.get((job.id, hold.attempt, task))
+                if seen is None or seen.state != "ended":
+                    return False
+        return True
+
     def _review(self, worker: Worker, machine: Machine) -> list[dict[str, Any]]:
         """The orders that bring a worker in line with the record of its machine; ended tasks go to `clears`."""
         report = worker.report
@@ -343,10 +371,15 @@
 
     # Folding
 
+    def hurry(self) -> None:
+        """Somebody waits for the room that reports have freed here."""
+        self._urgent.update(self._dirty)
+        self.kernel.fire(self._fold_kick)
+
     def fold_soon(self, machine: Machine, urgent: bool) -> None:
         self._dirty.setdefault(machine.group, set()).add(machine.name)
         if urgent:
-            self._urgent = True
+            self._urgent.add(machine.group)
         self.kernel.fire(self._fold_kick)
 
     def _evidence(self, group: Group) -> dict[str, Evidence]:
@@ -356,9 +389,12 @@
             if worker is not None and worker.token and worker.report is not None and worker.exact:
                 # While orders are on their way, what is not listed may be about to start.
                 busy = worker.in_flight or worker.answered is not None
-                evidence[name] = Evidence(worker.report, worker.token, not busy)
+                evidence[name] = Evidence(worker.report, worker.token, not busy, self._leaves_us(worker))
         return evidence
 
+    def _leaves_us(self, worker: Worker) -> int | None:
+        return None if worker.notice_until_us is None else worker.notice_until_us - self.kernel.now_us
+
     def _fold(self) -> Txn | None:
         picture = self.ctl.picture
         fold = Fold(self.kernel, picture, self.ctl.limits)
@@ -367,6 +403,8 @@
                 fold.end(picture.jobs[job_id])
         # Those that were marked first come first, for not all may fit.
         for key, names in list(self._dirty.items()):
+            if not self._due and key not in self._urgent:
+                continue
             group = picture.groups.get(key)
             if group is not None:
                 fold.add(group, names, self._evidence(group))
@@ -374,15 +412,33 @@
         self._folded = fold
         return fold.transaction()
 
+    def light(self, groups: Iterable[str] | None = None) -> Fold:
+        """What reports have freed here and no commit has yet: a placement in the same groups takes it along."""
+        fold = Fold(self.kernel, self.ctl.picture, self.ctl.limits)
+        for key in list(self._dirty) if groups is None else groups:
+            group = self.ctl.picture.groups.get(key)
+            if group is not None and key in self._dirty:
+                fold.add_light(group, self._dirty[key], self._evidence(group))
+        return fold
+
+    def folded(self, names: set[str], paces: Iterable[tuple[Job, int]]) -> None:
+        """The reports of these machines are in their records now."""
+        for key in list(self._dirty):
+            self._unmark(key, names)
+        for job, placed_us in paces:
+            self.ctl.pace.learn(job, placed_us, self.kernel.wall_us)
+
     def _unmark(self, group: str, names: set[str]) -> None:
         self._dirty[group] = self._dirty[group] - names
         if not self._dirty[group]:
             del self._dirty[group]
+            self._urgent.discard(group)
 
     def _pace_us(self) -> int:
-        """How long to wait for company: folds may take about half of this controller's share of the changes."""
-        rate = self.ctl.store.changes.bucket.rate
-        return min(int(2 * self._fold_cost / max(rate, 0.1) * SECOND_US), LAZY_US)
+        """How long to wait for company: folds may take half of this controller's changes, a quarter when scarce."""
+        changes = self.ctl.store.changes
+        part, most_us = (4, SCARCE_US) if changes.waiting or changes.throttled else (2, LAZY_US)
+        return min(int(part * self._fold_cost / max(changes.bucket.rate, 0.1) * SECOND_US), most_us)
 
     def fold(self) -> Fiber[None]:
         """Wait until there is something to fold, and fold it."""
@@ -393,20 +449,18 @@
         yield Sleep(FOLD_US)
         while not self._urgent and not mine and self.kernel.now_us < self._fold_us + self._pace_us():
             yield Wait(self._fold_kick, self._fold_us + self._pace_us() - self.kernel.now_us)
-        self._urgent = False
-        changes = min(len(self._dirty) + 1, self.ctl.limits.ops)
+        self._due = self.kernel.now_us >= self._fold_us + self._pace_us()
+        changes = min(len(self._dirty if self._due else self._urgent) + 1, self.ctl.limits.ops)
         good = yield from self.ctl.follower.commit(self._fold, changes, Urgency.FREE, "fold")
         folded = self._folded
         if good and folded is not None:
             self._failures = 0
-            self._fold_us = self.kernel.now_us
-            self._fold_cost = changes
-            for key in list(self._dirty):
-                self._unmark(key, folded.taken)
+            if self._due:
+                self._fold_us = self.kernel.now_us
+                self._fold_cost = changes
             for line in folded.lines:
                 self.kernel.log("info", line)
-            for job, placed_us in folded.paces:
-                self.ctl.pace.learn(job, placed_us, self.kernel.wall_us)
+            self.folded(folded.taken, folded.paces)
         elif good is False:
             self._failures = min(self._failures + 1, 5)
             yield Sleep(int(self.kernel.rng.uniform(0.0, 0.03) * 2**self._failures * SECOND_US))
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -6,22 +6,24 @@
 from dataclasses import dataclass, field
 
 from ashtray.jobs.model import LIVE, OVER, Job
-from ashtray.kernel import Kernel
+from ashtray.kernel import SECOND_US, Kernel
 from ashtray.placement.picture import ADOPTED, GROUP, Edit, Group, Machine, MachineRecord, MachineType, Picture
-from ashtray.runs import encode_runs
+from ashtray.runs import decode_runs, encode_runs
 from ashtray.store.client import Limits, Txn
 from ashtray.workers.messages import Report, TaskState
 
+SAVE_LEAD_US = 5 * SECOND_US
+"""A report may be three seconds away, and a commit one more."""
 BYTES_PER_TASK = 32
 """A job with more than one task for so many bytes of a value keeps its completed tasks in its own record."""
 
 NEW_MACHINE_BYTES = 100
 MACHINE_BYTES = 450
 HOLD_BYTES = 110
-CPUS_PER_HOLD = 8
-GROUP_SHARE = 0.6
+CPUS_PER_HOLD = 16
+GROUP_SHARE = 0.7
 """Of a value, what a group's machines may be expected to take: estimates of their records' sizes."""
-SPILL_SHARE = 0.7
+SPILL_SHARE = 0.75
 """Nor does a group whose record takes more than this part of a value keep any more of them."""
 
 
@@ -64,6 +66,8 @@
     report: Report
     token: int
     exact: bool
+    leaves_us: int | None = None
+    """The time until the cloud takes the machine away, if it has said so."""
 
 
 def fold_machine(
@@ -104,11 +108,26 @@
             changed = True
             hold.tasks = encode_runs(left)
         if left:
+            job = picture.jobs.get(hold.job)
+            if job is not None and saves_now(job, hold.stop_us, evidence.leaves_us):
+                hold.stop_us = job.spec.save_us
+                changed = True
             kept.append(hold)
     record.holds = kept
     return changed
 
 
+def saves_now(job: Job, stop_us: int, leaves_us: int | None) -> bool:
+    """Whether tasks are to save now because their machine goes: as late as it can be told, saved and reported.
+
+    A gang is stopped as a whole, which one machine's owner cannot do: the fleet's runner sees to it.
+    """
+    spec = job.spec
+    if leaves_us is None or stop_us >= 0 or not spec.checkpoint_us or spec.kind == "gang":
+        return False
+    return spec.save_us <= leaves_us <= spec.save_us + SAVE_LEAD_US
+
+
 def note_end(
     picture: Picture, record: MachineRecord, job_id: str, attempt: int, task: int, cause: str | None,
     folds: dict[str, JobFold],
@@ -184,7 +203,9 @@
         self.idle: set[str] = set()
         """Machines whose reports say nothing that their records do not."""
         self.taken: set[str] = set()
-        self._edits: dict[str, Edit] = {}
+        self.freed: dict[str, tuple[float, float, float]] = {}
+        """The room that light folds free, by machine."""
+        self.edits: dict[str, Edit] = {}
         self._ops = 0
         self._bytes = 0
 
@@ -207,13 +228,13 @@
                 record, trial = edit.copy_of(name), {}
                 fold_machine(self.picture, machine, record, known, trial, later)
             full = group.size > self.limits.value_bytes * SPILL_SHARE
-            ops = (group.key not in self._edits) + sum(self._ops_of(j, fold, full) for j, fold in trial.items())
-            size = 0 if group.key in self._edits else group.size
+            ops = (group.key not in self.edits) + sum(self._ops_of(j, fold, full) for j, fold in trial.items())
+            size = 0 if group.key in self.edits else group.size
             if self._ops and (self._ops + ops > self.limits.ops or self._bytes + size > self.limits.txn_bytes):
                 continue
             self._ops += ops
             self._bytes += size
-            self._edits[group.key] = edit
+            self.edits[group.key] = edit
             edit.replace(name, record)
             self.taken.add(name)
             for job_id, fold in trial.items():
@@ -221,6 +242,34 @@
                 if fold.finished and not self.jobs[job_id].spilt:
                     edit.add_done(job_id, fold.finished)
 
+    def add_light(self, group: Group, names: Iterable[str], evidence: dict[str, Evidence]) -> None:
+        """Fold those reports that change their group's record only."""
+        edit = Edit(group)
+        for name in sorted(names):
+            machine, known = group.machines.get(name), evidence.get(name)
+            if machine is None or known is None:
+                continue
+            record = edit.copy_of(name)
+            trial: dict[str, JobFold] = {}
+            if not fold_machine(self.picture, machine, record, known, trial):
+                continue
+            full = group.size > self.limits.value_bytes * SPILL_SHARE
+            if any(self._ops_of(job_id, fold, full) for job_id, fold in trial.items()):
+                continue
+            edit.replace(name, record)
+            self.edits[group.key] = edit
+            self.taken.add(name)
+            kept = [len(decode_runs(hold.tasks)) for hold in record.holds]
+            self.freed[name] = (
+                machine.cpus - sum(n * hold.cpus for n, hold in zip(kept, record.holds, strict=True)),
+                machine.gpus - sum(n * hold.gpus for n, hold in zip(kept, record.holds, strict=True)),
+                machine.memory_gb - sum(n * hold.memory_gb for n, hold in zip(kept, record.holds, strict=True)),
+            )
+            for job_id, fold in trial.items():
+                self.jobs.setdefault(job_id, JobFold()).add(fold)
+                if fold.finished:
+                    edit.add_done(job_id, fold.finished)
+
     def _ops_of(self, job_id: str, fold: JobFold, full: bool) -> int:
         """How many more changes a job's part costs; the end of one, its short record and its removal, costs two."""
         job = self.picture.jobs[job_id]
@@ -262,7 +311,7 @@
                     self.lines.append(f"{job_id} is done")
                 elif fold.broken or fold.errors:
                     self.lines.append(f"{job_id} lost tasks: gang attempt {fold.broken}, errors {fold.errors}")
-        for key, edit in self._edits.items():
+        for key, edit in self.edits.items():
             value = edit.value(lambda job_id: self.picture.is_live(job_id) and job_id not in ended)
             txn.guard(key, edit.group.version).put(key, value)
         return txn
@@ -273,7 +322,7 @@
 
     Fewer, larger groups mean fewer changes, for a placement or a fold costs one for each group.
     """
-    holds = max(kind.gpus, kind.cpus / CPUS_PER_HOLD, 1.0) if kind is not None else 1.0
+    holds = max(kind.gpus / 2, kind.cpus / CPUS_PER_HOLD, 1.0) if kind is not None else 1.0
     return max(int(value_bytes * GROUP_SHARE / (MACHINE_BYTES + holds * HOLD_BYTES)), 1)
 
 
--- a/tests/bite.py
+++ b/tests/bite.py
@@ -14,10 +14,11 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-TESTS = ["tests/test_safety.py", "tests/test_placement.py", "tests/test_model.py"]
+TESTS = ["tests/test_safety.py", "tests/test_placement.py", "tests/test_grants.py", "tests/test_model.py"]
 ROOT = Path(__file__).resolve().parent.parent
 FOLDING, DESK = "ashtray/workers/folding.py", "ashtray/workers/desk.py"
 RUNNER, PLACER = "ashtray/fleet/runner.py", "ashtray/placement/placer.py"
+FOLLOWER, GRANTS = "ashtray/store/follower.py", "ashtray/teams/grants.py"
 SERVICE, PICTURE = "ashtray/jobs/service.py", "ashtray/placement/picture.py"
 
 BREAKS: dict[str, tuple[str, str, str]] = {
@@ -27,8 +28,7 @@
         RUNNER, "        if reply.status != 200:\n            return\n        for name in names:",
         "        for name in names:"),
     "place-while-deleting": (
-        RUNNER, "        if not machine.record.retiring:\n            if not (yield",
-        "        if False:\n            if not (yield"),
+        RUNNER, ".machine(name).retiring = True", ".machine(name)"),
     "clear-before-commit": (
         DESK, '                elif over and seen.state == "saving":',
         '                elif seen.state == "ended":\n                    kills.append(messages.clear(key))\n'
@@ -44,11 +44,23 @@
     "renew-for-ever": (
         DESK, "return self.kernel.now_us - self.ctl.follower.read_us <= limit_us", "return True"),
     "job-not-guarded": (
-        PLACER, "txn = Txn().guard(LIVE + job.id, job.version)", "txn = Txn()"),
+        PLACER, "txn.guard(LIVE + job.id, job.version).put(", "txn.put("),
     "groups-not-guarded": (
-        PLACER, "                txn.guard(group.key, group.version)\n", ""),
+        PLACER, "txn.guard(key, edit.group.version).put(", "txn.put("),
     "team-not-guarded": (
-        PLACER, "txn.guard(TEAM + team.name, picture.version(TEAM + team.name)).put(", "txn.put("),
+        PLACER, "txn.guard(TEAM + name, picture.version(TEAM + name))", "pass"),
+    "share-taken-at-once": (
+        GRANTS, "free[n] -= max(shares.get(host, (0.0, 0.0))[n], used[host][n])", "free[n] -= used[host][n]"),
+    "placing-without-a-fence": (
+        GRANTS, "if name not in self._fenced:", "if False:"),
+    "adopted-twice": (
+        FOLDING, "txn = Txn().guard(lock, picture.version(lock)).put(lock, picture.version(lock))", "txn = Txn()"),
+    "loaded-after-the-pages": (
+        FOLLOWER, "self._paged = True", "self._paged = self.loaded = True"),
+    "done-tasks-dropped": (
+        PICTURE, "done = {job: runs for job, runs in self.done.items() if live(job)}", "done = {}"),
+    "gang-portions-of-two-attempts": (
+        PLACER, "return job.record.attempt if job.portion else", "return"),
     "answers-without-barrier": (
         SERVICE, "if not (yield from self.ctl.follower.barrier()):", "if False:"),
     "accept-without-look": (
--- a/tests/model.py
+++ b/tests/model.py
@@ -88,7 +88,8 @@
 class Model:
     """A small deployment.  Everything random comes from one seed."""
 
-    def __init__(self, seed: int, hosts: int = 3) -> None:
+    def __init__(self, seed: int, hosts: int = 3, knobs: Knobs | None = None) -> None:
+        self.knobs = knobs or Knobs()
         self.rng = random.Random(seed)
         self.now = 0
         self._events: list[tuple[int, int, Callable[[], None]]] = []
@@ -135,7 +136,7 @@
     def start_host(self, host: Host) -> None:
         host.life += 1
         rng = random.Random(self.rng.random())
-        host.core = Controller(settings_for(host.number, len(self.hosts)), Knobs(), rng)
+        host.core = Controller(settings_for(host.number, len(self.hosts)), self.knobs, rng)
         core = host.core
         core.kernel.strict = True
         # Steering and who places a job are hints: no rule may rest on them.
--- /dev/null
+++ b/tests/test_grants.py
@@ -0,0 +1,160 @@
+"""Teams' limits shared out between controllers: what they use together never exceeds the limit."""
+
+from typing import Any
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ashtray.config.settings import Team
+from ashtray.jobs.model import JobSpec
+from ashtray.placement.picture import GROUP, TEAM, HoldRecord, MachineRecord, Picture
+from ashtray.store.client import Txn
+from ashtray.teams.grants import Grants
+from tests.standins.state import State
+
+HOSTS = ("h0", "h1", "h2")
+LIMIT = 24.0
+SPEC = JobSpec("any", "crew", "array", 2, 100, 2.0, 0.0, 1.0, "img", 1.0)
+GANG = JobSpec("any", "crew", "gang", 2, 12, 2.0, 0.0, 1.0, "img", 1.0)
+
+
+class Host:
+    """A controller's view: its picture, as late as it was last brought up to date, and its grants."""
+
+    def __init__(self, name: str, state: State) -> None:
+        self.name = name
+        self.state = state
+        self.revision = 0
+        self.picture = Picture()
+        self.grants = Grants(name, HOSTS, [Team("crew", cpus_max=LIMIT)], self.picture)
+
+    def sync(self) -> None:
+        status, body = self.state.handle(0, "GET", f"/follow?under=now/&after={self.revision}", None)
+        assert status == 200
+        for change in body["log"]:
+            if "put" in change:
+                self.picture.put(change["put"], change["value"], change["stamp"])
+            else:
+                self.picture.remove(change["remove"], change["stamp"])
+        self.revision = body["ledger"]
+
+    def send(self, txn: Txn | None) -> bool:
+        if txn is None:
+            return False
+        status, body = self.state.handle(0, "POST", "/txn", decoded(txn))
+        if status == 200:
+            for key, value in txn.puts.items():
+                self.picture.put(key, value, body["ledger"])
+        return status == 200
+
+    def fence(self) -> None:
+        if self.send(self.grants.fence("crew")):
+            self.sync()
+            self.grants.fenced("crew")
+
+    def placement(self, slot: int, count: int) -> Txn | None:
+        count = min(count, self.grants.allowed("crew", SPEC))
+        if count <= 0:
+            return None
+        key = f"{GROUP}{self.name}.{slot}"
+        group = self.picture.groups.get(key)
+        holds = [] if group is None else group.machines["m"].record.holds
+        hold = HoldRecord("job-1", 1, f"0-{count - 1}", "crew", 2.0, 0.0, 1.0, 0, by=self.name)
+        record = MachineRecord("m:1", holds=[*holds, hold])
+        value = {"type": "t", "zone": "a", "machines": {"m": msgspec.to_builtins(record)}}
+        txn = Txn().guard(TEAM + "crew", self.picture.version(TEAM + "crew"))
+        return txn.guard(key, self.picture.version(key)).put(key, value)
+
+    def free(self, slot: int) -> None:
+        key = f"{GROUP}{self.name}.{slot}"
+        value = {"type": "t", "zone": "a", "machines": {"m": {"address": "m:1"}}}
+        if key in self.picture.groups:
+            self.send(Txn().guard(key, self.picture.version(key)).put(key, value))
+
+
+def decoded(txn: Txn) -> Any:
+    return msgspec.msgpack.decode(msgspec.msgpack.encode(txn.body()))
+
+
+def used(state: State) -> float:
+    picture = Picture()
+    for key, (value, revision, _) in state.keys.items():
+        picture.put(key, value, revision)
+    return picture.team_usage("crew")[0]
+
+
+OP = st.one_of(
+    st.tuples(st.just("place"), st.integers(0, 2), st.integers(0, 2), st.integers(1, 12)),
+    st.tuples(st.just("place"), st.integers(0, 2), st.integers(0, 2), st.integers(1, 12)),
+    st.tuples(st.just("lost"), st.integers(0, 2), st.integers(0, 2), st.integers(1, 12)),
+    st.tuples(st.just("arrive"), st.integers(0, 5), st.just(0), st.just(0)),
+    st.tuples(st.just("sync"), st.integers(0, 2), st.just(0), st.just(0)),
+    st.tuples(st.just("fence"), st.integers(0, 2), st.just(0), st.just(0)),
+    st.tuples(st.just("share"), st.integers(0, 2), st.just(0), st.integers(1, 12)),
+    st.tuples(st.just("share"), st.integers(0, 2), st.just(0), st.integers(1, 12)),
+    st.tuples(st.just("free"), st.integers(0, 2), st.integers(0, 2), st.just(0)),
+    st.tuples(st.just("restart"), st.integers(0, 2), st.just(0), st.just(0)),
+)
+
+
+@settings(max_examples=300)
+@given(st.lists(OP, min_size=5, max_size=60))
+def test_controllers_together_stay_within_a_teams_limit(ops: list[tuple[str, int, int, int]]) -> None:
+    state = State()
+    hosts = [Host(name, state) for name in HOSTS]
+    for host in hosts:
+        host.sync()
+        host.fence()
+    on_their_way: list[Any] = []
+    for op, n, slot, count in ops:
+        if op == "arrive":
+            # A transaction that got no answer is applied after all, as late as it likes.
+            if on_their_way:
+                state.handle(0, "POST", "/txn", on_their_way.pop(n % len(on_their_way)))
+        else:
+            host = hosts[n]
+            if op == "place":
+                host.send(host.placement(slot, count))
+            elif op == "lost":
+                txn = host.placement(slot, count)
+                if txn is not None:
+                    on_their_way.append(decoded(txn))
+                    host.grants.doubt(["crew"])
+            elif op == "sync":
+                host.sync()
+            elif op == "fence":
+                host.fence()
+            elif op == "share":
+                host.send(host.grants.reshare("crew", SPEC, count, HOSTS))
+            elif op == "free":
+                host.free(slot)
+            elif op == "restart":
+                hosts[n] = Host(host.name, state)
+                hosts[n].sync()
+        assert used(state) <= LIMIT + 1e-6
+
+
+def test_one_controller_gets_the_whole_limit_when_nobody_else_uses_it() -> None:
+    state = State()
+    hosts = [Host(name, state) for name in HOSTS]
+    for host in hosts:
+        host.sync()
+        host.fence()
+    for _ in range(8):
+        hosts[0].sync()
+        if hosts[0].grants.allowed("crew", GANG) >= GANG.tasks:
+            break
+        hosts[0].send(hosts[0].grants.reshare("crew", GANG, GANG.tasks, HOSTS))
+    assert hosts[0].grants.allowed("crew", GANG) == GANG.tasks
+
+
+def test_nothing_is_placed_before_the_fence_nor_after_a_doubt() -> None:
+    state = State()
+    host = Host("h0", state)
+    host.sync()
+    assert host.grants.allowed("crew", SPEC) == 0
+    host.fence()
+    assert host.grants.allowed("crew", SPEC) == 4
+    host.grants.doubt(["crew"])
+    assert host.grants.allowed("crew", SPEC) == 0
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -6,6 +6,7 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
+from ashtray.config.operators import Knobs
 from tests.model import Model, submission
 
 SECOND = 1_000_000
@@ -130,8 +131,8 @@
         model._submit(f"job-{rest[0]}")
 
 
-def play(seed: int, jobs: list[dict], faults: list[tuple]) -> Model:
-    model = Model(seed)
+def play(seed: int, jobs: list[dict], faults: list[tuple], hosts: int = 3, group_size: int | None = None) -> Model:
+    model = Model(seed, hosts, Knobs(group_size=group_size))
     model.checks()
     model.ask_unknown()
     spread = random.Random(seed)
@@ -146,9 +147,12 @@
 
 # Without shrinking, a failure is shown as it was drawn; with it, one takes minutes.
 @settings(max_examples=RUNS, phases=[Phase.explicit, Phase.generate], suppress_health_check=list(HealthCheck))
-@given(st.integers(0, 10**6), st.lists(JOB, min_size=3, max_size=10), FAULTS)
-def test_no_rule_breaks_and_all_jobs_end_when_the_faults_do(seed, jobs, faults):
-    model = play(seed, jobs, faults)
+@given(
+    st.integers(0, 10**6), st.lists(JOB, min_size=3, max_size=10), FAULTS, st.sampled_from([3, 3, 5]),
+    st.sampled_from([None, 1, 2]),
+)
+def test_no_rule_breaks_and_all_jobs_end_when_the_faults_do(seed, jobs, faults, hosts, group_size):
+    model = play(seed, jobs, faults, hosts, group_size)
     assert model.starts > 0 or not any(j.accepted_us for j in model.jobs.values())
     for job_id, job in model.jobs.items():
         if job.spec["shape"] == "service" and job.accepted_us is not None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,8 +1,19 @@
 """The picture, the plan and preemption."""
 
+import random
+
 import msgspec
+import pytest
 
-from ashtray.placement.picture import GROUP, GroupRecord, HoldRecord, MachineRecord, Picture
+from ashtray.config.operators import Knobs
+from ashtray.jobs.model import LIVE, JobRecord, JobSpec
+from ashtray.kernel import Kernel
+from ashtray.placement import picture as picture_module
+from ashtray.placement.picture import GROUP, GroupRecord, HoldRecord, MachineRecord, MachineType, Picture
+from ashtray.placement.plan import Plan, queue
+from ashtray.store.client import Limits
+from ashtray.workers.folding import Evidence, Fold
+from ashtray.workers.messages import Report, TaskState
 from tests.model import Model, submission
 
 
@@ -44,3 +55,112 @@
     # The worst that can be finished by then: every other task up to the highest placed.
     worst = job.value(finished=set(range(0, max(placed) + 1, 2)))
     assert len(msgspec.json.encode(worst)) < 32 * 1024
+
+
+def array(tasks: int, **over) -> dict:
+    spec = JobSpec("any", "crew", "array", 2, tasks, 1.0, 0.0, 1.0, "img", 1.0, **over)
+    return msgspec.to_builtins(JobRecord(spec, "berth-0", 1))
+
+
+def ended(machine: str, tasks: dict[int, str]) -> Evidence:
+    seen = {("job-1", 1, n): TaskState("ended", cause) for n, cause in tasks.items()}
+    return Evidence(Report(machine, f"{machine}:1", "small", "a", False, 1, 9, 7, None, seen), 7, True)
+
+
+def folded(picture: Picture, evidence: dict[str, Evidence], limits: Limits):
+    fold = Fold(Kernel(None), picture, limits)
+    for group in picture.groups.values():
+        fold.add(group, evidence, evidence)
+    return fold.transaction()
+
+
+def two_groups(tasks: int) -> Picture:
+    picture = Picture()
+    picture.put(LIVE + "job-1", array(tasks), 3)
+    for n, runs in enumerate(("0-1", "2-3")):
+        record = GroupRecord("small", "a", {f"vm-{n}": MachineRecord(f"vm-{n}:1", token=7, holds=[hold(runs)])})
+        picture.put(f"{GROUP}{n}", msgspec.to_builtins(record), 5 + n)
+    return picture
+
+
+def test_completed_tasks_of_an_array_cost_its_group_only_and_are_not_placed_again():
+    picture = two_groups(5)
+    txn = folded(picture, {"vm-0": ended("vm-0", {0: "done", 1: "done"})}, Limits(16, 60_000, 32_768))
+    assert set(txn.puts) == {GROUP + "0"}
+    picture.put(GROUP + "0", txn.puts[GROUP + "0"], 9)
+    assert picture.finished(picture.jobs["job-1"]) == {0, 1}
+    assert picture.waiting() == {"job-1": [4]}
+
+
+def test_a_job_ends_with_its_last_tasks_though_its_groups_are_folded_apart():
+    picture = two_groups(4)
+    limits = Limits(16, 60_000, 32_768)
+    first = folded(picture, {"vm-0": ended("vm-0", {0: "done", 1: "done"})}, limits)
+    second = folded(picture, {"vm-1": ended("vm-1", {2: "done", 3: "done"})}, limits)
+    # Neither has seen the other's fold, so neither ends the job: who next looks does.
+    picture.put(GROUP + "0", first.puts[GROUP + "0"], 9)
+    picture.put(GROUP + "1", second.puts[GROUP + "1"], 10)
+    assert picture.completed() == {"job-1"}
+    fold = Fold(Kernel(None), picture, limits)
+    fold.end(picture.jobs["job-1"])
+    txn = fold.transaction()
+    assert txn.removes == [LIVE + "job-1"]
+    assert txn.puts["over/job-1"] == {"status": "done", "done": 4}
+
+
+def test_completed_tasks_go_to_the_jobs_own_record_where_they_could_fill_a_groups():
+    picture = two_groups(5)
+    txn = folded(picture, {"vm-0": ended("vm-0", {0: "done"})}, Limits(16, 60_000, 32 * 4))
+    assert txn.puts[LIVE + "job-1"]["finished"] == "0"
+
+
+def test_a_machine_on_which_more_jobs_end_than_a_transaction_takes_is_folded_in_turns():
+    picture = Picture()
+    holds = [hold("0", job=f"job-{n}") for n in range(30)]
+    record = GroupRecord("small", "a", {"vm-0": MachineRecord("vm-0:1", token=7, holds=holds)})
+    for n in range(30):
+        picture.put(f"{LIVE}job-{n}", array(1), 3)
+    picture.put(GROUP + "0", msgspec.to_builtins(record), 5)
+    seen = {(f"job-{n}", 1, 0): TaskState("ended", "done") for n in range(30)}
+    report = Report("vm-0", "vm-0:1", "small", "a", False, 1, 9, 7, None, seen)
+    txn = folded(picture, {"vm-0": Evidence(report, 7, True)}, Limits(16, 60_000, 32_768))
+    assert 1 < txn.changes() <= 16
+
+
+def test_a_gang_that_needs_more_groups_than_a_transaction_may_change_runs():
+    model = Model(11, knobs=Knobs(group_size=1))
+    model.checks()
+    model.run(2)
+    model.submit(submission("job-0", shape="gang", pieces=12, cpus=3.0, crew="free", hulls=["small"], loaners=False))
+    model.run(90)
+    assert model.jobs["job-0"].told == "done"
+
+
+@pytest.mark.parametrize("size", [1, 10])
+def test_work_grows_with_the_changes_not_with_the_deployment(size: int, monkeypatch: pytest.MonkeyPatch):
+    """With ten times the machines, holds and jobs, one changed hold costs the same."""
+    picture = Picture()
+    picture.types = {"small": MachineType("small", 4.0, 0.0, 16.0, 20.0, 1.0, 1.0, 0.4, 5, ("a",))}
+    groups = {}
+    for n in range(4 * size):
+        taken = [hold("0-3", job=f"job-{n}")]
+        machines = {f"vm-{n}-{m}": MachineRecord("x:1", token=7, holds=taken) for m in range(8)}
+        groups[n] = msgspec.to_builtins(GroupRecord("small", "a", machines))
+        picture.put(f"{LIVE}job-{n}", array(40), 1)
+        picture.put(f"{GROUP}{n}", groups[n], 2)
+    picture.waiting()
+    picture.take_touched()
+    built, settled = [], []
+    machine, unplaced = picture_module.Machine, Picture._unplaced
+    monkeypatch.setattr(picture_module, "Machine", lambda *args: built.append(args) or machine(*args))
+    monkeypatch.setattr(Picture, "_unplaced", lambda self, job: settled.append(job) or unplaced(self, job))
+    changed = msgspec.convert(groups[0], GroupRecord)
+    changed.machines["vm-0-0"].holds = []
+    picture.put(f"{GROUP}0", msgspec.to_builtins(changed), 3)
+    picture.waiting()
+    assert (len(built), len(settled), picture.take_touched()) == (1, 1, {"vm-0-0"})
+    # Of all the machines a plan looks closely at those with room only, and not again once they are known to be full.
+    plan = Plan(picture, {}, Knobs(), random.Random(1), 30_000.0)
+    for job in queue(picture, {})[0]:
+        plan.place(job, len(plan.wanted(job, 10)), 0.0)
+    assert plan.visits <= 2
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -2,12 +2,13 @@
 
 import msgspec
 
-from ashtray.kernel import Kernel
+from ashtray.kernel import Call, Kernel, Reply
 from ashtray.placement.picture import GROUP, GroupRecord, HoldRecord, MachineRecord, Picture
 from ashtray.store.client import Limits
-from ashtray.workers.folding import Evidence, Fold
+from ashtray.workers.folding import Evidence, Fold, adoption
 from ashtray.workers.messages import Report
 from tests.model import CANCEL_S, LEASE_S, Model, submission
+from tests.standins.state import State
 
 
 def fold(record_token: int, own_token: int, exact: bool):
@@ -97,6 +98,9 @@
     model.submit(submission("job-0"))
     model.run(25)
     prefixes = ("now/job/", "now/group/", "now/team/")
+    placements = [b for b in seen if any("job-0" in str(c.get("value", {}).get("machines")) for c in b["apply"]
+                                         if str(c.get("put", "")).startswith("now/group/"))]  # fmt: skip
+    assert placements and "now/team/crew" in {g["k"] for g in placements[0]["guards"]}
     touched = [(key, body) for body in seen for c in body["apply"]
                if (key := c.get("put") or c["remove"]).startswith(prefixes)]  # fmt: skip
     assert {key[:8] for key, _ in touched} == {prefix[:8] for prefix in prefixes}
@@ -124,3 +128,72 @@
     assert desk.renewing()
     model.run(3)
     assert not desk.renewing()
+
+
+def test_a_machine_that_two_controllers_adopt_at_once_gets_into_one_group():
+    state = State()
+    reports = {"vm-1": Report("vm-1", "vm-1:1", "small", "a", False, 1, 1, 0, None, {})}
+    late, later = Picture(), Picture()
+    limits = Limits(16, 60_000, 32_768)
+    # The second one knows a group that the first does not, so they would choose different ones.
+    other = msgspec.to_builtins(GroupRecord("small", "a", {"vm-0": MachineRecord("vm-0:1")}))
+    later.put(GROUP + "other", other, 1)
+    state.keys[GROUP + "other"] = (other, 1, None)
+    answers = []
+    for picture in (late, later):
+        txn, taken = adoption(picture, reports, None, limits)
+        assert taken == ["vm-1"]
+        answers.append(state.handle(0, "POST", "/txn", txn.body())[0])
+    assert answers == [200, 409]
+
+
+def test_nothing_is_placed_on_pages_of_different_moments():
+    # A job read later than the groups that hold its tasks would seem to have none placed.
+    model = settled()
+    follower = model.hosts[0].core.follower
+    follower.loaded = follower._paged = False
+    load = follower._load()
+    reply = None
+    while True:
+        try:
+            wish = load.send(reply)
+        except StopIteration as stop:
+            assert stop.value is True
+            break
+        if isinstance(wish, Call):
+            reply = Reply(*model.state.handle(model.now, wish.method, wish.path, wish.body))
+        else:
+            reply = True
+    assert not follower.loaded
+
+
+def told_to_save(kind: str, spot_notice_s: float = 9.0) -> tuple[Model, set[int]]:
+    """Run a job of three tasks, one to a machine, give one of its machines notice, and see which tasks save."""
+    model = Model(21)
+    model.checks()
+    model.run(3)
+    model.submit(submission("job-0", shape=kind, pieces=3, cpus=3.0, crew="free", hulls=["small"], yard="a",
+                            snapshot_every_s=2.0, snapshot_cost_s=1.0, expect_s=40.0))  # fmt: skip
+    model._run_us = lambda key: 40 * 10**6
+    model.run(20)
+    on = {n: next(iter(machines)) for (_, n), machines in model.on.items()}
+    assert len(on) == 3
+    for worker in model.workers.values():
+        worker.world.run_us = model._run_us
+    model.workers[on[0]].notice_us = int(spot_notice_s * 10**6)
+    saving: set[int] = set()
+    for _ in range(60):
+        model.run(0.2)
+        for worker in model.workers.values():
+            if worker.notice_us is not None:
+                worker.notice_us = max(worker.notice_us - 200_000, 0)
+            saving |= {key[2] for key, task in worker.tasks.items() if task.state == "saving"}
+    return model, saving
+
+
+def test_a_task_saves_before_its_machine_goes():
+    assert told_to_save("batch")[1] == {0}
+
+
+def test_a_gang_is_stopped_as_a_whole_before_it_loses_a_machine():
+    assert told_to_save("gang")[1] == {0, 1, 2}
--- a/tools/bounds.py
+++ b/tools/bounds.py
@@ -3,6 +3,7 @@
     python tools/bounds.py finished --median 100 --p95 200 --within 180 --overhead 1 [--tasks N]
     python tools/bounds.py price --demand 35 --cheap-units 20 --cheap 0.83 --dear 2.46
     python tools/bounds.py useful --boot 50 --fetch 17 --busy 300
+    python tools/bounds.py changes --rate 25 --jobs 1.93 --groups 20 --run 50
     python tools/bounds.py wait --images 4 --machines 11 --jobs 99 --fetch 12.5 --within 8
 """
 
@@ -12,6 +13,7 @@
 import math
 from statistics import NormalDist
 
+JOB_CHANGES = 4
 Z95 = NormalDist().inv_cdf(0.95)
 
 
@@ -39,6 +41,20 @@
     return busy / (boot + fetch + busy)
 
 
+def changes(rate: float, jobs: float, groups: int, run: float) -> float:
+    """The greatest share of the time that room is in use when so many changes a second may be written.
+
+    A job costs four changes whatever else is done: it is accepted, placed, ended (its short record written and the
+    long one removed).  What is left is for the groups' records.  If each write frees and fills a group at once, room
+    that a task leaves waits half a turn of all groups on average until the next one gets it.
+    """
+    left = rate - JOB_CHANGES * jobs
+    if left <= 0:
+        return 0.0
+    empty = groups / left / 2
+    return run / (run + empty)
+
+
 def wait(images: int, machines: int, jobs: int, fetch: float, within: float) -> float:
     """The greatest share of starts in time when the first use of each image somewhere must fetch it.
 
@@ -55,6 +71,7 @@
         ("finished", finished, {"median": float, "p95": float, "within": float, "overhead": float, "tasks": int}),
         ("price", price, {"demand": float, "cheap_units": float, "cheap": float, "dear": float}),
         ("useful", useful, {"boot": float, "fetch": float, "busy": float}),
+        ("changes", changes, {"rate": float, "jobs": float, "groups": int, "run": float}),
         ("wait", wait, {"images": int, "machines": int, "jobs": int, "fetch": float, "within": float}),
     ):
         sub = bounds.add_parser(name, description=call.__doc__)
