Spend less processor time: fewer rounds, looks and forecasts

- A demand that found no room rules out all that are larger for that plan.
- A round pauses for the jobs it looked at as well, and twice as long.
- Following takes 0.3 of the requests instead of 0.4.
- The fleet's forecast runs every 1.2 s instead of every round.

--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -27,6 +27,7 @@
 CLOUD_US = 5 * SECOND_US
 LIST_US = 2 * SECOND_US
 ROUND_US = SECOND_US // 2
+RENT_US = 1_200_000
 TYPES_US = 60 * SECOND_US
 DEARER = 0.2
 """A kind of machine that costs so much more than the cheapest is taken only when time runs out."""
@@ -76,6 +77,7 @@
         self.bucket = Bucket(ctl.settings.cluster.cloud.rps * 0.8, 1.0, self.kernel.now_us)
         self.pause_until_us = 0
         self._seq = 0
+        self._rented_us = -RENT_US
         self._types_us = -TYPES_US
         self._ending: set[str] = set()
 
@@ -534,6 +536,10 @@
         # Until the list has caught up with a former runner's rentals, the same need would be met twice.
         if self.kernel.now_us - self.started_us < self._settle_us():
             return
+        # A forecast goes through the whole fleet and queue: not at each round.
+        if self.kernel.now_us - self._rented_us < RENT_US:
+            return
+        self._rented_us = self.kernel.now_us
         for kind, number in self.wishes().items():
             self._seq += 1
             request = f"{self.ctl.settings.host_name}-{self.ctl.presence.incarnation}-{self._seq}"
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -30,12 +30,13 @@
 HOLD_BYTES = 160
 JOB_BYTES = 600
 """About what a hold, and a job's record, take of a transaction."""
-PAUSE_US = 100_000
+PAUSE_US = 200_000
 PARTIAL_US = 800_000
 SCARCE_PARTIAL_US = 3 * SECOND_US
 STALE_US = SECOND_US
 """A plan is followed no longer: jobs that came in meanwhile may go first."""
-VISIT_US = 10
+JOB_VISITS = 30
+VISIT_US = 20
 """For each room looked at a round pauses as long again, so that a long queue leaves time for the rest."""
 
 
@@ -74,9 +75,7 @@
             self._hurry = False
             if self.ctl.follower.loaded and self.ctl.presence.incarnation:
                 self._seen = self.ctl.picture.changes
-                visits = self.counts["rooms looked at"]
-                yield from self._round()
-                yield Sleep(PAUSE_US + VISIT_US * max(self.counts["rooms looked at"] - visits, 0))
+                yield Sleep(PAUSE_US + VISIT_US * (yield from self._round()))
 
     def changed(self) -> None:
         if self.ctl.picture.changes != self._seen:
@@ -85,11 +84,12 @@
     def mine(self, job: Job) -> bool:
         return self.ctl.presence.owner_of(job.id, job.record.owner) == self.ctl.settings.host_name
 
-    def _round(self) -> Fiber[None]:
+    def _round(self) -> Fiber[int]:
+        """Serve the queue once; returns how many jobs and rooms were looked at."""
         ctl = self.ctl
         picture = ctl.picture
         if not any(self.mine(picture.jobs[job_id]) for job_id in picture.waiting()):
-            return
+            return 0
         self.counts["rounds"] += 1
         plan = ctl.plan()
         plan.add_freed(ctl.desk.light().freed)
@@ -102,6 +102,7 @@
         finally:
             self.counts["jobs looked at"] += len(jobs)
             self.counts["rooms looked at"] += plan.visits
+        return plan.visits + JOB_VISITS * len(jobs)
 
     def _serve(self, plan: Plan, jobs: list[Job], inside: set[str]) -> Fiber[None]:
         ctl = self.ctl
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -85,6 +85,7 @@
         """The most urgent priority of which tasks wait for GPUs."""
         self._most: dict[Demand, int] = {}
         """For demands that could not be met in full: how much room there was at most.  It only shrinks."""
+        self._none: dict[Demand, list[tuple[float, float, float]]] = {}
         self._soon: dict[str, tuple[float, float, float]] | None = None
         self.visits = 0
         """Rooms looked at closely: what the work of a plan grows with."""
@@ -158,12 +159,18 @@
         most = self._most.get(demand, count)
         if most < (count if gang else 1):
             return []
+        # What found no room at all leaves none for anything larger that may use the same machines.
+        sizes = self._none.setdefault(demand[3:], [])
+        if any(c <= spec.cpus and g <= spec.gpus and m <= spec.memory_gb for c, g, m in sizes):
+            return []
         ask = self.ask(job)
         ask.image_within_s = image_within_s
         choices = self._in_a_zone(ask, count, widen, self.freed if freed else [])
         total = sum(n for _, n in choices)
         if total < count and not spec.spread:
             self._most[demand] = total if gang else 0
+            if not gang or not total:
+                sizes.append((spec.cpus, spec.gpus, spec.memory_gb))
         if gang and total < count:
             return []
         self.take(job, choices)
--- a/ashtray/store/follower.py
+++ b/ashtray/store/follower.py
@@ -8,7 +8,7 @@
 from ashtray.kernel import SECOND_US, Fiber, Kernel, Reply, Signal, Sleep, Wait
 from ashtray.store.client import StoreClient, Txn, Urgency
 
-SHARE = 0.4
+SHARE = 0.3
 """Of the requests that the state service takes, the part that all controllers together spend on following."""
 LEAST_US = 75_000
 
