--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -27,7 +27,8 @@
 CLOUD_US = 5 * SECOND_US
 LIST_US = 2 * SECOND_US
 ROUND_US = SECOND_US // 2
-RENT_US = 1_200_000
+RENT_US = 2_500
+"""The pause between two forecasts, for each machine that they go through."""
 TYPES_US = 60 * SECOND_US
 DEARER = 0.2
 """A kind of machine that costs so much more than the cheapest is taken only when time runs out."""
@@ -77,7 +78,7 @@
         self.bucket = Bucket(ctl.settings.cluster.cloud.rps * 0.8, 1.0, self.kernel.now_us)
         self.pause_until_us = 0
         self._seq = 0
-        self._rented_us = -RENT_US
+        self._rented_us = 0
         self._types_us = -TYPES_US
         self._ending: set[str] = set()
 
@@ -537,7 +538,7 @@
         if self.kernel.now_us - self.started_us < self._settle_us():
             return
         # A forecast goes through the whole fleet and queue: not at each round.
-        if self.kernel.now_us - self._rented_us < RENT_US:
+        if self.kernel.now_us - self._rented_us < RENT_US * len(self.ctl.picture.machines):
             return
         self._rented_us = self.kernel.now_us
         for kind, number in self.wishes().items():
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -30,7 +30,7 @@
 HOLD_BYTES = 160
 JOB_BYTES = 600
 """About what a hold, and a job's record, take of a transaction."""
-PAUSE_US = 200_000
+PAUSE_US = 100_000
 PARTIAL_US = 800_000
 SCARCE_PARTIAL_US = 3 * SECOND_US
 STALE_US = SECOND_US
