Halts and mute peers condemn no machine; boot times are learnt; the fleet's term ends with its lease

Ruled out: worker leases, the rule for a fleet most of which is silent. Also: machines that are late together are waited for rather than rented anew, overdue ones are replaced up to a third, a late list condemns nothing newer than what it shows, and a malformed or absurd word from a peer gets 400.

--- a/ashtray/daemon/server.py
+++ b/ashtray/daemon/server.py
@@ -44,7 +44,9 @@
         )  # fmt: skip
 
     def now(self) -> tuple[int, int]:
-        return int(self.loop.time() * 1_000_000), time.time_ns() // 1000
+        # Not the loop's time, which is taken once a turn: after a halt in the middle of one, inputs would carry a
+        # time from before it, and what was read long ago would count as read lately.
+        return time.monotonic_ns() // 1000, time.time_ns() // 1000
 
     def carry_out(self, outputs: list[Output]) -> None:
         for output in outputs:
@@ -64,7 +66,8 @@
                 self._wake.cancel()
             self._wake_us = wake_us
             if wake_us is not None:
-                self._wake = self.loop.call_at(wake_us / 1_000_000 + 0.0005, self._on_wake)
+                delay_s = max(wake_us - self.now()[0], 0) / 1_000_000
+                self._wake = self.loop.call_later(delay_s + 0.0005, self._on_wake)
 
     def _on_wake(self) -> None:
         self._wake = self._wake_us = None
--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -11,11 +11,12 @@
 
 import msgspec
 
+from ashtray.fleet.boots import Boots, Kind
 from ashtray.fleet.forecast import NEVER_US, Forecast, Future, futures
 from ashtray.fleet.messages import BerthList, deletion, parse_types, rental
 from ashtray.jobs.model import LIVE, Job
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Sleep
-from ashtray.placement.picture import FLEET, TYPES, Edit, Machine, MachineType
+from ashtray.placement.picture import FLEET, SICK, TYPES, Edit, Machine, MachineType
 from ashtray.placement.plan import queue
 from ashtray.placement.preemption import Victims, orderly, stop_victims
 from ashtray.placement.rules import Ask, Room
@@ -35,11 +36,6 @@
 MAX_WISHES = 300
 MAX_COMMITS = 12
 """Commits in a row for one step: what is left then waits for the next round."""
-SICK_ERRORS = 4
-"""Failures in a row on one machine, with none in between that completed, after which it is returned."""
-
-Kind = tuple[str, str, bool]
-"""Type, zone and whether spot."""
 
 
 @dataclass
@@ -77,7 +73,12 @@
         self.started_us = 0
         self.bucket = Bucket(ctl.settings.cluster.cloud.rps * 0.8, 1.0, self.kernel.now_us)
         self.pause_until_us = 0
+        self.boots = Boots(ctl.picture, ctl.knobs.boot_patience)
+        self._newest = ""
+        """The last name that was ever listed."""
         self._seq = 0
+        self._term = 0
+        """The revision of the fleet's key under which this controller runs it, or last did."""
         self._rented_us = 0
         self._types_us = -TYPES_US
         self._ending: set[str] = set()
@@ -127,9 +128,11 @@
         now = self.kernel.now_us
         fresh = now - self.ctl.follower.read_us < 3 * SECOND_US
         mine = picture.fleet is not None and picture.fleet[0].get("incarnation") == presence.incarnation
+        if self.running and not (mine and presence.signed_in()):
+            # Running the fleet ends with the lease, known or not: after a halt or a cut another one may run it.
+            self.running = False
+            self.kernel.log("info", "no longer runs the fleet")
         if not fresh or lease is None or (picture.fleet is not None and not mine):
-            if self.running and fresh:
-                self.running = False
             return
         if not mine:
             txn = Txn().guard(FLEET, 0)
@@ -137,6 +140,11 @@
             mine = bool((yield from self.ctl.follower.commit(lambda: txn, 1, Urgency.BOOKKEEPING, "fleet")))
         if mine and not self.running:
             self.running = True
+            term = picture.fleet[1] if picture.fleet is not None else 0
+            if term and term == self._term:
+                # Nobody else ran it meanwhile: what was known still holds.
+                return
+            self._term = term
             self.started_us = self.kernel.now_us
             self.coming.clear()
             self.listed_us = 0
@@ -189,6 +197,7 @@
                 break
         self.listed = seen
         self.listed_us = began_us
+        self._newest = max(self._newest, max(seen, default=""))
 
     # Giving up and returning
 
@@ -200,13 +209,12 @@
         lost: list[str] = []
         for name, coming in list(self.coming.items()):
             if name in picture.machines:
+                self.boots.came(coming.kind, coming.since_us, now)
                 del self.coming[name]
                 continue
-            kind = picture.types.get(coming.kind[0])
-            boot_us = kind.boot_us if kind is not None else 60 * SECOND_US
-            late = now - coming.since_us > boot_us * self.ctl.knobs.boot_patience + 5 * SECOND_US
+            late = self.boots.hopeless(coming.kind, coming.since_us, now)
             mute = coming.up and now - coming.up_us > int(times.lease_s * SECOND_US)
-            vanished = name not in self.listed and now - coming.since_us > self._lag_us()
+            vanished = self._unlisted(name) and now - coming.since_us > self._lag_us()
             if (late and not coming.up) or mute or vanished or self.listed.get(name) == "failed":
                 self.kernel.log("info", f"{name} never reported: given up")
                 lost.append(name)
@@ -216,10 +224,7 @@
         # When most of the fleet falls silent at once, the fault is likelier on this side.
         if len(silent) > max(2, len(picture.machines) // 2):
             silent = {name for name in silent if silence[name] > 3 * lease_us}
-        sick = {n for n, m in picture.machines.items() if m.record.errors >= SICK_ERRORS}
-        # A job with a mistake in it fails everywhere, and condemns no machine.
-        if len(sick) > max(1, len(picture.machines) // 5):
-            sick = set()
+        sick = {n for n, m in picture.machines.items() if m.record.failed and picture.blame(m) >= SICK}
         lag_us = self._lag_us()
         for name, machine in picture.machines.items():
             if name in sick and not machine.record.retiring:
@@ -227,7 +232,7 @@
                 lost.append(name)
                 continue
             failed = self.listed.get(name) == "failed"
-            missing = name not in self.listed and now - self.known_since[name] > lag_us
+            missing = self._unlisted(name) and now - self.known_since[name] > lag_us
             missing = missing and silence[name] > 6 * SECOND_US
             if failed or missing or name in silent:
                 if name not in self._ending:
@@ -267,14 +272,21 @@
                     self.kernel.log("info", f"{job.id} saves: {machine.name} goes")
 
     def _silences(self) -> dict[str, int]:
-        """For how long nobody has heard each worker, as far as this controller can tell."""
+        """For how long nobody has heard each worker, as far as this controller can tell.
+
+        Silence counts only over time in which this process ran itself and had word of its peers.  Workers that
+        report to a live one that gives no word are not silent: it cannot say that it hears them.
+        """
         now = self.kernel.now_us
-        until = min(now, max(self.ctl.peers.all_word_us(), now - 30 * SECOND_US))
-        heard = self.ctl.peers.last_heard()
+        peers, presence = self.ctl.peers, self.ctl.presence
+        mute = peers.mute()
+        until = min(now, peers.all_word_us())
+        heard = peers.last_heard()
+        awake_us = self.kernel.awake_us
         found = {}
-        for name in self.ctl.picture.machines:
-            last = max(heard.get(name, 0), self.known_since.setdefault(name, now))
-            found[name] = max(until - last, 0)
+        for name, machine in self.ctl.picture.machines.items():
+            last = max(heard.get(name, 0), self.known_since.setdefault(name, now), awake_us)
+            found[name] = 0 if mute and presence.foreman(machine.group) in mute else max(until - last, 0)
         return found
 
     def _idle_limit_us(self, machine: Machine) -> int:
@@ -290,6 +302,13 @@
             times *= 6
         return int(boot_us * times)
 
+    def _unlisted(self, name: str) -> bool:
+        """Whether the list should show a machine and does not: names are in the order of creation.
+
+        Late lists may lack all the newest machines, for longer than the settings say.
+        """
+        return name not in self.listed and name < self._newest
+
     def _lag_us(self) -> int:
         return int((2 * self.ctl.settings.cluster.cloud.list_lag_s + 5) * SECOND_US)
 
@@ -464,12 +483,17 @@
         plan = ctl.plan()
         jobs, _ = queue(ctl.picture, ctl.teams)
         ready_us: dict[str, int] = {}
+        hedges: dict[Kind, int] = {}
         for name, coming in self.coming.items():
             kind: MachineType | None = ctl.picture.types.get(coming.kind[0])
             if kind is not None and name not in self._ending and name not in ctl.picture.machines:
+                left_us = self.boots.left_us(coming.kind, coming.since_us, self.kernel.now_us)
+                if left_us is None and hedges.get(coming.kind, 0) < self._hedge(coming.kind):
+                    # Overdue: another one is wished for, and this one is used all the same should it come.
+                    hedges[coming.kind] = hedges.get(coming.kind, 0) + 1
+                    continue
                 plan.rooms.append(self._room(name, coming.kind))
-                left_us = coming.since_us + kind.boot_us - self.kernel.now_us
-                ready_us[name] = wall_us + max(left_us, kind.boot_us // 4)
+                ready_us[name] = wall_us + (kind.boot_us if left_us is None else left_us)
         if not jobs:
             self.needed = set()
             return {}
@@ -484,6 +508,10 @@
         self.needed = {future.room.machine.name for future in forecast.fleet if future.used}
         return wishes
 
+    def _hedge(self, kind: Kind) -> int:
+        """How many overdue machines of a kind may be replaced: at the worst half as many again are paid for."""
+        return max(sum(coming.kind == kind for coming in self.coming.values()) // 3, 2)
+
     def _parts(self, ask: Ask, left: int) -> list[tuple[Ask, int]]:
         """A job that must be spread is served zone by zone; the tasks of the others are one part."""
         zones = [z for z in self.ctl.settings.cluster.zones if ask.spec.zone in (None, z) and ask.zone in (None, z)]
@@ -513,7 +541,7 @@
                 continue
             dearer = max(price / cheapest - 1.0, 0.0) if cheapest else 0.0
             worth_us = int(ctl.pace.patience_s(job) * SECOND_US * dearer)
-            ready_us = wall_us + ctl.picture.types[kind[0]].boot_us
+            ready_us = wall_us + self.boots.expected_us(kind)
             bar_us = ready_us + worth_us + SECOND_US
             if latest_us is not None:
                 # What is there will do while the job can still be done in time: a machine that boots for one short
@@ -526,7 +554,7 @@
             if best is not None and sum(wishes.values()) < MAX_WISHES:
                 wishes[best] = wishes.get(best, 0) + 1
                 room = self._room(f"wish-{len(forecast.fleet)}", best)
-                forecast.add(Future(room, wall_us + room.type.boot_us, []), ask)
+                forecast.add(Future(room, wall_us + self.boots.expected_us(best), []), ask)
                 at_us = forecast.earliest(ask)
             if at_us >= NEVER_US:
                 break
--- a/ashtray/kernel.py
+++ b/ashtray/kernel.py
@@ -20,6 +20,8 @@
 """A fiber that ends with a value of type T."""
 
 SECOND_US = 1_000_000
+HALT_US = 2 * SECOND_US
+"""A timer that fires so much later than it was asked for shows that the process stood still."""
 
 
 @dataclass(slots=True)
@@ -106,6 +108,8 @@
     """Let faults of this program end it, as tests want."""
     now_us: int = 0
     wall_us: int = 0
+    awake_us: int = 0
+    """Since when this process has run without standing still: what it did not hear before proves nothing."""
     out: list[Output] = field(default_factory=list)
     _ids: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
     _fibers: dict[int, Fiber[Any]] = field(default_factory=dict)
@@ -162,7 +166,12 @@
 
     def advance(self, now_us: int, wall_us: int) -> None:
         """Move time on, and make ready what was waiting for it."""
+        due_us = self.next_wake_us()
         self.now_us = max(self.now_us, now_us)
+        if due_us is None or self.now_us - due_us > HALT_US:
+            if due_us is not None:
+                self.log("info", f"stood still for {(self.now_us - due_us) / SECOND_US:.1f} s")
+            self.awake_us = self.now_us
         self.wall_us = wall_us
         while self._timers and self._timers[0][0] <= self.now_us:
             _, tid, fid = heapq.heappop(self._timers)
--- a/ashtray/peers/presence.py
+++ b/ashtray/peers/presence.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from dataclasses import dataclass, field
 from functools import partial
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any
+
+import msgspec
 
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Sleep
 from ashtray.placement.picture import CONTROLLER
@@ -34,6 +37,8 @@
         self.incarnation = 0
         """The state service's revision at which this process signed in: no other process has the same."""
         self.lease: int | None = None
+        self.until_us = 0
+        """Up to when the lease is surely there."""
         self._live_of: dict[str, Any] | None = None
         self._live: list[str] = []
         self._foremen: dict[str, str] = {}
@@ -43,6 +48,7 @@
         key = CONTROLLER + ctl.settings.host_name
         while True:
             if self.lease is None:
+                asked_us = ctl.kernel.now_us
                 reply: Reply = yield from ctl.store.open_lease(LEASE_US)
                 if reply.status == 200:
                     lease = reply.body["permit"]
@@ -51,6 +57,7 @@
                     _, reply = yield from ctl.store.commit(sign_in, 1, Urgency.KEEP_ALIVE, "sign in")
                     if reply.status == 200:
                         self.lease = lease
+                        self.until_us = asked_us + LEASE_US
                         if not self.incarnation:
                             self.incarnation = reply.body["ledger"]
                             ctl.kernel.log("info", f"signed in as {ctl.settings.host_name}")
@@ -58,10 +65,17 @@
                     yield Sleep(SECOND_US // 2)
                     continue
             yield Sleep(RENEW_US)
+            asked_us = ctl.kernel.now_us
             reply = yield from ctl.store.renew_lease(self.lease)
-            if reply.status == 404:
+            if reply.status == 200:
+                self.until_us = asked_us + LEASE_US
+            elif reply.status == 404:
                 self.lease = None
 
+    def signed_in(self) -> bool:
+        """Whether the lease, with all that hangs on it, is surely there still."""
+        return self.lease is not None and self.ctl.kernel.now_us < self.until_us
+
     def live(self) -> list[str]:
         if self._live_of is not self.ctl.picture.controllers:
             self._live_of = self.ctl.picture.controllers
@@ -87,11 +101,29 @@
         """A peer that reads from the state service while this controller has not for that long."""
         if self.ctl.kernel.now_us - self.ctl.follower.read_us < after_us:
             return None
+        connected = self.connected()
+        return connected[0] if connected else None
+
+    def connected(self) -> list[str]:
+        """Peers that read from the state service, by their own word, the latest word first."""
         since_us = self.ctl.kernel.now_us - 3 * self.ctl.peers.word_us
-        for peer in self.ctl.peers.peers.values():
-            if peer.word_us > since_us and peer.state_age_us < 2 * SECOND_US:
-                return peer.host
-        return None
+        peers = [p for p in self.ctl.peers.peers.values() if p.word_us > since_us and p.state_age_us < 2 * SECOND_US]
+        return [peer.host for peer in sorted(peers, key=lambda peer: -peer.word_us)]
+
+
+MUTE_WORDS = 4
+"""A live peer that has missed so many words gives none: nobody knows which workers it hears."""
+MOST_US = 10**15
+
+
+class Word(msgspec.Struct):
+    """What controllers tell one another."""
+
+    host: str
+    state_age_us: Annotated[int, msgspec.Meta(ge=0, le=MOST_US)] = MOST_US
+    need: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 0.0
+    heard: dict[str, Annotated[int, msgspec.Meta(ge=0, le=MOST_US)]] = {}
+    """The age of the last report of each worker that it hears."""
 
 
 @dataclass
@@ -129,7 +161,7 @@
         heard = ctl.desk.heard() if host == runner else {}
         return {
             "host": ctl.settings.host_name,
-            "state_age_us": min(ctl.kernel.now_us - ctl.follower.read_us, 10**15),
+            "state_age_us": min(ctl.kernel.now_us - ctl.follower.read_us, MOST_US),
             "need": self._need,
             "heard": heard,
         }
@@ -168,10 +200,18 @@
         if peer is None:
             kernel.answer(request_id, 400, {"error": "unknown peer"})
             return
+        try:
+            word = msgspec.convert(body, Word)
+        except msgspec.ValidationError as error:
+            kernel.answer(request_id, 400, {"error": str(error)[:200]})
+            return
+        if not math.isfinite(word.need):
+            kernel.answer(request_id, 400, {"error": "need is not a finite number"})
+            return
         peer.word_us = kernel.now_us
-        peer.state_age_us = int(body.get("state_age_us", 10**15))
-        peer.need = float(body.get("need", 0.0))
-        peer.heard = {str(name): kernel.now_us - int(age) for name, age in body.get("heard", {}).items()}
+        peer.state_age_us = word.state_age_us
+        peer.need = word.need
+        peer.heard = {name: kernel.now_us - age_us for name, age_us in word.heard.items()}
         kernel.answer(request_id, 200, {})
 
     def last_heard(self) -> dict[str, int]:
@@ -183,8 +223,14 @@
                     heard[name] = at_us
         return heard
 
+    def mute(self) -> set[str]:
+        """Live peers that give no word, though they may well hear workers."""
+        since_us = self.ctl.kernel.now_us - MUTE_WORDS * self.word_us
+        live = self.ctl.presence.live()
+        return {p.host for p in self.peers.values() if p.host in live and p.word_us < since_us}
+
     def all_word_us(self) -> int:
-        """Since when there has been no word from some live peer: news may be missing from then on."""
+        """Up to when there is word from all live peers, but for those that give none at all."""
         now = self.ctl.kernel.now_us
-        live = self.ctl.presence.live()
-        return min([p.word_us for p in self.peers.values() if p.host in live], default=now)
+        live, mute = self.ctl.presence.live(), self.mute()
+        return min([p.word_us for p in self.peers.values() if p.host in live and p.host not in mute], default=now)
