Questions cost no requests: final states are followed, unknown ids are read once

Cause: each poll for a job that ended elsewhere, or that nobody submitted, read its key; eight times the questions would take most of a shared hundred requests a second. Keys are under one prefix now: the follower loads what is live and sees final states as they are written. A poll that is handed on asks a second peer when the first is silent.

--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -9,7 +9,7 @@
 from ashtray.config.operators import Knobs
 from ashtray.config.settings import Settings
 from ashtray.fleet.runner import ROUND_US, Runner
-from ashtray.jobs.model import JOB_ID
+from ashtray.jobs.model import JOB_ID, NOW, ROOT
 from ashtray.jobs.pace import Pace
 from ashtray.jobs.service import JobDesk
 from ashtray.kernel import SECOND_US, Fiber, Kernel, Output, Reply
@@ -42,7 +42,7 @@
         self.grants = Grants(settings.host_name, hosts, settings.cluster.teams, self.picture)
         self._seen = -1
         self.store = StoreClient(self.kernel, settings.services.state, settings.cluster.state)
-        self.follower = Follower(self.kernel, self.store, "now/", self.picture, self._changed)
+        self.follower = Follower(self.kernel, self.store, ROOT, NOW, self.picture, self._changed)
         self.pace = Pace(settings.cluster.objectives, knobs.patience_s)
         self.presence = Presence(self)
         self.peers = Peers(self)
@@ -92,6 +92,7 @@
         kernel.forever(self.runner.round, ROUND_US)
         kernel.forever(self.desk.fold, 0)
         kernel.forever(self.desk.adopt, 0)
+        kernel.forever(self.desk.tidy, SECOND_US)
         kernel.forever(self._count, COUNT_US)
         kernel.forever(self.desk.sweep, 20 * SECOND_US)
         return kernel.run()
--- a/ashtray/jobs/model.py
+++ b/ashtray/jobs/model.py
@@ -9,8 +9,10 @@
 
 from ashtray.runs import decode_runs, encode_runs
 
-LIVE = "now/job/"
-OVER = "over/"
+ROOT = "ashtray/"
+NOW = "ashtray/now/"
+LIVE = "ashtray/now/job/"
+OVER = "ashtray/over/"
 MAX_TASKS = 100_000
 JOB_ID = re.compile(r"job-[0-9]{1,60}")
 PRIORITIES = ("production", "high", "normal", "low")
@@ -55,6 +57,8 @@
     errors: int = 0
     """Task failures since a task last completed."""
     error_us: int = 0
+    failed_on: list[str] = []
+    """Machines on which its tasks failed since one last completed, the latest last."""
     portion: int = 0
     """A gang that is placed in portions, all of one attempt: the tasks below this one have places."""
 
@@ -71,6 +75,11 @@
         self.version = version
         self.finished = decode_runs(self.record.finished)
 
+    @property
+    def suspect(self) -> bool:
+        """Whether it fails wherever it is tried: the fault is then likelier its own than the machines'."""
+        return len(self.record.failed_on) >= 2
+
     @property
     def portion(self) -> int:
         """How many tasks of a gang that is being placed in portions have places; 0 when none is under way."""
@@ -79,7 +88,8 @@
     def value(
         self, *, finished: set[int] | None = None, attempt: int | None = None, broken: int | None = None,
         errors: int | None = None, error_us: int | None = None, portion: int | None = None,
-    ) -> Any:
+        failed_on: list[str] | None = None,
+    ) -> Any:  # fmt: skip
         """The record with some fields replaced, ready to be written."""
         old = self.record
         record = JobRecord(
@@ -91,6 +101,7 @@
             old.broken if broken is None else broken,
             old.errors if errors is None else errors,
             old.error_us if error_us is None else error_us,
+            old.failed_on if failed_on is None else failed_on,
             old.portion if portion is None else portion,
         )
         return msgspec.to_builtins(record)
--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -9,24 +9,30 @@
 
 from ashtray.jobs.messages import Malformed, parse_submission, state_body
 from ashtray.jobs.model import LIVE, OVER, JobRecord, JobSpec
-from ashtray.kernel import SECOND_US, Call, Fiber, Reply
+from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Signal, Wait
 from ashtray.placement.explain import explain
 from ashtray.store.client import Txn, Urgency
 from ashtray.teams.limits import can_ever_run
+from ashtray.workers.folding import ends_later
 
 if TYPE_CHECKING:
     from ashtray.controller import Controller
 
-MAX_OVER = 20_000
 MAX_BACKLOG = 150
+MAX_LOOKING = 30
+"""Final states that are read for polls at one time: they may not take the requests that leases and commits need."""
+HAND_ON_US = 850_000
+MAX_HANDED_ON = 100
+"""Requests that are with a peer at one time: more are answered at once."""
 
 
 class JobDesk:
     def __init__(self, ctl: Controller) -> None:
         self.ctl = ctl
         self.kernel = ctl.kernel
-        self._over: dict[str, Any] = {}
-        """Final states read lately; they never change."""
+        self._looking: dict[str, Signal] = {}
+        """Final states that are being read for somebody: whoever else asks meanwhile waits for the same reading."""
+        self._handed_on = 0
 
     def _busy(self, request_id: int) -> bool:
         if self.ctl.store.backlog() < MAX_BACKLOG:
@@ -40,21 +46,27 @@
         if follower.loaded and follower.failed_since_us is None and self.ctl.presence.incarnation:
             return False
         # A request is handed on at the first failure: it costs little, unlike sending workers to and fro.
-        peer = None if handed else self.ctl.presence.better_connected(0)
-        if peer is None:
+        peers = [] if handed else self.ctl.presence.connected()
+        if not peers or self._handed_on >= MAX_HANDED_ON:
             self.kernel.answer(request_id, 503, {"error": "the state service does not answer"}, 1)
         else:
-            self.kernel.spawn(self._hand_on(request_id, peer, method, path, body))
+            self.kernel.spawn(self._hand_on(request_id, peers[:2], method, path, body))
         return True
 
-    def _hand_on(self, request_id: int, peer: str, method: str, path: str, body: Any) -> Fiber[None]:
-        address = self.ctl.peers.peers[peer].address
+    def _hand_on(self, request_id: int, peers: list[str], method: str, path: str, body: Any) -> Fiber[None]:
+        """Ask the peers heard of last, one after the other: one may have fallen silent since, and users wait 2 s."""
         request = {"method": method, "path": path, "body": body}
-        reply: Reply = yield Call(address, "POST", "/peer/request", request, 1_800_000)
-        if reply.status in (200, 201, 400, 404, 422):
-            self.kernel.answer(request_id, reply.status, reply.body)
+        self._handed_on += 1
+        for peer in peers:
+            reply: Reply = yield Call(
+                self.ctl.peers.peers[peer].address, "POST", "/peer/request", request, HAND_ON_US
+            )  # fmt: skip
+            if reply.status in (200, 201, 400, 404, 422):
+                self.kernel.answer(request_id, reply.status, reply.body)
+                break
         else:
             self.kernel.answer(request_id, 503, {"error": "the state service does not answer"}, 1)
+        self._handed_on -= 1
 
     def submit(self, request_id: int, body: Any, handed: bool = False) -> None:
         try:
@@ -117,38 +129,61 @@
     def _answer(self, request_id: int, status: int, body: Any) -> None:
         self.kernel.answer(request_id, status, body, 1 if status in (429, 503) else None)
 
-    def _look_up(self, job_id: str) -> Fiber[tuple[int, Any]]:
+    def _look_up(self, job_id: str, urgency: Urgency = Urgency.ACCEPT) -> Fiber[tuple[int, Any]]:
         """A job's state as of a moment after the question came."""
-        over = self._over.get(job_id)
-        if over is None:
+        picture = self.ctl.picture
+        while job_id not in picture.over:
             if not (yield from self.ctl.follower.barrier()):
                 return 503, {"error": "the state service does not answer"}
-            job = self.ctl.picture.jobs.get(job_id)
+            job = picture.jobs.get(job_id)
             if job is not None:
-                running = len(self.ctl.picture.placed(job_id))
+                if job_id in picture.completed() and ends_later(job, self.ctl.limits):
+                    return 200, state_body(job_id, "done", job.spec.tasks, 0)
+                running = len(picture.placed(job_id))
                 status = "running" if running else "pending"
-                done = len(self.ctl.picture.finished(job))
+                done = len(picture.finished(job))
                 return 200, state_body(job_id, status, done, running)
-            reply = yield from self.ctl.store.read(OVER + job_id)
-            if reply.status == 404:
+            if job_id in picture.over:
+                break
+            if job_id in picture.absent:
                 return 404, {"error": "no such job"}
-            if reply.status != 200:
+            # It ended before this picture was read, or there is no such job: read once, and known from then on.
+            looking = self._looking.get(job_id)
+            if looking is not None:
+                if (yield Wait(looking, 2 * SECOND_US)) is None:
+                    return 503, {"error": "the state service does not answer"}
+                continue
+            if len(self._looking) >= MAX_LOOKING and urgency > Urgency.ACCEPT:
+                return 503, {"error": "too many questions"}
+            if (yield from self._read_over(job_id, urgency)) not in (200, 404):
                 return 503, {"error": "the state service does not answer"}
-            over = reply.body["value"]
-            if len(self._over) >= MAX_OVER:
-                del self._over[next(iter(self._over))]
-            self._over[job_id] = over
+        over = picture.over[job_id]
         return 200, state_body(job_id, over["status"], over["done"], 0)
 
+    def _read_over(self, job_id: str, urgency: Urgency) -> Fiber[int]:
+        picture = self.ctl.picture
+        signal = self._looking[job_id] = Signal()
+        loads = picture.loads
+        try:
+            reply = yield from self.ctl.store.read(OVER + job_id, urgency)
+        finally:
+            del self._looking[job_id]
+        if reply.status == 200:
+            picture.note_over(job_id, reply.body["value"])
+        elif reply.status == 404 and picture.loads == loads:
+            picture.note_absent(job_id)
+        self.kernel.fire(signal)
+        return reply.status
+
     def poll(self, request_id: int, job_id: str, handed: bool = False) -> None:
-        if job_id in self._over:
-            over = self._over[job_id]
+        over = self.ctl.picture.over.get(job_id)
+        if over is not None:
             self.kernel.answer(request_id, 200, state_body(job_id, over["status"], over["done"], 0))
         elif not self._unready(request_id, handed, "GET", f"/submissions/{job_id}", None):
             self.kernel.spawn(self._poll(request_id, job_id))
 
     def _poll(self, request_id: int, job_id: str) -> Fiber[None]:
-        status, body = yield from self._look_up(job_id)
+        status, body = yield from self._look_up(job_id, Urgency.FREE)
         self._answer(request_id, status, body)
 
     def explain(self, request_id: int, job_id: str, handed: bool = False) -> None:
@@ -170,10 +205,18 @@
             self.kernel.spawn(self._abort(request_id, job_id))
 
     def _cancellation(self, job_id: str) -> Txn | None:
-        job = self.ctl.picture.jobs.get(job_id)
+        picture = self.ctl.picture
+        job = picture.jobs.get(job_id)
         if job is None:
             return None
         txn = Txn().guard(LIVE + job_id, job.version).remove(LIVE + job_id)
+        if ends_later(job, self.ctl.limits):
+            # It is done for its users once its groups say so: none of them may have come to that meanwhile.
+            if job_id in picture.completed():
+                return None
+            for name, _ in picture.held.get(job_id, ()):
+                group = picture.groups[picture.machines[name].group]
+                txn.guard(group.key, group.version)
         return txn.put(OVER + job_id, job.over("cancelled", len(self.ctl.picture.finished(job))))
 
     def _abort(self, request_id: int, job_id: str) -> Fiber[None]:
--- a/ashtray/placement/picture.py
+++ b/ashtray/placement/picture.py
@@ -8,17 +8,20 @@
 
 import msgspec
 
-from ashtray.jobs.model import LIVE, Job
+from ashtray.jobs.model import LIVE, OVER, Job
 from ashtray.runs import decode_runs, encode_runs
 
-GROUP = "now/group/"
-TEAM = "now/team/"
-CONTROLLER = "now/controller/"
-ADOPTED = "now/adopted/"
-FLEET = "now/fleet"
-TYPES = "now/types"
+GROUP = "ashtray/now/group/"
+TEAM = "ashtray/now/team/"
+CONTROLLER = "ashtray/now/controller/"
+ADOPTED = "ashtray/now/adopted/"
+FLEET = "ashtray/now/fleet"
+TYPES = "ashtray/now/types"
 EPS = 1e-6
-MAX_ENDED = 5000
+SICK = 3
+"""The blame from which on a machine is returned: two jobs, at least one of which works elsewhere, or three."""
+MAX_OVER = 20_000
+MAX_ABSENT = 20_000
 
 HoldKey = tuple[str, int]
 """A machine and the number of one of its holds.
@@ -51,7 +54,8 @@
     retiring: bool = False
     token: int = 0
     """The ownership token under which orders are given at present."""
-    errors: int = 0
+    failed: list[str] = []
+    """Jobs with tasks that failed here since one last completed here."""
     images: list[tuple[str, float]] = []
     holds: list[HoldRecord] = []
 
@@ -193,6 +197,10 @@
     """
 
     def __init__(self, most_open: int = 1_000_000) -> None:
+        self.loads = 0
+        """How often it was begun anew."""
+        self.over: dict[str, Any] = {}
+        """Final states of jobs, read or seen lately; they never change."""
         self.most_open = most_open
         """How many tasks of an array may hold room at once.
 
@@ -202,6 +210,7 @@
         self.clear()
 
     def clear(self) -> None:
+        self.loads += 1
         self.jobs: dict[str, Job] = {}
         self.groups: dict[str, Group] = {}
         self.machines: dict[str, Machine] = {}
@@ -218,7 +227,8 @@
         """Live jobs all of whose tasks are done."""
         self.changes = 0
         self._versions: dict[str, int] = {}
-        self._ended: dict[str, None] = {}
+        self.absent: dict[str, None] = {}
+        """Ids of which no final state was found since the picture was read: one written later would be seen."""
         self.shares: dict[str, dict[str, tuple[float, float]]] = {}
         """For each team with a limit, what each controller may use of it."""
         self._usage: dict[str, tuple[int, int]] = {}
@@ -229,6 +239,9 @@
         self._stale: set[str] = set()
 
     def put(self, key: str, value: Any, version: int) -> None:
+        if key.startswith(OVER):
+            self.note_over(key[len(OVER):], value)
+            return
         if self._versions.get(key, 0) >= version:
             return
         self._versions[key] = version
@@ -263,9 +276,6 @@
         elif key.startswith(LIVE):
             job_id = key[len(LIVE):]
             self.jobs.pop(job_id, None)
-            self._ended[job_id] = None
-            if len(self._ended) > MAX_ENDED:
-                del self._ended[next(iter(self._ended))]
             self._job_changed(job_id)
         elif key.startswith(CONTROLLER):
             self.controllers = {host: v for host, v in self.controllers.items() if host != key[len(CONTROLLER):]}
@@ -276,6 +286,20 @@
         elif key == TYPES:
             self.types = {}
 
+    def note_over(self, job_id: str, state: Any) -> None:
+        self.over[job_id] = state
+        self.absent.pop(job_id, None)
+        if len(self.over) > MAX_OVER:
+            del self.over[next(iter(self.over))]
+
+    def note_absent(self, job_id: str) -> None:
+        """The final state was looked for and is not there: it will be seen once it is."""
+        if job_id in self.over:
+            return
+        self.absent[job_id] = None
+        if len(self.absent) > MAX_ABSENT:
+            del self.absent[next(iter(self.absent))]
+
     def _put_group(self, key: str, value: Any, version: int) -> None:
         old = self.groups.get(key)
         group = Group(key, value, version)
@@ -404,7 +428,7 @@
 
     def is_over(self, job_id: str) -> bool:
         """Whether a job is known to be over; one that is merely not known yet is not."""
-        return job_id not in self.jobs and (job_id in self._ended or job_id in self.held)
+        return job_id not in self.jobs and (job_id in self.over or job_id in self.held)
 
     def placed(self, job_id: str) -> set[int]:
         """The tasks of a job that hold room somewhere."""
@@ -426,6 +450,23 @@
             tasks = self._finished[job.id] = job.finished.union(*by_group.values())
         return tasks
 
+    def blame(self, machine: Machine) -> int:
+        """How much speaks for a fault of a machine, by the jobs that failed on it: `SICK` and more will do.
+
+        A job that works elsewhere counts in full.  One that fails elsewhere too, or that its user has cancelled,
+        counts for nothing: a few jobs with a mistake in them would condemn every machine that tries them.
+        """
+        total = 0
+        for job_id in machine.record.failed:
+            job = self.jobs.get(job_id)
+            if job is None:
+                total += 2 if self.over.get(job_id, {}).get("status") == "done" else 0
+            elif not job.record.errors or self.finished(job):
+                total += 2
+            else:
+                total += 0 if job.suspect else 1
+        return total
+
     def take_touched(self) -> set[str]:
         touched, self.touched = self.touched, set()
         return touched
--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -17,6 +17,8 @@
 CALL_US = 1_200_000
 OVERDRAFT = 0.2
 """The part of a second's budget that urgent requests may overdraw."""
+CHANGES_OVERDRAFT = 0.8
+"""The same for changes: a commit leaves a debt of seconds for one controller, of which users must see nothing."""
 SURE = (200, 400, 409, 429, 503)
 OUTCOMES = {0: "unanswered", 200: "good", 404: "good", 409: "conflicted"}
 
@@ -119,7 +121,7 @@
         self.headroom = headroom
         self.requests = Lane(kernel, Bucket(limits.rps, 1.0, kernel.now_us), limits.rps * OVERDRAFT)
         self.changes = Lane(
-            kernel, Bucket(limits.write_rps, 1.0, kernel.now_us), limits.write_rps * OVERDRAFT
+            kernel, Bucket(limits.write_rps, 1.0, kernel.now_us), limits.write_rps * CHANGES_OVERDRAFT
         )
         self.used = 0
         """Changes sent since the start: peers share the budget by need."""
@@ -230,6 +232,11 @@
     def of(cls, limits: StateLimits) -> Limits:
         return cls(limits.txn_ops, int(TXN_BYTES * 0.85), int(limits.value_kb * 1024))
 
+    @property
+    def guards(self) -> int:
+        """How many versions a transaction may depend on."""
+        return 4 * self.ops
+
 
 class Txn:
     """A transaction being put together: versions that must hold, and changes to apply."""
--- a/ashtray/store/follower.py
+++ b/ashtray/store/follower.py
@@ -1,4 +1,4 @@
-"""Keeps a picture of everything under one prefix, and proves to callers how fresh it is."""
+"""Keeps a picture of what is under a prefix, and proves to callers how fresh it is."""
 
 from __future__ import annotations
 
@@ -24,18 +24,22 @@
 
 
 class Follower:
-    """Reads the prefix once, then asks again and again what has changed since.
+    """Reads what is under `start` once, then asks again and again what has changed since under `prefix`.
+
+    The former is a part of the latter: what grows with history is never read, and yet its changes are seen.
 
     A round that begins after a caller asked is that caller's barrier: whatever was true when it asked is in
     the picture afterwards.  One round serves all callers that wait.
     """
 
     def __init__(
-        self, kernel: Kernel, store: StoreClient, prefix: str, mirror: Mirror, changed: Callable[[], None]
-    ) -> None:
+        self, kernel: Kernel, store: StoreClient, prefix: str, start: str, mirror: Mirror,
+        changed: Callable[[], None],
+    ) -> None:  # fmt: skip
         self.kernel = kernel
         self.store = store
         self.prefix = prefix
+        self.start = start
         self.mirror = mirror
         self.changed = changed
         self.revision = 0
@@ -96,7 +100,7 @@
         revision: int | None = None
         after: str | None = None
         while True:
-            reply = yield from self.store.page(self.prefix, after)
+            reply = yield from self.store.page(self.start, after)
             if reply.status != 200:
                 return False
             # Pages are read one after the other: following on from the first one's revision mends the rest.
