--- a/ashtray/config/operators.py
+++ b/ashtray/config/operators.py
@@ -2,7 +2,7 @@
 
     (ashtray
       (group-size 4)        ; comments run to the end of the line
-      (rules trust image scarce spot few-groups packing))
+      (rules trust changes image scarce spot few-groups packing))
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 
 from ashtray.config.settings import SettingsError
 
-RULES = ("trust", "image", "scarce", "spot", "few-groups", "packing")
+RULES = ("trust", "changes", "image", "scarce", "spot", "few-groups", "packing")
 
 
 class Knobs(msgspec.Struct, frozen=True):
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -33,6 +33,8 @@
 PAUSE_US = 100_000
 PARTIAL_US = 800_000
 SCARCE_PARTIAL_US = 3 * SECOND_US
+WORTH_PLACES = 4
+"""While changes are scarce, a part of an array goes to a group of its own accord with so many places only."""
 STALE_US = SECOND_US
 """A plan is followed no longer: jobs that came in meanwhile may go first."""
 JOB_VISITS = 30
@@ -94,6 +96,7 @@
         plan = ctl.plan()
         plan.add_freed(ctl.desk.light().freed)
         plan.due = ctl.desk.due()
+        plan.sparing = ctl.store.changes.scarce()
         jobs, inside = queue(picture, ctl.teams)
         while jobs and not self.mine(jobs[-1]):
             jobs.pop()
@@ -158,10 +161,14 @@
                 # Room for a few of many tasks: several such commits are made one, for each costs changes.  While
                 # these are scarce, the job at the head would otherwise use them all up on room as it is freed, and
                 # jobs behind it that could go elsewhere would never come to their turn.
-                scarce = ctl.store.changes.throttled or ctl.store.changes.waiting
+                scarce = plan.sparing or ctl.store.changes.scarce()
                 pause_us = SCARCE_PARTIAL_US if scarce else PARTIAL_US
                 if ctl.kernel.now_us - self._partial_us.get(job.id, 0) < pause_us:
                     continue
+                if scarce and not urgent:
+                    choices = self._worthwhile(plan, job, choices)
+                    if not choices:
+                        continue
                 self._partial_us[job.id] = ctl.kernel.now_us
             if ctl.grants.limited(job.spec.team):
                 choices = self._granted(job, choices, len(tasks), batch)
@@ -174,11 +181,29 @@
                         return self._again()
                     batch = Batch(ctl.picture, ctl.limits)
                 batch.add(item)
+                plan.due |= item.groups()
         if batch.items and not (yield from self._commit(batch)):
             self._again()
         self._ripe = ripe
         yield from self._reshare()
 
+    def _worthwhile(self, plan: Plan, job: Job, choices: list[Choice]) -> list[Choice]:
+        """Of the room for a part of an array, that in groups to be written anyway or with some places in each.
+
+        While changes are scarce, a change for one task is a change that would have started several: room is left
+        until more of it comes together, or until its own controller takes it along.
+        """
+        places: Counter[str] = Counter()
+        for room, n in choices:
+            places[room.machine.group] += n
+        kept: list[Choice] = []
+        for room, n in choices:
+            if room.machine.group in plan.due or places[room.machine.group] >= WORTH_PLACES:
+                kept.append((room, n))
+            else:
+                plan.give_back(job, room, n)
+        return kept
+
     def _granted(self, job: Job, choices: list[Choice], wanted: int, batch: Batch) -> list[Choice]:
         """The choices that this controller's share of the team's limit allows; note what more is wanted."""
         spec, grants = job.spec, self.ctl.grants
--- a/ashtray/placement/rules.py
+++ b/ashtray/placement/rules.py
@@ -59,10 +59,12 @@
     """Tasks that are as urgent wait for GPUs."""
     failed_on: frozenset[str] = frozenset()
     """Machines on which the job has failed."""
+    sparing: bool = False
+    """Changes of the state service are scarce."""
     due: set[str] = field(default_factory=set)
     """Groups whose records will be written anyway."""
     few: dict[str, int] = field(default_factory=dict)
-    """For each group how many records would have to be written more, if all were like it."""
+    """For each group how many records would have to be written more if all were like it: 0 for those that are due."""
 
     def zone_allows(self, zone: str) -> int:
         if self.zone_room is None:
@@ -158,10 +160,16 @@
     return ask.few.get(room.machine.group, 0)
 
 
+def _changes(room: Room, ask: Ask, knobs: Knobs) -> float:
+    # While changes are scarce, room in few records is worth more than a cached image; not to what is urgent.
+    return ask.few.get(room.machine.group, 0) if ask.sparing and ask.spec.priority > 1 else 0
+
+
 PREFERENCES = {
     rule.name: rule
     for rule in (
         Preference("trust", "tasks failed there lately", _trust),
+        Preference("changes", "more records would have to be written, and changes are scarce", _changes),
         Preference("image", "it would have to fetch the image", _image),
         Preference("scarce", "its GPUs are kept for jobs that need them", _scarce),
         Preference("spot", "cheap machines are for the jobs that may use them", _spot),
@@ -198,7 +206,7 @@
         if verdicts[key] is not None:
             judged.append((room, key))
             fits[m.group] = fits.get(m.group, 0) + room.fits(ask.spec)
-    ask.few = {group: -(-count // min(fit, count)) - (group in ask.due) for group, fit in fits.items()}
+    ask.few = {group: 0 if group in ask.due else -(-count // min(fit, count)) for group, fit in fits.items()}
     scored: list[tuple[tuple[float, ...], float, Room]] = []
     for room, key in judged:
         full = (*key, ask.few[room.machine.group])
--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -19,6 +19,7 @@
 """The part of a second's budget that urgent requests may overdraw."""
 CHANGES_OVERDRAFT = 0.8
 """The same for changes: a commit leaves a debt of seconds for one controller, of which users must see nothing."""
+SCARCE_US = 2 * SECOND_US
 SURE = (200, 400, 409, 429, 503)
 OUTCOMES = {0: "unanswered", 200: "good", 404: "good", 409: "conflicted"}
 
@@ -71,6 +72,7 @@
         self.hold_until_us = 0
         self.throttled = False
         """Something had to wait since this was last looked at."""
+        self._short_us = -SCARCE_US
         self._seq = itertools.count()
         self._pumping = False
         self._news = Signal()
@@ -84,6 +86,7 @@
         has = self.bucket.has(amount, self._overdraft(urgency))
         if not first or self.kernel.now_us < self.hold_until_us or not has:
             self.throttled = True
+            self._short_us = self.kernel.now_us
             signal = Signal()
             heapq.heappush(self.waiting, (int(urgency), next(self._seq), amount, signal))
             if not self._pumping:
@@ -94,6 +97,10 @@
         else:
             self.bucket.level -= amount
 
+    def scarce(self) -> bool:
+        """Whether requests have had to wait for their budget lately."""
+        return bool(self.waiting) or self.kernel.now_us - self._short_us < SCARCE_US
+
     def _pump(self) -> Fiber[None]:
         while self.waiting:
             self.bucket.refill(self.kernel.now_us)
@@ -104,6 +111,7 @@
             elif self.bucket.has(amount, overdraft):
                 heapq.heappop(self.waiting)
                 self.bucket.level -= amount
+                self._short_us = self.kernel.now_us
                 self.kernel.fire(signal)
             else:
                 # Something more urgent may come meanwhile.
--- a/ashtray/workers/desk.py
+++ b/ashtray/workers/desk.py
@@ -445,7 +445,7 @@
     def _pace_us(self) -> int:
         """How long to wait for company: folds may take half of this controller's changes, a quarter when scarce."""
         changes = self.ctl.store.changes
-        part, most_us = (4, SCARCE_US) if changes.waiting or changes.throttled else (2, LAZY_US)
+        part, most_us = (4, SCARCE_US) if changes.scarce() else (2, LAZY_US)
         return min(int(part * self._fold_cost / max(changes.bucket.rate, 0.1) * SECOND_US), most_us)
 
     def fold(self) -> Fiber[None]:
@@ -455,8 +455,7 @@
             yield Wait(self._fold_kick, SECOND_US // 4)
             return
         # A job's end may wait for others while changes are scarce, but it is to show within 3 s.
-        scarce = self.ctl.store.changes.waiting or self.ctl.store.changes.throttled
-        yield Sleep(SCARCE_FOLD_US if scarce else FOLD_US)
+        yield Sleep(SCARCE_FOLD_US if self.ctl.store.changes.scarce() else FOLD_US)
         while not self._urgent and not mine and self.kernel.now_us < self._fold_us + self._pace_us():
             yield Wait(self._fold_kick, self._fold_us + self._pace_us() - self.kernel.now_us)
         self._due = self.kernel.now_us >= self._fold_us + self._pace_us()
@@ -491,7 +490,7 @@
         jobs.sort(key=lambda job: self._done_us[job.id])
         changes = self.ctl.store.changes
         late = now - self._done_us[jobs[0].id] > TIDY_US
-        if (changes.waiting or changes.throttled) and not late and len(jobs) < MAX_UNTIDY:
+        if changes.scarce() and not late and len(jobs) < MAX_UNTIDY:
             return
         fold = Fold(self.kernel, self.ctl.picture, self.ctl.limits)
 
