One piece each: keeping a fold, what a task demands, failing commands; hedges counted once

Fold.add and add_light ended alike; the placer and the plan each put together what a task takes and where it may go; the command line said why it failed in six places; each overdue machine counted all that are coming; mute peers were worked out twice; a fold was made to be thrown away.

--- a/ashtray/cli.py
+++ b/ashtray/cli.py
@@ -42,8 +42,7 @@
 
 def _check(args: argparse.Namespace) -> int:
     if args.config is None and args.operators is None:
-        print("ashtray: check needs --config, --operators or both", file=sys.stderr)
-        return EXIT_USAGE
+        return _fail("check needs --config, --operators or both", EXIT_USAGE)
     shown: dict[str, Any] = {}
     if args.config is not None:
         settings = load_settings(args.config)
@@ -64,24 +63,28 @@
     return EXIT_OK
 
 
+def _fail(reason: str, code: int) -> int:
+    """Say on standard error why a command failed; returns its exit code."""
+    print(f"ashtray: {reason}", file=sys.stderr)
+    return code
+
+
 def _ask(args: argparse.Namespace, method: str, path: str, body: Any = None) -> int:
     from ashtray.client import Client, Unreachable
 
     try:
         status, answer = Client(args.server, args.timeout).ask(method, path, body)
     except ValueError as error:
-        print(f"ashtray: --server: {error}", file=sys.stderr)
-        return EXIT_USAGE
+        return _fail(f"--server: {error}", EXIT_USAGE)
     except Unreachable as error:
-        print(f"ashtray: no answer: {error}", file=sys.stderr)
-        return EXIT_UNREACHABLE
+        return _fail(f"no answer: {error}", EXIT_UNREACHABLE)
     if args.json:
         print(json.dumps({"http_status": status, "answer": answer}))
     elif status in (200, 201):
         print(_readable(answer))
     else:
         reason = answer.get("error", "") if isinstance(answer, dict) else ""
-        print(f"ashtray: {reason or 'refused'} ({status})", file=sys.stderr)
+        return _fail(f"{reason or 'refused'} ({status})", EXIT_FAILED)
     return EXIT_OK if status in (200, 201) else EXIT_FAILED
 
 
@@ -107,11 +110,9 @@
             with open(args.file, encoding="utf-8") as file:
                 job = json.load(file)
     except OSError as error:
-        print(f"ashtray: {args.file}: {error.strerror}", file=sys.stderr)
-        return EXIT_USAGE
+        return _fail(f"{args.file}: {error.strerror}", EXIT_USAGE)
     except ValueError as error:
-        print(f"ashtray: {args.file}: not JSON: {error}", file=sys.stderr)
-        return EXIT_USAGE
+        return _fail(f"{args.file}: not JSON: {error}", EXIT_USAGE)
     return _ask(args, "POST", "/submissions", job)
 
 
@@ -174,8 +175,7 @@
     try:
         return int(args.call(args))
     except SettingsError as error:
-        print(f"ashtray: {error}", file=sys.stderr)
-        return EXIT_USAGE
+        return _fail(f"{error}", EXIT_USAGE)
     except KeyboardInterrupt:
         return EXIT_FAILED
 
--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, replace
 from functools import partial
 from typing import TYPE_CHECKING, Any
@@ -280,7 +281,7 @@
         now = self.kernel.now_us
         peers, presence = self.ctl.peers, self.ctl.presence
         mute = peers.mute()
-        until = min(now, peers.all_word_us())
+        until = min(now, peers.all_word_us(mute))
         heard = peers.last_heard()
         awake_us = self.kernel.awake_us
         found = {}
@@ -483,14 +484,15 @@
         plan = ctl.plan()
         jobs, _ = queue(ctl.picture, ctl.teams)
         ready_us: dict[str, int] = {}
-        hedges: dict[Kind, int] = {}
+        # At the worst a third as many again are paid for.
+        hedges = {kind: max(n // 3, 2) for kind, n in Counter(c.kind for c in self.coming.values()).items()}
         for name, coming in self.coming.items():
             kind: MachineType | None = ctl.picture.types.get(coming.kind[0])
             if kind is not None and name not in self._ending and name not in ctl.picture.machines:
                 left_us = self.boots.left_us(coming.kind, coming.since_us, self.kernel.now_us)
-                if left_us is None and hedges.get(coming.kind, 0) < self._hedge(coming.kind):
+                if left_us is None and hedges[coming.kind] > 0:
                     # Overdue: another one is wished for, and this one is used all the same should it come.
-                    hedges[coming.kind] = hedges.get(coming.kind, 0) + 1
+                    hedges[coming.kind] -= 1
                     continue
                 plan.rooms.append(self._room(name, coming.kind))
                 ready_us[name] = wall_us + (kind.boot_us if left_us is None else left_us)
@@ -508,10 +510,6 @@
         self.needed = {future.room.machine.name for future in forecast.fleet if future.used}
         return wishes
 
-    def _hedge(self, kind: Kind) -> int:
-        """How many overdue machines of a kind may be replaced: at the worst half as many again are paid for."""
-        return max(sum(coming.kind == kind for coming in self.coming.values()) // 3, 2)
-
     def _parts(self, ask: Ask, left: int) -> list[tuple[Ask, int]]:
         """A job that must be spread is served zone by zone; the tasks of the others are one part."""
         zones = [z for z in self.ctl.settings.cluster.zones if ask.spec.zone in (None, z) and ask.zone in (None, z)]
--- a/ashtray/peers/presence.py
+++ b/ashtray/peers/presence.py
@@ -229,8 +229,8 @@
         live = self.ctl.presence.live()
         return {p.host for p in self.peers.values() if p.host in live and p.word_us < since_us}
 
-    def all_word_us(self) -> int:
-        """Up to when there is word from all live peers, but for those that give none at all."""
+    def all_word_us(self, mute: set[str]) -> int:
+        """Up to when there is word from all live peers, but for the mute ones, that give none at all."""
         now = self.ctl.kernel.now_us
-        live, mute = self.ctl.presence.live(), self.mute()
+        live = self.ctl.presence.live()
         return min([p.word_us for p in self.peers.values() if p.host in live and p.host not in mute], default=now)
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -12,7 +12,7 @@
 from ashtray.jobs.model import LIVE, Job
 from ashtray.kernel import SECOND_US, Fiber, Signal, Sleep, Wait
 from ashtray.placement.picture import EPS, TEAM, Edit, HoldRecord, Picture
-from ashtray.placement.plan import Choice, Plan, queue
+from ashtray.placement.plan import Choice, Plan, demand, queue
 from ashtray.placement.preemption import Victims, choose_victims, may_stop, stop_victims
 from ashtray.runs import encode_runs
 from ashtray.store.client import Limits, Txn, Urgency
@@ -171,7 +171,7 @@
                         continue
                 self._partial_us[job.id] = ctl.kernel.now_us
             if ctl.grants.limited(job.spec.team):
-                choices = self._granted(job, choices, len(tasks), batch)
+                choices = self._granted(job, choices, batch)
                 if not choices:
                     continue
             for item in portions(job, tasks, choices, ctl.picture, ctl.limits):
@@ -204,7 +204,7 @@
                 plan.give_back(job, room, n)
         return kept
 
-    def _granted(self, job: Job, choices: list[Choice], wanted: int, batch: Batch) -> list[Choice]:
+    def _granted(self, job: Job, choices: list[Choice], batch: Batch) -> list[Choice]:
         """The choices that this controller's share of the team's limit allows; note what more is wanted."""
         spec, grants = job.spec, self.ctl.grants
         count = sum(n for _, n in choices)
@@ -256,10 +256,8 @@
         full fleet nearly all processor time went into looking for it again for each gang that waited.
         """
         spec = job.spec
-        alike = (
-            spec.cpus, spec.gpus, spec.memory_gb, spec.priority, spec.team, job.id in inside, spec.zone, spec.spot,
-            spec.same_zone, spec.spread and job.id, tuple(spec.types or ()),
-        )  # fmt: skip
+        # How a job that is spread may go on depends on where its own tasks are.
+        alike = (*demand(spec), spec.priority, spec.team, job.id in inside, spec.spread and job.id)
         # What is nowhere is not where the image is in time, either.
         for image in (None, spec.image) if within_s is not None else (None,):
             if plan.no_victims.get((alike, image), count + 1) <= count:
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -58,6 +58,12 @@
     return 0 if errors < 3 else min(1 << min(errors - 2, 10), 60) * SECOND_US
 
 
+def demand(spec: JobSpec) -> Demand:
+    """What a task takes, its first three parts, and where it may go."""
+    places = (spec.zone, spec.spot, spec.same_zone, spec.spread, tuple(spec.types or ()))
+    return (spec.cpus, spec.gpus, spec.memory_gb, *places)
+
+
 class Plan:
     """Room and limits that are left while jobs are given places, in the queue's order."""
 
@@ -175,16 +181,13 @@
         gang = spec.kind == "gang"
         if gang and not self._team_allows(job, count):
             return []
-        demand = (
-            spec.cpus, spec.gpus, spec.memory_gb, spec.zone, spec.spot, spec.same_zone, spec.spread,
-            tuple(spec.types or ()), image_within_s and spec.image, freed, self._spares_gpus(spec),
-        )  # fmt: skip
-        most = self._most.get(demand, count)
+        wish = (*demand(spec), image_within_s and spec.image, freed, self._spares_gpus(spec))
+        most = self._most.get(wish, count)
         if most < (count if gang else 1):
             return []
         # What found no room at all leaves none for anything larger that may use the same machines by the same rules:
         # found on simulated days, small tasks that had to spare GPU machines hid all room from tasks for GPUs.
-        sizes = self._none.setdefault(demand[3:], [])
+        sizes = self._none.setdefault(wish[3:], [])
         if any(c <= spec.cpus and g <= spec.gpus and m <= spec.memory_gb for c, g, m in sizes):
             return []
         ask = self.ask(job)
@@ -192,7 +195,7 @@
         choices = self._in_a_zone(ask, count, widen, self.freed if freed else [])
         total = sum(n for _, n in choices)
         if total < count and not spec.spread:
-            self._most[demand] = total if gang else 0
+            self._most[wish] = total if gang else 0
             if not gang or not total:
                 sizes.append((spec.cpus, spec.gpus, spec.memory_gb))
         if gang and total < count:
--- a/ashtray/workers/desk.py
+++ b/ashtray/workers/desk.py
@@ -492,20 +492,21 @@
         late = now - self._done_us[jobs[0].id] > TIDY_US
         if changes.scarce() and not late and len(jobs) < MAX_UNTIDY:
             return
-        fold = Fold(self.kernel, self.ctl.picture, self.ctl.limits)
+        lines: list[str] = []
 
         def build() -> Txn | None:
-            nonlocal fold
             fold = Fold(self.kernel, self.ctl.picture, self.ctl.limits)
             for job in jobs:
                 if job.id in self.ctl.picture.completed():
                     fold.end(self.ctl.picture.jobs[job.id])
-            return fold.transaction()
+            txn = fold.transaction()
+            lines[:] = fold.lines
+            return txn
 
         number = min(2 * len(jobs), self.ctl.limits.ops)
         urgency = Urgency.FREE if late else Urgency.BOOKKEEPING
         if (yield from self.ctl.follower.commit(build, number, urgency, "tidy")):
-            for line in fold.lines:
+            for line in lines:
                 self.kernel.log("debug", line)
 
     def heard(self) -> dict[str, int]:
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -17,7 +17,7 @@
     MachineRecord,
     MachineType,
     Picture,
-)  # fmt: skip
+)
 from ashtray.runs import decode_runs, encode_runs
 from ashtray.store.client import Limits, Txn
 from ashtray.workers.messages import Report, TaskState
@@ -268,13 +268,7 @@
                 continue
             self._ops += ops
             self._bytes += size
-            self.edits[group.key] = edit
-            edit.replace(name, record)
-            self.taken.add(name)
-            for job_id, fold in trial.items():
-                self.jobs.setdefault(job_id, JobFold()).add(fold)
-                if fold.finished and not self.jobs[job_id].spilt:
-                    edit.add_done(job_id, fold.finished)
+            self._keep(edit, name, record, trial)
 
     def add_light(self, group: Group, names: Iterable[str], evidence: dict[str, Evidence]) -> None:
         """Fold those reports that change their group's record only."""
@@ -290,19 +284,23 @@
             full = group.size > self.limits.value_bytes * SPILL_SHARE
             if any(self._ops_of(job_id, fold, full) for job_id, fold in trial.items()):
                 continue
-            edit.replace(name, record)
-            self.edits[group.key] = edit
-            self.taken.add(name)
+            self._keep(edit, name, record, trial)
             kept = [len(decode_runs(hold.tasks)) for hold in record.holds]
             self.freed[name] = (
                 machine.cpus - sum(n * hold.cpus for n, hold in zip(kept, record.holds, strict=True)),
                 machine.gpus - sum(n * hold.gpus for n, hold in zip(kept, record.holds, strict=True)),
                 machine.memory_gb - sum(n * hold.memory_gb for n, hold in zip(kept, record.holds, strict=True)),
             )
-            for job_id, fold in trial.items():
-                self.jobs.setdefault(job_id, JobFold()).add(fold)
-                if fold.finished:
-                    edit.add_done(job_id, fold.finished)
+
+    def _keep(self, edit: Edit, name: str, record: MachineRecord, folds: dict[str, JobFold]) -> None:
+        """Make what a machine's report says a part of this transaction."""
+        edit.replace(name, record)
+        self.edits[edit.group.key] = edit
+        self.taken.add(name)
+        for job_id, fold in folds.items():
+            self.jobs.setdefault(job_id, JobFold()).add(fold)
+            if fold.finished and not self.jobs[job_id].spilt:
+                edit.add_done(job_id, fold.finished)
 
     def _ops_of(self, job_id: str, fold: JobFold, full: bool) -> int:
         """How many more changes a job's part costs; the end of one, its short record and its removal, costs two."""
