Records and transactions obey the lower of both limits; what is too large is split

Settings may name limits to come (state.next). Groups, images, completed tasks and job records are bounded by the lower ones from the first write; groups that the version before made larger are split, in one transaction while it may be about, and then step by step within the lower limits.

--- a/ashtray/config/settings.py
+++ b/ashtray/config/settings.py
@@ -52,11 +52,20 @@
     cancel_s: Share
 
 
+class NextLimits(msgspec.Struct, frozen=True):
+    """Limits that the state service will have from some moment on, without notice."""
+
+    write_rps: Share
+    value_kb: Annotated[float, msgspec.Meta(ge=1)]
+    txn_ops: Annotated[int, msgspec.Meta(ge=4)]
+
+
 class StateLimits(msgspec.Struct, frozen=True):
     rps: Share
     write_rps: Share
     value_kb: Share
     txn_ops: Annotated[int, msgspec.Meta(ge=4)]
+    next: NextLimits | None = None
 
 
 class CloudLimits(msgspec.Struct, frozen=True):
--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -17,16 +17,13 @@
 from ashtray.placement.picture import Picture
 from ashtray.placement.placer import Placer
 from ashtray.placement.plan import Plan
-from ashtray.store.client import Limits, StoreClient
+from ashtray.store.client import VALUE_SHARE, Limits, StoreClient
 from ashtray.store.follower import Follower
 from ashtray.teams.grants import Grants
 from ashtray.workers.desk import Desk
+from ashtray.workers.splitting import Splitter
 
 UNWELL_US = 5 * SECOND_US
-OPEN_PER_KB = 40
-"""Open tasks of one job for each KiB of a value: a run takes up to 14 bytes, and half of the value is spare."""
-FULL_SHARE = 0.8
-"""Nothing more is placed in a group whose record takes this part of a value."""
 COUNT_US = 10 * SECOND_US
 
 
@@ -37,7 +34,7 @@
         self.teams = {team.name: team for team in settings.cluster.teams}
         self.kernel = Kernel(rng, verbose)
         self.limits = Limits.of(settings.cluster.state)
-        self.picture = Picture(int(settings.cluster.state.value_kb * OPEN_PER_KB))
+        self.picture = Picture(int(self.limits.value_bytes * VALUE_SHARE))
         hosts = [peer.host_name for peer in settings.others]
         self.grants = Grants(settings.host_name, hosts, settings.cluster.teams, self.picture)
         self._seen = -1
@@ -50,11 +47,11 @@
         self.jobs = JobDesk(self)
         self.placer = Placer(self)
         self.runner = Runner(self)
+        self.splitter = Splitter(self)
 
     def plan(self) -> Plan:
         """A plan on the picture as it is now."""
-        full = self.limits.value_bytes * FULL_SHARE
-        return Plan(self.picture, self.teams, self.knobs, self.kernel.rng, full)
+        return Plan(self.picture, self.teams, self.knobs, self.kernel.rng, self.limits)
 
     def _changed(self) -> None:
         if self.picture.changes != self._seen:
@@ -93,6 +90,7 @@
         kernel.forever(self.desk.fold, 0)
         kernel.forever(self.desk.adopt, 0)
         kernel.forever(self.desk.tidy, SECOND_US)
+        kernel.forever(self.splitter.run, 0)
         kernel.forever(self._count, COUNT_US)
         kernel.forever(self.desk.sweep, 20 * SECOND_US)
         return kernel.run()
--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -117,8 +117,17 @@
         self._types_us = self.kernel.now_us
         if types != picture.types:
             value = {name: msgspec.to_builtins(kind) for name, kind in types.items()}
-            txn = Txn().guard(TYPES, picture.version(TYPES)).put(TYPES, value)
-            yield from self.ctl.follower.commit(lambda: txn, 1, Urgency.BOOKKEEPING, "fleet")
+            if self.ctl.limits.takes(len(msgspec.json.encode(value)), 0):
+                yield from self._note_types(TYPES, value)
+                return
+            # More than a value takes: each in a record of its own.  One that all are in is read still, if it is old.
+            for name, kind in value.items():
+                if types[name] != picture.types.get(name):
+                    yield from self._note_types(f"{TYPES}/{name}", {name: kind})
+
+    def _note_types(self, key: str, value: dict[str, Any]) -> Fiber[None]:
+        txn = Txn().guard(key, self.ctl.picture.version(key)).put(key, value)
+        yield from self.ctl.follower.commit(lambda: txn, 1, Urgency.BOOKKEEPING, "fleet")
 
     # Who runs the fleet
 
@@ -347,7 +356,7 @@
                 continue
             edits.setdefault(machine.group, Edit(picture.groups[machine.group])).machine(name).retiring = True
             marked.append(name)
-        return self._write(Txn(), edits)
+        return self._write(Txn(), edits, marked)
 
     def _takes(self, edits: dict[str, Edit], machine: Machine, others: int) -> bool:
         """Whether a transaction with these edits and other changes has room for a machine's group."""
@@ -357,15 +366,12 @@
         fits = len(edits) + 1 + others <= self.ctl.limits.ops and size <= self.ctl.limits.txn_bytes
         return fits or not edits
 
-    def _write(self, txn: Txn, edits: dict[str, Edit]) -> Txn | None:
+    def _write(self, txn: Txn, edits: dict[str, Edit], names: list[str]) -> Txn | None:
+        """Write groups; takes out of `names` those in records that are too large, until they have been split."""
         picture = self.ctl.picture
         for key, edit in edits.items():
-            value = edit.value(picture.is_live)
-            txn.guard(key, edit.group.version)
-            if value["machines"] or "done" in value:
-                txn.put(key, value)
-            else:
-                txn.remove(key)
+            if not edit.write(txn, self.ctl.limits, picture.is_live):
+                names[:] = [name for name in names if name not in picture.groups[key].machines]
         return txn if txn.changes() else None
 
     def _finish(self) -> Fiber[None]:
@@ -433,7 +439,7 @@
         for job_id, attempt in broken.items():
             job = picture.jobs[job_id]
             txn.guard(LIVE + job_id, job.version).put(LIVE + job_id, job.value(broken=attempt))
-        return self._write(txn, edits)
+        return self._write(txn, edits, taken)
 
     def _broken_gangs(self, machine: Machine) -> list[tuple[Job, int]]:
         broken = []
--- a/ashtray/jobs/model.py
+++ b/ashtray/jobs/model.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ashtray.runs import decode_runs, encode_runs
+from ashtray.runs import decode_runs, encode_runs, longest_runs
 
 ROOT = "ashtray/"
 NOW = "ashtray/now/"
@@ -18,6 +18,13 @@
 PRIORITIES = ("production", "high", "normal", "low")
 
 
+UNLIMITED = 1 << 30
+FEW_RUNS = 100
+MOST_OPEN = 1280
+SPARE_BYTES = 150
+"""Of a job's record, for machines on which it fails and counters that grow."""
+
+
 class JobSpec(msgspec.Struct, omit_defaults=True):
     """A job as its user described it."""
 
@@ -66,10 +73,12 @@
 class Job:
     """A live job in the picture."""
 
-    __slots__ = ("id", "record", "spec", "version", "finished")
+    __slots__ = ("id", "record", "spec", "version", "finished", "most_bytes")
 
-    def __init__(self, job_id: str, value: Any, version: int) -> None:
+    def __init__(self, job_id: str, value: Any, version: int, most_bytes: int = UNLIMITED) -> None:
         self.id = job_id
+        self.most_bytes = most_bytes
+        """What its record may take."""
         self.record = msgspec.convert(value, JobRecord)
         self.spec = self.record.spec
         self.version = version
@@ -92,20 +101,40 @@
     ) -> Any:  # fmt: skip
         """The record with some fields replaced, ready to be written."""
         old = self.record
+        runs = old.finished if finished is None else encode_runs(finished)
         record = JobRecord(
             old.spec,
             old.owner,
             old.accepted_us,
             old.attempt if attempt is None else attempt,
-            old.finished if finished is None else encode_runs(finished),
+            runs,
             old.broken if broken is None else broken,
             old.errors if errors is None else errors,
             old.error_us if error_us is None else error_us,
             old.failed_on if failed_on is None else failed_on,
             old.portion if portion is None else portion,
         )
+        if len(runs) > FEW_RUNS:
+            room = self.most_bytes - (len(msgspec.json.encode(record)) - len(runs))
+            if len(runs) > room:
+                # A task that is forgotten here is started once more and ends at once, for its result is kept.  A
+                # record that cannot be written would hold up the whole job.
+                record.finished = longest_runs(runs, room)
         return msgspec.to_builtins(record)
 
+    @property
+    def most_open(self) -> int:
+        """How many tasks of an array may hold room at once, so that what is finished fits into its record.
+
+        Tasks are placed lowest first, so the runs of finished tasks are hardly more than those that are open.
+        """
+        tasks = self.spec.tasks
+        digits = len(str(tasks))
+        if self.most_bytes >= tasks * (digits + 1):
+            return tasks
+        rest = len(msgspec.json.encode(self.record)) - len(self.record.finished) + SPARE_BYTES
+        return max(min((self.most_bytes - rest) // (digits + 1), MOST_OPEN), 1)
+
     def over(self, status: str, done: int) -> Any:
         """The short record that is kept for ever once the job is over."""
         return {"status": status, "done": done}
--- a/ashtray/peers/presence.py
+++ b/ashtray/peers/presence.py
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     from ashtray.controller import Controller
 
+FORM = 1
+"""Stands in the presence of controllers that know of jobs that wait on others, and of groups being split."""
 LEASE_US = 6 * SECOND_US
 RENEW_US = 1_500_000
 MAX_FOREMEN = 20_000
@@ -42,6 +44,7 @@
         self._live_of: dict[str, Any] | None = None
         self._live: list[str] = []
         self._foremen: dict[str, str] = {}
+        self._upgraded = False
 
     def run(self) -> Fiber[None]:
         ctl = self.ctl
@@ -52,7 +55,7 @@
                 reply: Reply = yield from ctl.store.open_lease(LEASE_US)
                 if reply.status == 200:
                     lease = reply.body["permit"]
-                    host = {"host": ctl.settings.host_name}
+                    host = {"host": ctl.settings.host_name, "form": FORM}
                     sign_in = partial(Txn().put, key, host, lease)
                     _, reply = yield from ctl.store.commit(sign_in, 1, Urgency.KEEP_ALIVE, "sign in")
                     if reply.status == 200:
@@ -76,6 +79,21 @@
         """Whether the lease, with all that hangs on it, is surely there still."""
         return self.lease is not None and self.ctl.kernel.now_us < self.until_us
 
+    def upgraded(self) -> bool:
+        """Whether all controllers of the settings have been seen to be of this version, at one time.
+
+        From then on none of an older one is about, for nothing brings one back.
+        """
+        if not self._upgraded:
+            seen = self.ctl.picture.controllers
+            hosts = [self.ctl.settings.host_name, *(peer.host_name for peer in self.ctl.settings.others)]
+            self._upgraded = all(seen.get(host, {}).get("form", 0) >= FORM for host in hosts)
+        return self._upgraded
+
+    def older(self) -> list[str]:
+        """Live controllers of an older version: they drop what they do not know when they write a record anew."""
+        return [host for host, value in self.ctl.picture.controllers.items() if value.get("form", 0) < FORM]
+
     def live(self) -> list[str]:
         if self._live_of is not self.ctl.picture.controllers:
             self._live_of = self.ctl.picture.controllers
--- a/ashtray/placement/picture.py
+++ b/ashtray/placement/picture.py
@@ -8,8 +8,9 @@
 
 import msgspec
 
-from ashtray.jobs.model import LIVE, OVER, Job
+from ashtray.jobs.model import LIVE, OVER, UNLIMITED, Job
 from ashtray.runs import decode_runs, encode_runs
+from ashtray.store.client import Limits, Txn
 
 GROUP = "ashtray/now/group/"
 TEAM = "ashtray/now/team/"
@@ -17,6 +18,8 @@
 ADOPTED = "ashtray/now/adopted/"
 FLEET = "ashtray/now/fleet"
 TYPES = "ashtray/now/types"
+SPLIT = "ashtray/now/split/"
+"""For a group that is too large to be written: up to which of its machines have been moved to other groups."""
 EPS = 1e-6
 SICK = 3
 """The blame from which on a machine is returned: two jobs, at least one of which works elsewhere, or three."""
@@ -120,7 +123,7 @@
         self.record = msgspec.convert(raw, MachineRecord)
         self.holds = [Hold(h) for h in self.record.holds]
         self.images = {name for name, _ in self.record.images}
-        self.size = len(msgspec.json.encode(raw)) + len(name) + 4
+        self.size = machine_bytes(name, raw)
         """Bytes that it takes of the group's record."""
         self.cpus = self.gpus = self.memory_gb = 0.0
         for hold in self.holds:
@@ -131,7 +134,7 @@
 
 
 class Group:
-    __slots__ = ("key", "version", "value", "type", "zone", "machines", "done", "size")
+    __slots__ = ("key", "version", "value", "type", "zone", "machines", "done", "size", "moving")
 
     def __init__(self, key: str, value: Any, version: int) -> None:
         self.key = key
@@ -141,7 +144,19 @@
         self.zone: str = value["zone"]
         self.machines: dict[str, Machine] = {}
         self.done: dict[str, set[int]] = {}
-        self.size = 0
+        self.size = FRAME_BYTES + len(self.type) + len(self.zone)
+        self.moving = False
+        """Its machines are being moved to other groups: its record is not to be written any more."""
+
+
+def done_bytes(job_id: str, runs: str) -> int:
+    """What the completed tasks of a job take of a group's record."""
+    return len(job_id) + len(runs) + 6
+
+
+def machine_bytes(name: str, raw: Any) -> int:
+    """What a machine takes of a group's record."""
+    return len(msgspec.json.encode(raw)) + len(name) + 4
 
 
 class Edit:
@@ -166,8 +181,12 @@
     def replace(self, name: str, record: MachineRecord) -> None:
         self._changed[name] = record
 
+    def with_done(self, job_id: str, tasks: set[int]) -> str:
+        """The completed tasks of a job that the record would keep with these."""
+        return encode_runs(tasks | decode_runs(self.done.get(job_id, "")))
+
     def add_done(self, job_id: str, tasks: set[int]) -> None:
-        self.done[job_id] = encode_runs(tasks | decode_runs(self.done.get(job_id, "")))
+        self.done[job_id] = self.with_done(job_id, tasks)
 
     def remove(self, name: str) -> None:
         self._changed.pop(name, None)
@@ -183,7 +202,24 @@
             value["done"] = done
         return value
 
-
+    def write(self, txn: Txn, limits: Limits, live: Callable[[str], bool]) -> bool:
+        """Put the changed record into a transaction, or remove it when it is empty; False if it is too large."""
+        group = self.group
+        value = self.value(live)
+        if group.moving or not limits.takes(len(msgspec.json.encode(value)), group.size):
+            return False
+        txn.guard(group.key, group.version)
+        if group.size > limits.value_bytes:
+            # Somebody may begin to move its machines, which does not change its version.
+            txn.guard(SPLIT + group.key[len(GROUP):], 0)
+        if value["machines"] or "done" in value:
+            txn.put(group.key, value)
+        elif group.version:
+            txn.remove(group.key)
+        return True
+
+
+FRAME_BYTES = 50
 NOBODY: set[int] = set()
 NO_USAGE = (0, 0)
 MICRO = 1_000_000
@@ -196,17 +232,13 @@
     by going through everything: the work must grow with the changes, not with the machines or the queue.
     """
 
-    def __init__(self, most_open: int = 1_000_000) -> None:
+    def __init__(self, job_bytes: int = UNLIMITED) -> None:
         self.loads = 0
         """How often it was begun anew."""
         self.over: dict[str, Any] = {}
         """Final states of jobs, read or seen lately; they never change."""
-        self.most_open = most_open
-        """How many tasks of an array may hold room at once.
-
-        Tasks are placed lowest first, so the runs of finished tasks in the job's record are no more than those
-        that are open: this keeps the record of 100,000 tasks within the state service's limit for a value.
-        """
+        self.job_bytes = job_bytes
+        """What a job's record may take."""
         self.clear()
 
     def clear(self) -> None:
@@ -221,12 +253,16 @@
         self.controllers: dict[str, Any] = {}
         self.fleet: tuple[Any, int] | None = None
         self.types: dict[str, MachineType] = {}
+        self._types: dict[str, dict[str, MachineType]] = {}
+        """By the records that they are in."""
         self.touched: set[str] = set()
         """Machines whose record, or whose jobs, changed since somebody last looked and emptied this."""
         self.complete: set[str] = set()
         """Live jobs all of whose tasks are done."""
         self.changes = 0
         self._versions: dict[str, int] = {}
+        self.moved: dict[str, tuple[str, str]] = {}
+        """For each group that is being split, up to which machine, and which job's completed tasks, it is."""
         self.absent: dict[str, None] = {}
         """Ids of which no final state was found since the picture was read: one written later would be seen."""
         self.shares: dict[str, dict[str, tuple[float, float]]] = {}
@@ -250,7 +286,7 @@
             self._put_group(key, value, version)
         elif key.startswith(LIVE):
             job_id = key[len(LIVE):]
-            self.jobs[job_id] = Job(job_id, value, version)
+            self.jobs[job_id] = Job(job_id, value, version, self.job_bytes)
             self._job_changed(job_id)
         elif key.startswith(CONTROLLER):
             # A new dict each time, so that what was worked out from the old one is known to be old.
@@ -259,8 +295,11 @@
             self.shares[key[len(TEAM):]] = {host: (share[0], share[1]) for host, share in value.items()}
         elif key == FLEET:
             self.fleet = (value, version)
-        elif key == TYPES:
-            self.types = {name: msgspec.convert(t, MachineType) for name, t in value.items()}
+        elif key == TYPES or key.startswith(TYPES + "/"):
+            self._types[key] = {name: msgspec.convert(t, MachineType) for name, t in value.items()}
+            self._types_changed()
+        elif key.startswith(SPLIT):
+            self._note_moved(GROUP + key[len(SPLIT):], (value["machine"], value["job"]))
 
     def remove(self, key: str, version: int) -> None:
         if self._versions.get(key, 0) >= version:
@@ -283,8 +322,24 @@
             self.shares.pop(key[len(TEAM):], None)
         elif key == FLEET:
             self.fleet = None
-        elif key == TYPES:
-            self.types = {}
+        elif key in self._types:
+            del self._types[key]
+            self._types_changed()
+        elif key.startswith(SPLIT):
+            self._note_moved(GROUP + key[len(SPLIT):], None)
+
+    def _types_changed(self) -> None:
+        self.types = {name: kind for key in sorted(self._types) for name, kind in self._types[key].items()}
+
+    def _note_moved(self, key: str, upto: tuple[str, str] | None) -> None:
+        """Some machines of a group are in others now: what its record says of them no longer counts."""
+        if upto is None:
+            self.moved.pop(key, None)
+        else:
+            self.moved[key] = upto
+        group = self.groups.get(key)
+        if group is not None:
+            self._put_group(key, group.value, group.version)
 
     def note_over(self, job_id: str, state: Any) -> None:
         self.over[job_id] = state
@@ -304,7 +359,11 @@
         old = self.groups.get(key)
         group = Group(key, value, version)
         was = old.machines if old is not None else {}
+        group.moving = key in self.moved
+        upto = self.moved[key][0] if group.moving else ""
         for name, raw in value["machines"].items():
+            if name <= upto:
+                continue
             machine = was.get(name)
             if machine is None or machine.raw != raw:
                 if machine is not None:
@@ -323,7 +382,7 @@
                 self._drop_machine(machine)
         group.done = old.done if old is not None else {}
         self._note_done(group, value.get("done", {}))
-        group.size += sum(len(job) + len(runs) + 6 for job, runs in value.get("done", {}).items())
+        group.size += sum(done_bytes(job, runs) for job, runs in value.get("done", {}).items())
         self.groups[key] = group
 
     def _note_done(self, group: Group, runs: dict[str, str]) -> None:
@@ -406,7 +465,7 @@
         if len(placed) + len(finished) >= spec.tasks and len(placed | finished) >= spec.tasks:
             return []
         free = (n for n in range(spec.tasks) if n not in placed and n not in finished)
-        return list(islice(free, max(self.most_open - len(placed), 0)))
+        return list(islice(free, max(job.most_open - len(placed), 0)))
 
     def waiting(self) -> dict[str, list[int]]:
         """The jobs with tasks that have no place, and these tasks, lowest first."""
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -7,12 +7,10 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from ashtray.jobs.model import LIVE, Job
 from ashtray.kernel import SECOND_US, Fiber, Signal, Sleep, Wait
 from ashtray.placement.picture import EPS, TEAM, Edit, HoldRecord, Picture
-from ashtray.placement.plan import Choice, Plan, demand, queue
+from ashtray.placement.plan import IMAGE_BYTES, Choice, Plan, demand, queue
 from ashtray.placement.preemption import Victims, choose_victims, may_stop, stop_victims
 from ashtray.runs import encode_runs
 from ashtray.store.client import Limits, Txn, Urgency
@@ -30,6 +28,8 @@
 HOLD_BYTES = 160
 JOB_BYTES = 600
 """About what a hold, and a job's record, take of a transaction."""
+IMAGES_SHARE = 0.07
+"""Of a value, what the names of one machine's cached images may take."""
 PAUSE_US = 100_000
 PARTIAL_US = 800_000
 SCARCE_PARTIAL_US = 3 * SECOND_US
@@ -303,15 +303,27 @@
 
         A job that does not fit any more is left out.
         """
+        full: set[str] = set()
+        for _ in range(len(batch.groups) + 1):
+            found = self._draft(batch, lines, full)
+            if not isinstance(found, str):
+                return found
+            # What is planned there would not fit into its record any more.
+            self.counts["groups found full"] += 1
+            full.add(found)
+        return None
+
+    def _draft(self, batch: Batch, lines: list[str], full: set[str]) -> Txn | str | None:
+        """The transaction without some groups; the name of another one that would be too large."""
         ctl = self.ctl
         picture = ctl.picture
         txn = Txn()
         lines.clear()
-        fold = ctl.desk.light(batch.groups)
-        draft = Draft(picture, ctl.grants, fold)
+        fold = ctl.desk.light(batch.groups - full)
+        draft = Draft(picture, ctl.grants, fold, ctl.limits)
         for item in batch.items:
             job = picture.jobs.get(item.job_id)
-            if job is None or not draft.allows(job, item):
+            if job is None or full & item.groups() or not draft.allows(job, item):
                 continue
             number = attempt_of(job)
             draft.add(job, item, number, ctl.kernel.wall_us, ctl.settings.host_name)
@@ -325,11 +337,8 @@
         for name in draft.usage:
             txn.guard(TEAM + name, picture.version(TEAM + name))
         for key, edit in draft.edits.items():
-            txn.guard(key, edit.group.version).put(key, edit.value(picture.is_live))
-        limit = ctl.limits.value_bytes * 0.95
-        if any(len(msgspec.json.encode(value)) > limit for value in txn.puts.values()):
-            ctl.kernel.log("error", f"{lines[0]}: a record would grow over its limit")
-            return None
+            if not edit.write(txn, ctl.limits, picture.is_live):
+                return key
         self._sent = txn, list(draft.usage)
         self._folds = {name for name in fold.taken if picture.machines[name].group in draft.edits}
         return txn
@@ -424,7 +433,8 @@
 class Draft:
     """The records that a batch would write, so far."""
 
-    def __init__(self, picture: Picture, grants: Grants, fold: Fold) -> None:
+    def __init__(self, picture: Picture, grants: Grants, fold: Fold, limits: Limits) -> None:
+        self.image_bytes = limits.value_bytes * IMAGES_SHARE
         self.picture = picture
         self.grants = grants
         self.fold = fold
@@ -481,7 +491,9 @@
                 )  # fmt: skip
             )
             del left[:n]
-            record.images = cached(record.images, spec.image, spec.image_gb, room.type.cache_gb)
+            record.images = cached(
+                record.images, spec.image, spec.image_gb, room.type.cache_gb, self.image_bytes
+            )  # fmt: skip
             cpus, gpus, memory = self._added.get(machine.name, (0.0, 0.0, 0.0))
             self._added[machine.name] = (cpus + n * spec.cpus, gpus + n * spec.gpus, memory + n * spec.memory_gb)
         if self.grants.limited(spec.team):
@@ -494,9 +506,13 @@
     return job.record.attempt if job.portion else job.record.attempt + 1
 
 
-def cached(images: list[tuple[str, float]], image: str, size: float, cache_gb: float) -> list[tuple[str, float]]:
-    """A machine's cached images after it has used one, the latest last."""
+def cached(
+    images: list[tuple[str, float]], image: str, size: float, cache_gb: float, most_bytes: float
+) -> list[tuple[str, float]]:
+    """A machine's cached images after it has used one, the latest last; as many as its record has room for."""
     kept = [*(entry for entry in images if entry[0] != image), (image, size)]
-    while len(kept) > 1 and sum(gb for _, gb in kept) > cache_gb:
+    while len(kept) > 1 and (
+        sum(gb for _, gb in kept) > cache_gb or sum(len(name) + IMAGE_BYTES for name, _ in kept) > most_bytes
+    ):  # fmt: skip
         kept.pop(0)
     return kept
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -14,8 +14,14 @@
 from ashtray.kernel import SECOND_US
 from ashtray.placement.picture import EPS, Picture
 from ashtray.placement.rules import Ask, Room, rank
+from ashtray.store.client import Limits
 from ashtray.teams.limits import tasks_within, within_guarantee
 
+FULL_SHARE = 0.8
+"""Nothing more is placed in a group whose record takes this part of a value."""
+HOLD_BYTES = 75
+IMAGE_BYTES = 12
+FEW_RUNS = 4
 ALIKE_LOOKS = 40
 """Machines of a shared ranking that one task looks at."""
 Demand = tuple[Any, ...]
@@ -64,18 +70,33 @@
     return (spec.cpus, spec.gpus, spec.memory_gb, *places)
 
 
+def _hold_bytes(base: int, spec: JobSpec, room: Room, count: int) -> int:
+    """What a hold for so many tasks of a job takes of a record: their numbers are mostly a few runs."""
+    image = 0 if spec.image in room.machine.images else len(spec.image) + IMAGE_BYTES
+    return base + image + len(str(spec.tasks)) * min(count, FEW_RUNS)
+
+
+def _base_bytes(job: Job) -> int:
+    return HOLD_BYTES + len(job.id) + len(job.spec.team)
+
+
 class Plan:
     """Room and limits that are left while jobs are given places, in the queue's order."""
 
     def __init__(
-        self, picture: Picture, teams: dict[str, Team], knobs: Knobs, rng: random.Random, full: float
+        self, picture: Picture, teams: dict[str, Team], knobs: Knobs, rng: random.Random, limits: Limits
     ) -> None:
         self.picture = picture
         self.teams = teams
         self.knobs = knobs
         self.rng = rng
         self.rooms: list[Room] = []
-        kinds, groups = picture.types, picture.groups
+        kinds = picture.types
+        self.left = {
+            key: -1.0 if group.moving else FULL_SHARE * limits.most(group.size) - group.size
+            for key, group in picture.groups.items()
+        }
+        """Bytes that may still be written into each group's record, with a reserve for what must be."""
         for machine in picture.machines.values():
             kind = kinds.get(machine.type)
             if kind is not None and not machine.record.retiring:
@@ -85,7 +106,7 @@
                     picture.blame(machine) if machine.record.failed else 0,
                 )  # fmt: skip
                 # Nothing more is put into a record that is nearly as large as a value may be.
-                if groups[machine.group].size > full:
+                if self.left[machine.group] < HOLD_BYTES:
                     room.cpus = room.gpus = room.memory_gb = -1.0
                 self.rooms.append(room)
         self.freed: list[Room] = []
@@ -150,6 +171,7 @@
     def ask(self, job: Job) -> Ask:
         spec = job.spec
         ask = Ask(spec, scarcity=self.scarcity, spare_gpus=self._spares_gpus(spec))
+        ask.hold_bytes = _base_bytes(job)
         ask.failed_on = frozenset(job.record.failed_on)
         holds = self.picture.held.get(job.id, {})
         if spec.spread:
@@ -271,9 +293,8 @@
         alike = self._alike(ask, count) if among is None else None
         ranked = self._ranked.get(alike) if alike is not None else None
         if ranked is None:
-            if among is None:
-                among = [*(self.rooms if spec.spot else self.ordinary), *freed]
-            rooms = [r for r in among if r.cpus >= cpus and r.gpus >= gpus and r.memory_gb >= memory]
+            there = among if among is not None else [*(self.rooms if spec.spot else self.ordinary), *freed]
+            rooms = [r for r in there if r.cpus >= cpus and r.gpus >= gpus and r.memory_gb >= memory]
             self.visits += len(rooms)
             trial.due, trial.sparing = self.due, self.sparing
             ranked = rank(rooms, trial, count, self.knobs, self.rng)
@@ -285,6 +306,7 @@
             while ranked and not ranked[-1].fits(spec):
                 ranked.pop()
         choices: list[Choice] = []
+        spent: dict[str, float] = {}
         if alike is not None:
             ranked = ranked[-ALIKE_LOOKS:]
         while count > 0 and ranked:
@@ -299,6 +321,12 @@
                 n = min(n, int((spare + EPS) // spec.cpus)) if spec.cpus > 0 else n
             if n <= 0 or trial.zone not in (None, zone):
                 continue
+            group = room.machine.group
+            more = spent.get(group, 0.0) + _hold_bytes(ask.hold_bytes, spec, room, n)
+            if among is None and more > self.left.get(group, more):
+                # Where no more can be written there is no room.
+                continue
+            spent[group] = more
             choices.append((room, n))
             count -= n
             if spec.same_zone:
@@ -322,8 +350,11 @@
         )  # fmt: skip
 
     def take(self, job: Job, choices: Iterable[Choice]) -> None:
+        base = _base_bytes(job)
         for room, n in choices:
             room.take(job.spec, n)
+            if room.machine.group in self.left:
+                self.left[room.machine.group] -= _hold_bytes(base, job.spec, room, n)
         self.count(job, sum(n for _, n in choices))
 
     def give_back(self, job: Job, room: Room, count: int) -> None:
--- a/ashtray/placement/preemption.py
+++ b/ashtray/placement/preemption.py
@@ -114,7 +114,6 @@
                     return None
                 break
             edits[group.key] = Edit(group)
-            txn.guard(group.key, group.version)
         record = edits[group.key].machine(name)
         kept = []
         for hold, known in zip(record.holds, machine.holds, strict=True):
@@ -128,8 +127,7 @@
             grace_us = job.spec.save_us if job.spec.checkpoint_us else 0
             kept.append(msgspec.structs.replace(hold, tasks=encode_runs(stop), stop_us=grace_us))
         record.holds = kept
-    if not edits:
-        return None
-    for key, edit in edits.items():
-        txn.put(key, edit.value(picture.is_live))
-    return txn
+    for edit in edits.values():
+        if not edit.write(txn, limits, picture.is_live) and whole:
+            return None
+    return txn if txn.changes() else None
--- a/ashtray/placement/rules.py
+++ b/ashtray/placement/rules.py
@@ -59,6 +59,8 @@
     """Tasks that are as urgent wait for GPUs."""
     failed_on: frozenset[str] = frozenset()
     """Machines on which the job has failed."""
+    hold_bytes: int = 0
+    """What a hold for it takes of a record."""
     sparing: bool = False
     """Changes of the state service are scarce."""
     due: set[str] = field(default_factory=set)
--- a/ashtray/runs.py
+++ b/ashtray/runs.py
@@ -26,3 +26,19 @@
         first, _, last = part.partition("-")
         numbers.update(range(int(first), int(last or first) + 1))
     return numbers
+
+
+def longest_runs(text: str, room: int) -> str:
+    """The longest of some runs, as many as fit into so many characters."""
+    parts = text.split(",")
+    sizes = {}
+    for part in parts:
+        first, _, last = part.partition("-")
+        sizes[part] = int(last or first) - int(first) + 1
+    kept: set[str] = set()
+    for part in sorted(parts, key=lambda part: -sizes[part]):
+        room -= len(part) + 1
+        if room < 0:
+            break
+        kept.add(part)
+    return ",".join(part for part in parts if part in kept)
--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -20,6 +20,8 @@
 CHANGES_OVERDRAFT = 0.8
 """The same for changes: a commit leaves a debt of seconds for one controller, of which users must see nothing."""
 SCARCE_US = 2 * SECOND_US
+PINCH_US = 5 * SECOND_US
+LOW_US, MOST_LOW_US = 30 * SECOND_US, 240 * SECOND_US
 SURE = (200, 400, 409, 429, 503)
 OUTCOMES = {0: "unanswered", 200: "good", 404: "good", 409: "conflicted"}
 
@@ -131,19 +133,43 @@
         self.changes = Lane(
             kernel, Bucket(limits.write_rps, 1.0, kernel.now_us), limits.write_rps * CHANGES_OVERDRAFT
         )
+        self.refused = False
+        """A transaction was too large: lower limits are in force."""
+        self._pinched_us: list[int] = []
+        self._low_until_us = 0
+        self._low_us = LOW_US
         self.used = 0
         """Changes sent since the start: peers share the budget by need."""
         self.counts: Counter[str] = Counter()
         """What the budgets went to since the last report, by purpose and outcome."""
 
+    def pinch(self) -> None:
+        """A 429: two of them soon after one another say that the lower rate is in force.
+
+        That is kept to for a while and then tried again, ever more seldom while it does not help.
+        """
+        now = self.kernel.now_us
+        if self.limits.next is None or now < self._low_until_us:
+            return
+        self._pinched_us = [at for at in self._pinched_us if now - at < PINCH_US] + [now]
+        again = now - self._low_until_us < PINCH_US
+        if len(self._pinched_us) > 1 or again:
+            self._low_us = min(2 * self._low_us, MOST_LOW_US) if again else LOW_US
+            self._low_until_us = now + self._low_us
+            self._pinched_us = []
+            self.kernel.log("info", f"the state service takes fewer changes: at the lower rate for {self._low_us} us")
+            self.changes.bucket.rate = min(self.changes.bucket.rate, self.changes.bucket.rate
+                                           * self.limits.next.write_rps / self.limits.write_rps)  # fmt: skip
+
     def backlog(self) -> int:
         return len(self.requests.waiting) + len(self.changes.waiting)
 
     def share(self, requests: float, changes: float) -> None:
         """Set this controller's share of the budgets that all controllers have together."""
-        for lane, rate in (
-            (self.requests, self.limits.rps * requests), (self.changes, self.limits.write_rps * changes)
-        ):  # fmt: skip
+        write_rps = self.limits.write_rps
+        if self.limits.next is not None and self.kernel.now_us < self._low_until_us:
+            write_rps = min(write_rps, self.limits.next.write_rps)
+        for lane, rate in ((self.requests, self.limits.rps * requests), (self.changes, write_rps * changes)):
             lane.bucket.refill(self.kernel.now_us)
             lane.bucket.rate = rate * self.headroom
 
@@ -209,8 +235,13 @@
             self.counts[f"{purpose} {outcome}"] += 1
             self.counts[f"{purpose} {outcome} changes"] += txn.changes()
             txn.doubt = reply.status not in SURE
+            if reply.status == 400 and (reply.body or {}).get("error") != "no such lease":
+                # Never the same again: what is built from now on obeys the lower limits.
+                self.refused = True
+                self.kernel.log("error", f"the state service refuses a transaction ({purpose}): {reply.body}")
             if reply.status != 429:
                 break
+            self.pinch()
             self._hold(self.changes, n)
         self._note("POST", f"/txn of {txn.changes() if txn else 0}", reply, asked_us)
         return txn, reply
@@ -228,17 +259,50 @@
 """What the state service takes in one transaction, in all."""
 
 
-@dataclass(frozen=True)
+VALUE_SHARE = 0.95
+"""Of the limit for a value what a record may take."""
+
+
+@dataclass
 class Limits:
-    """How much may go into one transaction and one value; sizes are estimates, so a part is kept in reserve."""
+    """How much may go into one transaction and one value; sizes are estimates, so a part is kept in reserve.
+
+    Where the settings name limits that are to come, whatever is written obeys the lower ones from the start: they
+    come without notice, and what is too large then could not even be made smaller.
+    """
 
     ops: int
     txn_bytes: int
     value_bytes: int
+    first_ops: int = 0
+    first_value_bytes: int = 0
+    """The limits of the beginning, up to which another version may have written."""
+    low: bool = False
+    """The lower limits may be in force by now."""
 
     @classmethod
     def of(cls, limits: StateLimits) -> Limits:
-        return cls(limits.txn_ops, int(TXN_BYTES * 0.85), int(limits.value_kb * 1024))
+        ops, value_kb = limits.txn_ops, limits.value_kb
+        if limits.next is not None:
+            ops, value_kb = min(ops, limits.next.txn_ops), min(value_kb, limits.next.value_kb)
+        txn_bytes = int(TXN_BYTES * 0.85)
+        return cls(ops, txn_bytes, int(value_kb * 1024), limits.txn_ops, int(limits.value_kb * 1024))
+
+    @property
+    def fall(self) -> bool:
+        """Whether lower limits are to come."""
+        return self.ops < self.first_ops or self.value_bytes < self.first_value_bytes
+
+    def most(self, size: int) -> int:
+        """How large a record may become that takes so many bytes now.
+
+        One that another version has made larger goes on as it is until the lower limits may be there.
+        """
+        return self.first_value_bytes if size > self.value_bytes and not self.low else self.value_bytes
+
+    def takes(self, size: int, before: int) -> bool:
+        """Whether a record may be written with so many bytes."""
+        return size <= self.most(before) * VALUE_SHARE
 
     @property
     def guards(self) -> int:
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -5,6 +5,8 @@
 from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from ashtray.jobs.model import LIVE, OVER, Job
 from ashtray.kernel import SECOND_US, Kernel
 from ashtray.placement.picture import (
@@ -17,6 +19,8 @@
     MachineRecord,
     MachineType,
     Picture,
+    done_bytes,
+    machine_bytes,
 )
 from ashtray.runs import decode_runs, encode_runs
 from ashtray.store.client import Limits, Txn
@@ -24,12 +28,16 @@
 
 SAVE_LEAD_US = 5 * SECOND_US
 """A report may be three seconds away, and a commit one more."""
-BYTES_PER_TASK = 32
-"""A job with more than one task for so many bytes of a value keeps its completed tasks in its own record."""
+DONE_SHARE = 0.125
+"""A job whose completed tasks would take more of a group's record has them written into its own."""
 
-NEW_MACHINE_BYTES = 100
+NEW_MACHINE_BYTES = 120
+FULL_SHARE = 0.6
+"""A group that takes this part of a value gets no more machines."""
 MACHINE_BYTES = 450
-HOLD_BYTES = 110
+LEAN_MACHINE_BYTES = 140
+"""The former is with many images, the latter without any."""
+HOLD_BYTES = 90
 CPUS_PER_HOLD = 16
 MAX_FAILED = 6
 """So many jobs that failed on a machine, and machines that a job failed on, are remembered."""
@@ -241,37 +249,49 @@
         self.edits: dict[str, Edit] = {}
         self._ops = 0
         self._bytes = 0
+        self._sizes: dict[str, int] = {}
 
     def add(self, group: Group, names: Iterable[str], evidence: dict[str, Evidence]) -> None:
         """Fold the reports of some of a group's machines, as far as there is room for the changes."""
+        if group.moving:
+            return
         edit = Edit(group)
         for name in sorted(names):
             machine, known = group.machines.get(name), evidence.get(name)
             if machine is None or known is None:
                 self.idle.add(name)
                 continue
-            record = edit.copy_of(name)
-            trial: dict[str, JobFold] = {}
-            if not fold_machine(self.picture, machine, record, known, trial):
-                self.idle.add(name)
-                continue
-            full = group.size > self.limits.value_bytes * SPILL_SHARE
-            # A job that ends may cost two changes: more than a transaction takes on one machine are folded in turns.
-            costly = [job_id for job_id, fold in trial.items() if self._ops_of(job_id, fold, full)]
-            later = set(costly[max((self.limits.ops - 1) // 2, 1):])
-            if later:
-                record, trial = edit.copy_of(name), {}
-                fold_machine(self.picture, machine, record, known, trial, later)
-            ops = (group.key not in self.edits) + sum(self._ops_of(j, fold, full) for j, fold in trial.items())
-            size = 0 if group.key in self.edits else group.size
-            if self._ops and (self._ops + ops > self.limits.ops or self._bytes + size > self.limits.txn_bytes):
-                continue
-            self._ops += ops
-            self._bytes += size
-            self._keep(edit, name, record, trial)
+            for full in (False, True):
+                # Where what completed would make the record too large, it goes into the jobs' own.
+                spills = full or self._full(group)
+                record = edit.copy_of(name)
+                trial: dict[str, JobFold] = {}
+                if not fold_machine(self.picture, machine, record, known, trial):
+                    self.idle.add(name)
+                    break
+                # A job that ends may cost two changes: more than a transaction takes are folded in turns.
+                costly = [job_id for job_id, fold in trial.items() if self._ops_of(job_id, fold, edit, spills)]
+                later = set(costly[max((self.limits.ops - 1) // 2, 1):])
+                if later:
+                    record, trial = edit.copy_of(name), {}
+                    fold_machine(self.picture, machine, record, known, trial, later)
+                ops = sum(self._ops_of(j, fold, edit, spills) for j, fold in trial.items())
+                more = self._growth(edit, machine, record, trial)
+                if not self.limits.takes(self._size(group) + more, group.size):
+                    continue
+                ops += group.key not in self.edits
+                size = 0 if group.key in self.edits else group.size
+                if self._ops and (self._ops + ops > self.limits.ops or self._bytes + size > self.limits.txn_bytes):
+                    break
+                self._ops += ops
+                self._bytes += size
+                self._keep(edit, name, record, trial, more)
+                break
 
     def add_light(self, group: Group, names: Iterable[str], evidence: dict[str, Evidence]) -> None:
         """Fold those reports that change their group's record only."""
+        if group.moving:
+            return
         edit = Edit(group)
         for name in sorted(names):
             machine, known = group.machines.get(name), evidence.get(name)
@@ -281,10 +301,12 @@
             trial: dict[str, JobFold] = {}
             if not fold_machine(self.picture, machine, record, known, trial):
                 continue
-            full = group.size > self.limits.value_bytes * SPILL_SHARE
-            if any(self._ops_of(job_id, fold, full) for job_id, fold in trial.items()):
+            if any(self._ops_of(job_id, fold, edit, self._full(group)) for job_id, fold in trial.items()):
                 continue
-            self._keep(edit, name, record, trial)
+            more = self._growth(edit, machine, record, trial)
+            if not self.limits.takes(self._size(group) + more, group.size):
+                continue
+            self._keep(edit, name, record, trial, more)
             kept = [len(decode_runs(hold.tasks)) for hold in record.holds]
             self.freed[name] = (
                 machine.cpus - sum(n * hold.cpus for n, hold in zip(kept, record.holds, strict=True)),
@@ -292,17 +314,42 @@
                 machine.memory_gb - sum(n * hold.memory_gb for n, hold in zip(kept, record.holds, strict=True)),
             )
 
-    def _keep(self, edit: Edit, name: str, record: MachineRecord, folds: dict[str, JobFold]) -> None:
+    def _size(self, group: Group) -> int:
+        """What a group's record will take, so far."""
+        return self._sizes.get(group.key, group.size)
+
+    def _full(self, group: Group) -> bool:
+        return self._size(group) > self.limits.most(group.size) * SPILL_SHARE
+
+    def _growth(
+        self, edit: Edit, machine: Machine, record: MachineRecord, folds: dict[str, JobFold]
+    ) -> int:  # fmt: skip
+        """How much larger a group's record becomes by one machine's report."""
+        more = machine_bytes(machine.name, msgspec.to_builtins(record)) - machine.size
+        for job_id, fold in folds.items():
+            old = edit.done.get(job_id)
+            if old is not None:
+                more -= done_bytes(job_id, old)
+            if not fold.spilt and (fold.finished or old is not None):
+                more += done_bytes(job_id, edit.with_done(job_id, fold.finished))
+        return more
+
+    def _keep(
+        self, edit: Edit, name: str, record: MachineRecord, folds: dict[str, JobFold], more: int
+    ) -> None:  # fmt: skip
         """Make what a machine's report says a part of this transaction."""
         edit.replace(name, record)
         self.edits[edit.group.key] = edit
+        self._sizes[edit.group.key] = self._size(edit.group) + more
         self.taken.add(name)
         for job_id, fold in folds.items():
             self.jobs.setdefault(job_id, JobFold()).add(fold)
-            if fold.finished and not self.jobs[job_id].spilt:
+            if fold.spilt:
+                edit.done.pop(job_id, None)
+            elif fold.finished:
                 edit.add_done(job_id, fold.finished)
 
-    def _ops_of(self, job_id: str, fold: JobFold, full: bool) -> int:
+    def _ops_of(self, job_id: str, fold: JobFold, edit: Edit, full: bool) -> int:
         """How many more changes a job's part costs; the end of one, its short record and its removal, costs two."""
         job = self.picture.jobs[job_id]
         both = JobFold()
@@ -310,9 +357,14 @@
         if before is not None:
             both.add(before)
         both.add(fold)
-        # What completed goes into the job's own record where it could fill the group's.
-        large = job.spec.tasks > self.limits.value_bytes / BYTES_PER_TASK
-        fold.spilt = both.spilt = both.spilt or (bool(fold.finished) and (large or full))
+        # What completed goes into the job's own record, with what the group kept of it, where it fills the group's.
+        if fold.finished and job.spec.kind != "gang":
+            large = len(edit.with_done(job_id, fold.finished)) > self.limits.value_bytes * DONE_SHARE
+            fold.spilt = both.spilt or large or full
+        if fold.spilt:
+            fold.finished |= decode_runs(edit.done.get(job_id, ""))
+            both.finished |= fold.finished
+            both.spilt = True
         return self._cost(job, both) - (self._cost(job, before) if before is not None else 0)
 
     def _cost(self, job: Job, fold: JobFold) -> int:
@@ -344,19 +396,25 @@
                     self.lines.append(f"{job_id} is done")
                 elif fold.broken or fold.errors:
                     self.lines.append(f"{job_id} lost tasks: gang attempt {fold.broken}, errors {fold.errors}")
-        for key, edit in self.edits.items():
-            value = edit.value(lambda job_id: self.picture.is_live(job_id) and job_id not in ended)
-            txn.guard(key, edit.group.version).put(key, value)
+        for edit in self.edits.values():
+            if not edit.write(txn, self.limits, lambda job_id: self.picture.is_live(job_id) and job_id not in ended):
+                # Its size was worked out before: this is a fault, and must not be tried again and again.
+                raise AssertionError(f"{edit.group.key} grew over its limit")
         return txn
 
 
+def expected_bytes(kind: MachineType | None, value_bytes: int) -> float:
+    """What a machine of a type may be expected to take of its group's record."""
+    holds = max(kind.gpus / 2, kind.cpus / CPUS_PER_HOLD, 1.0) if kind is not None else 1.0
+    return min(MACHINE_BYTES, LEAN_MACHINE_BYTES + value_bytes / 32) + holds * HOLD_BYTES
+
+
 def group_size(kind: MachineType | None, value_bytes: int) -> int:
     """How many machines of a type share a record: as many as a value holds with the holds that they may take.
 
     Fewer, larger groups mean fewer changes, for a placement or a fold costs one for each group.
     """
-    holds = max(kind.gpus / 2, kind.cpus / CPUS_PER_HOLD, 1.0) if kind is not None else 1.0
-    return max(int(value_bytes * GROUP_SHARE / (MACHINE_BYTES + holds * HOLD_BYTES)), 1)
+    return max(int(value_bytes * GROUP_SHARE / expected_bytes(kind, value_bytes)), 1)
 
 
 def adoption(
@@ -369,10 +427,11 @@
     """
     first = next(iter(strangers.values()))
     size = fixed or group_size(picture.types.get(first.type), limits.value_bytes)
+    full = limits.value_bytes * FULL_SHARE - NEW_MACHINE_BYTES
     kind = (first.type, first.zone)
     lock = f"{ADOPTED}{first.type}.{first.zone}"
     groups = (group for _, group in sorted(picture.groups.items()) if (group.type, group.zone) == kind)
-    open_groups = [group for group in groups if len(group.machines) < size]
+    open_groups = [g for g in groups if len(g.machines) < size and g.size < full and not g.moving]
     txn = Txn().guard(lock, picture.version(lock)).put(lock, picture.version(lock))
     taken: list[str] = []
     left = sorted(strangers)
@@ -388,11 +447,12 @@
                 key += "+"
             group = Group(key, {"type": first.type, "zone": first.zone, "machines": {}}, 0)
         edit = Edit(group)
-        part = left[: size - len(group.machines)]
+        fits = int((full - group.size) // NEW_MACHINE_BYTES) + 1
+        part = left[: min(size - len(group.machines), max(fits, 1))]
         left = left[len(part):]
         for name in part:
             edit.replace(name, MachineRecord(address=strangers[name].address, spot=strangers[name].spot))
-        taken += part
         room -= group.size + NEW_MACHINE_BYTES * len(part)
-        txn.guard(group.key, group.version).put(group.key, edit.value(picture.is_live))
+        if edit.write(txn, limits, picture.is_live):
+            taken += part
     return txn, taken
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -111,7 +111,8 @@
 
 def test_completed_tasks_go_to_the_jobs_own_record_where_they_could_fill_a_groups():
     picture = two_groups(5)
-    txn = folded(picture, {"vm-0": ended("vm-0", {0: "done"})}, Limits(16, 60_000, 32 * 4))
+    full = Limits(16, 60_000, int(picture.groups[GROUP + "0"].size / 0.85))
+    txn = folded(picture, {"vm-0": ended("vm-0", {0: "done"})}, full)
     assert txn.puts[LIVE + "job-1"]["finished"] == "0"
 
 
@@ -172,7 +173,7 @@
     picture.waiting()
     assert (len(built), len(settled), picture.take_touched()) == (1, 1, {"vm-0-0"})
     # Of all the machines a plan looks closely at those with room only, and not again once they are known to be full.
-    plan = Plan(picture, {}, Knobs(), random.Random(1), 30_000.0)
+    plan = Plan(picture, {}, Knobs(), random.Random(1), Limits(16, 60_000, 32_768))
     for job in queue(picture, {})[0]:
         plan.place(job, len(plan.wanted(job, 10)), 0.0)
     assert plan.visits <= 2
@@ -188,7 +189,7 @@
     large = JobSpec("large", "crew", "array", 2, 2, 5.0, 1.0, 27.0, "img", 1.0)
     for n, spec in enumerate((small, large)):
         picture.put(f"{LIVE}job-{n}", msgspec.to_builtins(JobRecord(spec, "berth-0", n)), n + 2)
-    plan = Plan(picture, {}, Knobs(), random.Random(1), 30_000.0)
+    plan = Plan(picture, {}, Knobs(), random.Random(1), Limits(16, 60_000, 32_768))
     first, second = queue(picture, {})[0]
     assert sum(n for _, n in plan.place(first, 40, 0.0)) == 0
     assert sum(n for _, n in plan.place(second, 2, 0.0)) == 2
