--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -21,6 +21,7 @@
 from ashtray.store.follower import Follower
 from ashtray.teams.grants import Grants
 from ashtray.workers.desk import Desk
+from ashtray.workers.folding import most_later
 from ashtray.workers.splitting import Splitter
 
 UNWELL_US = 5 * SECOND_US
@@ -34,7 +35,9 @@
         self.teams = {team.name: team for team in settings.cluster.teams}
         self.kernel = Kernel(rng, verbose)
         self.limits = Limits.of(settings.cluster.state)
-        self.picture = Picture(int(self.limits.value_bytes * VALUE_SHARE))
+        self.picture = Picture(
+            int(self.limits.value_bytes * VALUE_SHARE), most_later(self.limits), lambda: self.kernel.wall_us
+        )
         hosts = [peer.host_name for peer in settings.others]
         self.grants = Grants(settings.host_name, hosts, settings.cluster.teams, self.picture)
         self._seen = -1
@@ -91,6 +94,8 @@
         kernel.forever(self.desk.adopt, 0)
         kernel.forever(self.desk.tidy, SECOND_US)
         kernel.forever(self.splitter.run, 0)
+        kernel.forever(self.jobs.resolve, 0)
+        kernel.forever(self.jobs.bury, 0)
         kernel.forever(self._count, COUNT_US)
         kernel.forever(self.desk.sweep, 20 * SECOND_US)
         return kernel.run()
--- a/ashtray/jobs/messages.py
+++ b/ashtray/jobs/messages.py
@@ -39,6 +39,7 @@
     hulls: list[Name] | None = None
     yard: Name | None = None
     due_s: Amount | None = None
+    waits_on: list[str] | None = None
 
 
 class Malformed(Exception):
@@ -61,6 +62,9 @@
             raise Malformed(f"{field} is not a finite number")
     if not JOB_ID.fullmatch(sub.name_id):
         raise Malformed("name_id is not job- and digits")
+    needs = list(dict.fromkeys(sub.waits_on or ()))
+    if not all(JOB_ID.fullmatch(need) for need in needs):
+        raise Malformed("waits_on holds what is not job- and digits")
     return sub.name_id, JobSpec(
         job_class=sub.lane,
         team=sub.crew,
@@ -81,12 +85,17 @@
         checkpoint_us=seconds_us(sub.snapshot_every_s),
         save_us=seconds_us(sub.snapshot_cost_s),
         deadline_us=None if sub.due_s is None else seconds_us(sub.due_s),
+        needs=needs,
     )
 
 
-def state_body(job_id: str, status: str, done: int | None = None, running: int | None = None) -> dict[str, Any]:
+def state_body(
+    job_id: str, status: str, done: int | None = None, running: int | None = None, waits_on: list[str] | None = None
+) -> dict[str, Any]:
     body: dict[str, Any] = {"name_id": job_id, "status": status}
     if done is not None:
         body["done"] = done
         body["running"] = running or 0
+    if waits_on:
+        body["waits_on"] = waits_on
     return body
--- a/ashtray/jobs/model.py
+++ b/ashtray/jobs/model.py
@@ -18,6 +18,8 @@
 PRIORITIES = ("production", "high", "normal", "low")
 
 
+MOST_LATER = 16
+"""Jobs of so many tasks count as done before their records are moved."""
 UNLIMITED = 1 << 30
 FEW_RUNS = 100
 MOST_OPEN = 1280
@@ -47,6 +49,8 @@
     checkpoint_us: int = 0
     save_us: int = 0
     deadline_us: int | None = None
+    needs: list[str] = []
+    """Jobs that must be done before any task of this one starts."""
 
 
 class JobRecord(msgspec.Struct, omit_defaults=True):
@@ -73,7 +77,7 @@
 class Job:
     """A live job in the picture."""
 
-    __slots__ = ("id", "record", "spec", "version", "finished", "most_bytes")
+    __slots__ = ("id", "record", "spec", "version", "finished", "most_bytes", "priority", "ready_us", "latest_us")
 
     def __init__(self, job_id: str, value: Any, version: int, most_bytes: int = UNLIMITED) -> None:
         self.id = job_id
@@ -82,6 +86,12 @@
         self.record = msgspec.convert(value, JobRecord)
         self.spec = self.record.spec
         self.version = version
+        self.priority = self.spec.priority
+        """Its own, or that of a more urgent job that needs it."""
+        self.ready_us = self.record.accepted_us
+        """Since when nothing that it needs has been missing."""
+        self.latest_us: int | None = None
+        """When it has to start, if a deadline, its own or that of a job that needs it, is to be met."""
         self.finished = decode_runs(self.record.finished)
 
     @property
@@ -135,6 +145,6 @@
         rest = len(msgspec.json.encode(self.record)) - len(self.record.finished) + SPARE_BYTES
         return max(min((self.most_bytes - rest) // (digits + 1), MOST_OPEN), 1)
 
-    def over(self, status: str, done: int) -> Any:
-        """The short record that is kept for ever once the job is over."""
-        return {"status": status, "done": done}
+    def over(self, status: str, done: int, at_us: int) -> Any:
+        """The short record that is kept for ever once the job is over, at that time of day."""
+        return {"status": status, "done": done, "at_us": at_us}
--- a/ashtray/jobs/pace.py
+++ b/ashtray/jobs/pace.py
@@ -43,13 +43,15 @@
 
         None for jobs that should start at once, or for which no aim says by when.
         """
-        if job.spec.job_class in self.urgent:
+        if job.spec.job_class in self.urgent or job.latest_us is not None and job.spec.deadline_us is None:
+            # A stage that others wait for must not use up the time that they have.
             return None
         within_s = self._finished_s.get(job.spec.job_class)
         due_us = job.spec.deadline_us if within_s is None else int(within_s * SECOND_US)
         if due_us is None or job.spec.job_class not in self._timed:
             return None
-        return job.record.accepted_us + due_us - int(RESERVE * self.run_us(job))
+        since_us = job.record.accepted_us if within_s is None else job.ready_us
+        return since_us + due_us - int(RESERVE * self.run_us(job))
 
     def learn(self, job: Job, placed_us: int, ended_us: int) -> None:
         if job.spec.estimate_us > 0:
@@ -66,5 +68,5 @@
         """How long a job may wait for each time that a machine costs as much again as the cheapest."""
         if job.spec.job_class in self.urgent:
             return self._patience_s / 4
-        timed = self._all_timed or job.spec.job_class in self._timed
+        timed = self._all_timed or job.spec.job_class in self._timed or job.latest_us is not None
         return self._patience_s if timed else self._patience_s * UNTIMED
--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -8,10 +8,10 @@
 import msgspec
 
 from ashtray.jobs.messages import Malformed, parse_submission, state_body
-from ashtray.jobs.model import LIVE, OVER, JobRecord, JobSpec
-from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Signal, Wait
+from ashtray.jobs.model import FEW_RUNS, LIVE, MOST_LATER, OVER, SPARE_BYTES, Job, JobRecord, JobSpec
+from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Signal, Sleep, Wait
 from ashtray.placement.explain import explain
-from ashtray.store.client import Txn, Urgency
+from ashtray.store.client import VALUE_SHARE, Txn, Urgency
 from ashtray.teams.limits import can_ever_run
 from ashtray.workers.folding import ends_later
 
@@ -19,6 +19,8 @@
     from ashtray.controller import Controller
 
 MAX_BACKLOG = 150
+MAX_RESOLVING = 8
+RESOLVE_US = SECOND_US // 20
 MAX_LOOKING = 30
 """Final states that are read for polls at one time: they may not take the requests that leases and commits need."""
 HAND_ON_US = 850_000
@@ -33,6 +35,8 @@
         self._looking: dict[str, Signal] = {}
         """Final states that are being read for somebody: whoever else asks meanwhile waits for the same reading."""
         self._handed_on = 0
+        self._resolved = -1
+        """The picture's changes when all that is needed was last seen to be known, or asked for."""
 
     def _busy(self, request_id: int) -> bool:
         if self.ctl.store.backlog() < MAX_BACKLOG:
@@ -96,21 +100,17 @@
         ctl = self.ctl
         # What could be known when the question came decides: while the look-up waits, the types may come in,
         # and a job that could not be judged must not be refused then.
-        known = bool(ctl.picture.types)
-        reason = self.refusal(spec) if known else "the machine types are not known yet"
-        if reason is not None:
+        record = JobRecord(spec, ctl.settings.host_name, self.kernel.wall_us)
+        value = msgspec.to_builtins(record)
+        refused = self._judge(spec, value) or (yield from self._judge_needs(spec))
+        if refused is not None:
             # A job that is known already gets its state, whatever would be said of it now.
             status, body = yield from self._look_up(job_id)
-            if status != 404:
-                self._answer(request_id, status, body)
-            elif known:
-                self.kernel.log("info", f"{job_id} refused: {reason}")
-                self.kernel.answer(request_id, 422, {"error": reason})
-            else:
-                self.kernel.answer(request_id, 503, {"error": reason}, 1)
+            if status == 404:
+                status, body = refused[0], {"error": refused[1]}
+                self.kernel.log("info", f"{job_id} refused: {refused[1]}")
+            self._answer(request_id, status, body)
             return
-        record = JobRecord(spec, ctl.settings.host_name, self.kernel.wall_us)
-        value = msgspec.to_builtins(record)
         txn = Txn().guard(LIVE + job_id, 0).guard(OVER + job_id, 0).put(LIVE + job_id, value)
         _, reply = yield from ctl.store.commit(lambda: txn, 1, Urgency.ACCEPT, "accept")
         if reply.status == 200:
@@ -126,6 +126,34 @@
             # It may have been accepted all the same: the retry will find out.
             self._answer(request_id, 429 if reply.status == 429 else 503, {"error": "not accepted yet"})
 
+    def _judge(self, spec: JobSpec, value: Any) -> tuple[int, str] | None:
+        """The status and the reason of a refusal, as far as the job itself gives one."""
+        room = int(self.ctl.limits.value_bytes * VALUE_SHARE) - SPARE_BYTES - FEW_RUNS
+        size = len(msgspec.json.encode(value))
+        if size > room:
+            # It could be accepted, but never be written again.
+            return 400, f"the description takes {size} bytes of its record, which has room for {room}"
+        if not self.ctl.picture.types:
+            return 503, "the machine types are not known yet"
+        reason = self.refusal(spec)
+        return None if reason is None else (422, reason)
+
+    def _judge_needs(self, spec: JobSpec) -> Fiber[tuple[int, str] | None]:
+        """The same as far as the jobs give one that it waits on."""
+        picture = self.ctl.picture
+        older = self.ctl.presence.older() if spec.needs else []
+        if older:
+            # It would drop what it does not know when it writes the job's record anew.
+            return 503, f"{', '.join(older)} does not know of jobs that wait on others yet"
+        for need in spec.needs:
+            if need in picture.jobs or need in picture.over:
+                continue
+            status, _ = yield from self._look_up(need)
+            if status != 200:
+                # Only what is surely not there is refused.
+                return (422, f"{need} was never accepted") if status == 404 else (503, f"{need} cannot be looked up")
+        return None
+
     def _answer(self, request_id: int, status: int, body: Any) -> None:
         self.kernel.answer(request_id, status, body, 1 if status in (429, 503) else None)
 
@@ -137,12 +165,20 @@
                 return 503, {"error": "the state service does not answer"}
             job = picture.jobs.get(job_id)
             if job is not None:
+                known = yield from self._know_needs(job, urgency)
+                if known is False:
+                    return 503, {"error": "the state service does not answer"}
+                if known is None:
+                    # Reading took a while: what was true when it began may not be any more.
+                    continue
+                if job_id in picture.needs.doomed:
+                    return 200, state_body(job_id, "cancelled", 0, 0)
                 if job_id in picture.completed() and ends_later(job, self.ctl.limits):
                     return 200, state_body(job_id, "done", job.spec.tasks, 0)
                 running = len(picture.placed(job_id))
                 status = "running" if running else "pending"
                 done = len(picture.finished(job))
-                return 200, state_body(job_id, status, done, running)
+                return 200, state_body(job_id, status, done, running, picture.needs.open(job))
             if job_id in picture.over:
                 break
             if job_id in picture.absent:
@@ -160,6 +196,72 @@
         over = picture.over[job_id]
         return 200, state_body(job_id, over["status"], over["done"], 0)
 
+    def _know_needs(self, job: Job, urgency: Urgency) -> Fiber[bool | None]:
+        """Read what is not known of the jobs before a live one: it may be cancelled with one of them.
+
+        True: all was known.  None: something was read.  False: it cannot be.
+        """
+        picture = self.ctl.picture
+        known: bool | None = True
+        while unknown := [need for need in picture.needs.unknown([job.id]) if need not in picture.absent]:
+            known = None
+            looking = self._looking.get(unknown[0])
+            if looking is not None:
+                if (yield Wait(looking, 2 * SECOND_US)) is None:
+                    return False
+            elif (yield from self._read_over(unknown[0], urgency)) not in (200, 404):
+                return False
+        return known
+
+    def resolve(self) -> Fiber[None]:
+        """Read the final states of needed jobs that ended before the picture was read.
+
+        They are not loaded at a start, for they grow with history; a job is not ready before all are known.
+        """
+        ctl = self.ctl
+        picture = ctl.picture
+        if ctl.follower.loaded and picture.changes != self._resolved:
+            self._resolved = picture.changes
+            for need in picture.needs.unknown():
+                if len(self._looking) >= MAX_RESOLVING:
+                    self._resolved = -1
+                    break
+                if need not in self._looking and need not in picture.absent:
+                    self.kernel.spawn(self._resolve(need))
+        yield Sleep(RESOLVE_US)
+
+    def _resolve(self, job_id: str) -> Fiber[None]:
+        if job_id not in self._looking:
+            if (yield from self._read_over(job_id, Urgency.PLACE)) not in (200, 404):
+                self._resolved = -1
+            self.ctl.placer.changed()
+
+    def bury(self) -> Fiber[None]:
+        """Move the records of jobs that are cancelled with one that they need: they count as cancelled already."""
+        ctl = self.ctl
+        yield Sleep(SECOND_US)
+        if not ctl.follower.loaded or not any(ctl.placer.mine(job) for job in self._doomed()):
+            return
+        buried: list[str] = []
+
+        def build() -> Txn | None:
+            buried.clear()
+            txn = Txn()
+            for job in self._doomed():
+                if txn.changes() + 2 <= ctl.limits.ops and ctl.placer.mine(job):
+                    over = job.over("cancelled", 0, self.kernel.wall_us)
+                    txn.guard(LIVE + job.id, job.version).remove(LIVE + job.id).put(OVER + job.id, over)
+                    buried.append(f"{job.id} cancelled with {ctl.picture.needs.doomed[job.id]}")
+            return txn if buried else None
+
+        if (yield from ctl.follower.commit(build, 2, Urgency.FREE, "bury")):
+            for line in buried:
+                self.kernel.log("info", line)
+
+    def _doomed(self) -> list[Job]:
+        picture = self.ctl.picture
+        return [picture.jobs[job_id] for job_id in picture.needs.doomed]
+
     def _read_over(self, job_id: str, urgency: Urgency) -> Fiber[int]:
         picture = self.ctl.picture
         signal = self._looking[job_id] = Signal()
@@ -179,6 +281,8 @@
         over = self.ctl.picture.over.get(job_id)
         if over is not None:
             self.kernel.answer(request_id, 200, state_body(job_id, over["status"], over["done"], 0))
+        elif job_id in self.ctl.picture.needs.doomed:
+            self.kernel.answer(request_id, 200, state_body(job_id, "cancelled", 0, 0))
         elif not self._unready(request_id, handed, "GET", f"/submissions/{job_id}", None):
             self.kernel.spawn(self._poll(request_id, job_id))
 
@@ -210,14 +314,16 @@
         if job is None:
             return None
         txn = Txn().guard(LIVE + job_id, job.version).remove(LIVE + job_id)
-        if ends_later(job, self.ctl.limits):
+        if job.spec.kind != "service" and job.spec.tasks <= MOST_LATER:
             # It is done for its users once its groups say so: none of them may have come to that meanwhile.
             if job_id in picture.completed():
                 return None
-            for name, _ in picture.held.get(job_id, ()):
-                group = picture.groups[picture.machines[name].group]
-                txn.guard(group.key, group.version)
-        return txn.put(OVER + job_id, job.over("cancelled", len(self.ctl.picture.finished(job))))
+            groups = {picture.machines[name].group for name, _ in picture.held.get(job_id, ())}
+            # Where there are more than a transaction may depend on, nobody takes the groups' word for it.
+            for key in groups if len(groups) < self.ctl.limits.guards else ():
+                txn.guard(key, picture.groups[key].version)
+        done = len(self.ctl.picture.finished(job))
+        return txn.put(OVER + job_id, job.over("cancelled", done, self.kernel.wall_us))
 
     def _abort(self, request_id: int, job_id: str) -> Fiber[None]:
         deadline_us = self.kernel.now_us + 3 * SECOND_US
--- a/ashtray/placement/explain.py
+++ b/ashtray/placement/explain.py
@@ -33,6 +33,12 @@
         if hold.record.stop_us >= 0:
             place["note"] = "being stopped"
         answer["places"].append(place)
+    needs = plan.picture.needs
+    open_needs = needs.open(job)
+    if open_needs:
+        answer["waits_on"] = open_needs
+        answer["waiting"] = [f"{need} is to be done first" for need in open_needs]
+        return answer
     left = [n for n in range(spec.tasks) if n not in placed and n not in finished]
     if left and not (spec.kind == "gang" and placed):
         answer["waiting"] = _waits(plan, job, len(left), wall_us, list(rooms.values()))
--- a/ashtray/placement/picture.py
+++ b/ashtray/placement/picture.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from ashtray.jobs.model import LIVE, OVER, UNLIMITED, Job
+from ashtray.jobs.model import LIVE, MOST_LATER, OVER, UNLIMITED, Job
+from ashtray.jobs.needs import Needs
 from ashtray.runs import decode_runs, encode_runs
 from ashtray.store.client import Limits, Txn
 
@@ -232,7 +233,12 @@
     by going through everything: the work must grow with the changes, not with the machines or the queue.
     """
 
-    def __init__(self, job_bytes: int = UNLIMITED) -> None:
+    def __init__(
+        self, job_bytes: int = UNLIMITED, most_later: int = MOST_LATER, clock: Callable[[], int] = lambda: 0
+    ) -> None:  # fmt: skip
+        self._most_later = most_later
+        self._clock = clock
+        """The time of day."""
         self.loads = 0
         """How often it was begun anew."""
         self.over: dict[str, Any] = {}
@@ -244,6 +250,7 @@
     def clear(self) -> None:
         self.loads += 1
         self.jobs: dict[str, Job] = {}
+        self.needs = Needs(self.jobs)
         self.groups: dict[str, Group] = {}
         self.machines: dict[str, Machine] = {}
         self.held: dict[str, dict[HoldKey, Hold]] = {}
@@ -286,7 +293,8 @@
             self._put_group(key, value, version)
         elif key.startswith(LIVE):
             job_id = key[len(LIVE):]
-            self.jobs[job_id] = Job(job_id, value, version, self.job_bytes)
+            job = self.jobs[job_id] = Job(job_id, value, version, self.job_bytes)
+            self._stale |= self.needs.put(job, self.over)
             self._job_changed(job_id)
         elif key.startswith(CONTROLLER):
             # A new dict each time, so that what was worked out from the old one is known to be old.
@@ -315,6 +323,7 @@
         elif key.startswith(LIVE):
             job_id = key[len(LIVE):]
             self.jobs.pop(job_id, None)
+            self.needs.remove(job_id)
             self._job_changed(job_id)
         elif key.startswith(CONTROLLER):
             self.controllers = {host: v for host, v in self.controllers.items() if host != key[len(CONTROLLER):]}
@@ -344,6 +353,10 @@
     def note_over(self, job_id: str, state: Any) -> None:
         self.over[job_id] = state
         self.absent.pop(job_id, None)
+        after = self.needs.over(job_id, state)
+        if after:
+            self._stale |= after
+            self.changes += 1
         if len(self.over) > MAX_OVER:
             del self.over[next(iter(self.over))]
 
@@ -437,18 +450,21 @@
 
     def _settle(self) -> None:
         """Work out anew what waits, for the jobs that something changed for."""
-        for job_id in self._stale:
-            self.complete.discard(job_id)
-            self._waiting.pop(job_id, None)
-            job = self.jobs.get(job_id)
-            if job is None:
-                continue
-            tasks = self._unplaced(job)
-            if tasks:
-                self._waiting[job_id] = tasks
-            elif job.spec.kind != "service" and len(self.finished(job)) >= job.spec.tasks:
-                self.complete.add(job_id)
-        self._stale.clear()
+        while self._stale:
+            stale, self._stale = self._stale, set()
+            for job_id in stale:
+                self.complete.discard(job_id)
+                self._waiting.pop(job_id, None)
+                job = self.jobs.get(job_id)
+                if job is None or not self.needs.ready(job):
+                    continue
+                tasks = self._unplaced(job)
+                if tasks:
+                    self._waiting[job_id] = tasks
+                elif job.spec.kind != "service" and len(self.finished(job)) >= job.spec.tasks:
+                    self.complete.add(job_id)
+                    if job.spec.tasks <= self._most_later:
+                        self._stale |= self.needs.completed(job_id, self._clock())
 
     def _unplaced(self, job: Job) -> list[int]:
         spec = job.spec
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -122,7 +122,7 @@
             if not tasks:
                 continue
             mine = self.mine(job)
-            urgent = job.spec.priority <= 1 and not job.suspect
+            urgent = job.priority <= 1 and not job.suspect
             widen = self.widen() if mine else 0.0
             need = len(tasks) if job.spec.kind == "gang" else 1
             choices: list[Choice] = []
@@ -257,7 +257,7 @@
         """
         spec = job.spec
         # How a job that is spread may go on depends on where its own tasks are.
-        alike = (*demand(spec), spec.priority, spec.team, job.id in inside, spec.spread and job.id)
+        alike = (*demand(spec), job.priority, spec.team, job.id in inside, spec.spread and job.id)
         # What is nowhere is not where the image is in time, either.
         for image in (None, spec.image) if within_s is not None else (None,):
             if plan.no_victims.get((alike, image), count + 1) <= count:
@@ -447,6 +447,8 @@
         """Whether a job's tasks may go where they were planned, as far as the picture shows now."""
         spec, picture = job.spec, self.picture
         tasks = set(item.tasks)
+        if not picture.needs.ready(job):
+            return False
         if picture.finished(job) & tasks or picture.placed(job.id) & tasks:
             return False
         if spec.kind == "gang" and (job.portion != item.portion or (job.id in picture.held and not job.portion)):
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -38,20 +38,18 @@
     by_team: dict[str, list[Job]] = {team.name: [] for team in teams.values() if team.cpus or team.gpus}
     if by_team:
         for job in picture.jobs.values():
-            if job.spec.team in by_team:
+            if job.spec.team in by_team and picture.needs.ready(job):
                 by_team[job.spec.team].append(job)
         for name, jobs in by_team.items():
-            jobs.sort(key=lambda job: (job.record.accepted_us, job.id))
+            jobs.sort(key=lambda job: (job.ready_us, job.id))
             inside |= within_guarantee(teams[name], ((job, len(picture.finished(job))) for job in jobs))
 
     def rank(job: Job) -> tuple[int, int, int, int, str]:
-        due = job.record.accepted_us
-        if job.spec.deadline_us is not None:
-            # The latest start that still meets the deadline, if the estimate holds.
-            due = min(due, due + job.spec.deadline_us - 2 * job.spec.estimate_us)
+        # The latest start that still meets the deadline, if the estimates hold.
+        due = job.ready_us if job.latest_us is None else min(job.ready_us, job.latest_us)
         # What fails everywhere delays nobody.
-        priority = len(PRIORITIES) if job.suspect else job.spec.priority
-        return priority, job.id not in inside, due, job.record.accepted_us, job.id
+        priority = len(PRIORITIES) if job.suspect else job.priority
+        return priority, job.id not in inside, due, job.ready_us, job.id
 
     return sorted((picture.jobs[job_id] for job_id in picture.waiting()), key=rank), inside
 
@@ -122,8 +120,8 @@
         self.ordinary = [room for room in self.rooms if not room.machine.record.spot]
         self.usage = {name: picture.team_usage(name) for name in teams}
         self.scarcity = self._scarcity()
-        needs = (picture.jobs[job_id].spec for job_id in picture.waiting())
-        self.gpus_wait = min((spec.priority for spec in needs if spec.gpus > 0), default=len(PRIORITIES))
+        waits = (picture.jobs[job_id] for job_id in picture.waiting())
+        self.gpus_wait = min((job.priority for job in waits if job.spec.gpus > 0), default=len(PRIORITIES))
         """The most urgent priority of which tasks wait for GPUs."""
         self._most: dict[Demand, int] = {}
         """For demands that could not be met in full: how much room there was at most.  It only shrinks."""
@@ -170,7 +168,7 @@
 
     def ask(self, job: Job) -> Ask:
         spec = job.spec
-        ask = Ask(spec, scarcity=self.scarcity, spare_gpus=self._spares_gpus(spec))
+        ask = Ask(spec, scarcity=self.scarcity, spare_gpus=self._spares_gpus(job), priority=job.priority)
         ask.hold_bytes = _base_bytes(job)
         ask.failed_on = frozenset(job.record.failed_on)
         holds = self.picture.held.get(job.id, {})
@@ -185,9 +183,9 @@
                 ask.zone_room[zone] = ask.zone_room.get(zone, ask.spread_most) - len(hold.tasks)
         return ask
 
-    def _spares_gpus(self, spec: JobSpec) -> bool:
+    def _spares_gpus(self, job: Job) -> bool:
         """Whether a job leaves free GPUs their part of the CPUs, for tasks as urgent wait for them."""
-        return spec.gpus == 0 and self.gpus_wait <= spec.priority
+        return job.spec.gpus == 0 and self.gpus_wait <= job.priority
 
     def zones(self) -> list[str]:
         return sorted({room.machine.zone for room in self.rooms})
@@ -203,7 +201,7 @@
         gang = spec.kind == "gang"
         if gang and not self._team_allows(job, count):
             return []
-        wish = (*demand(spec), image_within_s and spec.image, freed, self._spares_gpus(spec))
+        wish = (*demand(spec), image_within_s and spec.image, freed, self._spares_gpus(job))
         most = self._most.get(wish, count)
         if most < (count if gang else 1):
             return []
@@ -346,7 +344,7 @@
         size = tuple(int(math.log2(x)) if x > 0 else None for x in (spec.cpus, spec.memory_gb))
         return (
             *size, spec.gpus, spec.image, spec.zone, spec.spot, tuple(spec.types or ()), ask.image_within_s,
-            ask.spare_gpus, spec.priority <= 1,
+            ask.spare_gpus, ask.priority <= 1,
         )  # fmt: skip
 
     def take(self, job: Job, choices: Iterable[Choice]) -> None:
--- a/ashtray/placement/preemption.py
+++ b/ashtray/placement/preemption.py
@@ -35,7 +35,7 @@
         victim = picture.jobs.get(hold.job)
         if victim is None or hold.record.stop_us >= 0 or victim.spec.kind == "gang" or victim.id == job.id:
             return False
-        if victim.spec.priority > job.spec.priority:
+        if victim.priority > job.priority:
             return True
         return victim.spec.team in beyond and victim.id not in inside
 
--- a/ashtray/placement/rules.py
+++ b/ashtray/placement/rules.py
@@ -59,6 +59,7 @@
     """Tasks that are as urgent wait for GPUs."""
     failed_on: frozenset[str] = frozenset()
     """Machines on which the job has failed."""
+    priority: int = 2
     hold_bytes: int = 0
     """What a hold for it takes of a record."""
     sparing: bool = False
@@ -126,7 +127,7 @@
 def _image(room: Room, ask: Ask, knobs: Knobs) -> float:
     seconds = fetch_s(room, ask)
     # A fetch can eat an urgent job's whole wait; to the others it matters only when it is long.
-    return math.ceil(min(seconds / (3.0 if ask.spec.priority <= 1 else 20.0), 6.0))
+    return math.ceil(min(seconds / (3.0 if ask.priority <= 1 else 20.0), 6.0))
 
 
 def _scarce(room: Room, ask: Ask, knobs: Knobs) -> float:
@@ -164,7 +165,7 @@
 
 def _changes(room: Room, ask: Ask, knobs: Knobs) -> float:
     # While changes are scarce, room in few records is worth more than a cached image; not to what is urgent.
-    return ask.few.get(room.machine.group, 0) if ask.sparing and ask.spec.priority > 1 else 0
+    return ask.few.get(room.machine.group, 0) if ask.sparing and ask.priority > 1 else 0
 
 
 PREFERENCES = {
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ashtray.jobs.model import LIVE, OVER, Job
+from ashtray.jobs.model import LIVE, MOST_LATER, OVER, Job
 from ashtray.kernel import SECOND_US, Kernel
 from ashtray.placement.picture import (
     ADOPTED,
@@ -41,8 +41,6 @@
 CPUS_PER_HOLD = 16
 MAX_FAILED = 6
 """So many jobs that failed on a machine, and machines that a job failed on, are remembered."""
-MOST_LATER = 16
-"""Jobs of so many tasks count as done before their records are moved."""
 GROUP_SHARE = 0.7
 """Of a value, what a group's machines may be expected to take: estimates of their records' sizes."""
 SPILL_SHARE = 0.75
@@ -187,7 +185,7 @@
     """Add a job's change to a transaction; says whether the job is done with it."""
     txn.guard(LIVE + job.id, job.version)
     if ends_with(picture, job, fold):
-        txn.remove(LIVE + job.id).put(OVER + job.id, job.over("done", job.spec.tasks))
+        txn.remove(LIVE + job.id).put(OVER + job.id, job.over("done", job.spec.tasks, kernel.wall_us))
         return True
     errors, failed_on = job.record.errors, job.record.failed_on
     if fold.successes:
@@ -227,7 +225,12 @@
     Moving it costs two changes, and for nothing but tidiness.  A cancellation meanwhile has to guard the groups with
     the job's tasks, so the job must be small enough for that.
     """
-    return job.spec.kind != "service" and job.spec.tasks <= min(MOST_LATER, limits.guards - 2)
+    return job.spec.kind != "service" and job.spec.tasks <= most_later(limits)
+
+
+def most_later(limits: Limits) -> int:
+    """Of how many tasks such a job may be."""
+    return min(MOST_LATER, limits.guards - 2)
 
 
 class Fold:
--- a/tests/model.py
+++ b/tests/model.py
@@ -14,7 +14,7 @@
 from ashtray.config.operators import Knobs
 from ashtray.config.settings import Settings
 from ashtray.controller import Controller
-from ashtray.kernel import Answer, Call, Output, Reply, Send
+from ashtray.kernel import Call, Output, Reply
 from tests.standins.cloud import Cloud, Rented
 from tests.standins.state import State
 from tests.standins.worker import Key, Worker
@@ -31,7 +31,14 @@
 TEAM = {"name": "crew", "cpus": 8.0, "cpus_max": 24.0, "gpus": 0.0, "gpus_max": 0.0}
 
 
-def settings_for(host: int, hosts: int) -> Settings:
+Next = tuple[float, int]
+"""The KiB of a value and the changes of a transaction that are to come."""
+
+
+def settings_for(host: int, hosts: int, following: Next | None = None, kind: Any = Settings) -> Any:
+    state: dict[str, Any] = {"rps": 200.0, "write_rps": 60.0, "value_kb": 32.0, "txn_ops": 12}
+    if following is not None:
+        state["next"] = {"write_rps": 45.0, "value_kb": following[0], "txn_ops": following[1]}
     return msgspec.convert(
         {
             "host_name": f"berth-{host}", "domain": "a", "api_addr": f"c{host}:1", "cluster_listen": f"p{host}:1",
@@ -41,11 +48,11 @@
                 "nodes": hosts, "zones": ["a", "b"], "teams": [TEAM, {"name": "free"}],
                 "workers": {"report_s": REPORT_S, "lease_s": LEASE_S, "gang_wait_s": GANG_WAIT_S,
                             "gang_peer_s": GANG_PEER_S, "cancel_s": CANCEL_S},
-                "state": {"rps": 200.0, "write_rps": 60.0, "value_kb": 32.0, "txn_ops": 12},
+                "state": state,
                 "cloud": {"rps": 5.0, "list_lag_s": 2.0},
             },
         },
-        Settings,
+        kind,
     )  # fmt: skip
 
 
@@ -68,10 +75,12 @@
     """A controller process, or where it was."""
 
     number: int
-    core: Controller | None = None
+    core: Any = None
     life: int = 0
     skew_us: int = 0
     timer_us: int | None = None
+    old: bool = False
+    """It runs the version in production before."""
     halts_us: int = 0
     """It is to stand still for so long after the next input, before what that led to goes out."""
     halted_until: int = 0
@@ -93,8 +102,14 @@
 class Model:
     """A small deployment.  Everything random comes from one seed."""
 
-    def __init__(self, seed: int, hosts: int = 3, knobs: Knobs | None = None) -> None:
+    def __init__(
+        self, seed: int, hosts: int = 3, knobs: Knobs | None = None, following: Next | None = None,
+        before: Any = None,
+    ) -> None:  # fmt: skip
+        """`following`: the limits to come; `before`: the package of the version that all hosts begin with."""
         self.knobs = knobs or Knobs()
+        self.following = following
+        self.before = before
         self.rng = random.Random(seed)
         self.now = 0
         self._events: list[tuple[int, int, Callable[[], None]]] = []
@@ -124,7 +139,8 @@
         self.mistaken: set[str] = set()
         """Jobs with a mistake in them."""
         self.state_requests = 0
-        self.hosts = [Host(n, skew_us=n * 50_000) for n in range(hosts)]
+        self.refusals: dict[str, str] = {}
+        self.hosts = [Host(n, skew_us=n * 50_000, old=before is not None) for n in range(hosts)]
         for host in self.hosts:
             self.start_host(host)
 
@@ -145,7 +161,12 @@
     def start_host(self, host: Host) -> None:
         host.life += 1
         rng = random.Random(self.rng.random())
-        host.core = Controller(settings_for(host.number, len(self.hosts)), self.knobs, rng)
+        if host.old:
+            settings = settings_for(host.number, len(self.hosts), self.following, self.before.Settings)
+            host.core = self.before.Controller(settings, self.before.Knobs(**self._knobs_set()), rng)
+        else:
+            settings = settings_for(host.number, len(self.hosts), self.following)
+            host.core = Controller(settings, self.knobs, rng)
         core = host.core
         core.kernel.strict = True
         # Steering and who places a job are hints: no rule may rest on them.
@@ -154,6 +175,14 @@
         core.placer.mine = lambda job: self.now < self.all_place_until or mine(job)
         self.carry_out(host, host.core.start(*self.clock(host)))
 
+    def _knobs_set(self) -> dict[str, Any]:
+        return {"group_size": self.knobs.group_size}
+
+    def limits_fall(self) -> None:
+        """What was announced comes without notice."""
+        assert self.following is not None
+        self.state.value_kb, self.state.txn_ops = self.following
+
     def clock(self, host: Host) -> tuple[int, int]:
         return self.now + SECOND, self.now + 10**12 + host.skew_us
 
@@ -168,9 +197,11 @@
         core = host.core
         assert core is not None
         for output in outputs:
-            if isinstance(output, Send):
+            # By name, for the version before has classes of its own.
+            kind = type(output).__name__
+            if kind == "Send":
                 self.send(f"c{host.number}", output.call, self._to_core(host, host.life, output.call_id))
-            elif isinstance(output, Answer):
+            elif kind == "Answer":
                 answer = self.waiting.pop(output.request_id, None)
                 if answer is not None:
                     answer(output.status, output.body)
@@ -381,6 +412,9 @@
         job_id, attempt, number = key
         self.starts += 1
         job = self.jobs[job_id]
+        for need in job.spec.get("waits_on") or ():
+            if len(self.jobs[need].finished) < self.jobs[need].spec["pieces"]:
+                raise RuleBroken(f"too_early: {job_id}/{number} before {need} is done")
         worker = self.workers[machine]
         spec = job.spec
         where = self.on.setdefault((job_id, number), {})
@@ -482,6 +516,8 @@
                     job.accepted_us = self.now
                     self._poll(job_id)
                 self._told(job_id, reply.body["status"])
+            elif reply.status in (400, 422) and job.accepted_us is None:
+                self.refusals[job_id] = reply.body["error"]
             elif job.accepted_us is not None and reply.status in (400, 404, 422):
                 raise RuleBroken(f"forgotten: {job_id} submitted again gets {reply.status}")
             elif reply.status not in (400, 422):
@@ -549,13 +585,32 @@
         job = self.jobs[job_id]
         if status == "done" and len(job.finished) < job.spec["pieces"]:
             raise RuleBroken(f"not_done: {job_id} with {sorted(job.finished)} of {job.spec['pieces']}")
+        since = self._orphan_us(job_id)
+        if status in ("pending", "running") and since is not None and self.asked_us > since + CANCEL_S * SECOND:
+            raise RuleBroken(f"orphaned: {job_id} is {status}")
         # An answer on its way when a later one is told is no older answer given: the question decides.
         if job.told in ("done", "cancelled") and status != job.told and self.asked_us > job.told_us:
             raise RuleBroken(f"went_back: {job_id} from {job.told} to {status}")
         if status == "cancelled":
-            if not job.cancel_asked:
+            if not self._may_be_cancelled(job_id):
                 raise RuleBroken(f"went_back: {job_id} was not cancelled")
             if job.cancelled_us is None:
                 job.cancelled_us = self.now
         if status in ("done", "cancelled") and job.told is None:
             job.told, job.told_us = status, self.now
+
+    def _may_be_cancelled(self, job_id: str) -> bool:
+        """Whether its user, or that of a job that it needs, has asked for it."""
+        job = self.jobs[job_id]
+        return job.cancel_asked or any(self._may_be_cancelled(need) for need in job.spec.get("waits_on") or ())
+
+    def _orphan_us(self, job_id: str) -> int | None:
+        """When a user was first told that a job before this one is cancelled, at the latest when both were known."""
+        job = self.jobs[job_id]
+        found = []
+        for need in job.spec.get("waits_on") or ():
+            at_us = self.jobs[need].cancelled_us
+            at_us = self._orphan_us(need) if at_us is None else at_us
+            if at_us is not None and job.accepted_us is not None:
+                found.append(max(at_us, job.accepted_us))
+        return min(found, default=None)
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -5,6 +5,8 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
+import msgspec
+
 Answer = tuple[int, Any]
 
 
@@ -18,6 +20,8 @@
         self.leases: dict[int, tuple[int, int]] = {}
         self.next_lease = 1
         self.down = False
+        self.refused: list[str] = []
+        """The transactions that were too large."""
 
     def handle(self, now_us: int, method: str, path: str, body: Any) -> Answer:
         if self.down:
@@ -73,8 +77,11 @@
 
     def _txn(self, body: Any) -> Answer:
         apply = body.get("apply", [])
-        assert len(apply) <= self.txn_ops, "a transaction over its limit"
-        assert len(body.get("guards", [])) <= 4 * self.txn_ops, "too many conditions"
+        sizes = [len(msgspec.json.encode(change["value"])) for change in apply if "put" in change]
+        too_large = len(apply) > self.txn_ops or len(body.get("guards", [])) > 4 * self.txn_ops
+        if too_large or any(size > self.value_kb * 1024 for size in sizes) or sum(sizes) > 64 * 1024:
+            self.refused.append(f"{len(apply)} changes, values of {max(sizes, default=0)} bytes")
+            return 400, {"error": "too large"}
         failed = [g["k"] for g in body.get("guards", []) if self.keys.get(g["k"], (None, 0))[1] != g["stamp"]]
         if any(c.get("permit") is not None and c["permit"] not in self.leases for c in apply):
             return 400, {"error": "no such lease"}
--- /dev/null
+++ b/tests/test_pipelines.py
@@ -0,0 +1,169 @@
+"""Jobs that wait on others."""
+
+import msgspec
+import pytest
+
+from ashtray.jobs.messages import Malformed, parse_submission
+from ashtray.jobs.model import LIVE, OVER, JobRecord, JobSpec
+from ashtray.placement.picture import Picture
+from tests.model import Model, submission
+
+SECOND = 1_000_000
+
+
+def started(hosts: int = 3) -> Model:
+    model = Model(7, hosts)
+    model.checks()
+    model.run(3)
+    return model
+
+
+def ask(model: Model, body: dict, host: int = 0) -> tuple[int, dict]:
+    """The answer to a submission, whatever it is."""
+    found: list[tuple[int, dict]] = []
+    model.waiting[10**6] = lambda status, answer: found.append((status, answer))
+    at = model.hosts[host]
+    model.carry_out(at, at.core.request(*model.clock(at), 10**6, "POST", "/submissions", body))
+    model.run(3)
+    return found[0]
+
+
+def test_a_chain_runs_in_order_and_its_stages_follow_at_once():
+    model = started()
+    model.submit(submission("job-0", pieces=2))
+    model.run(0.5)
+    model.submit(submission("job-1", pieces=3, waits_on=["job-0"]))
+    model.run(0.5)
+    model.submit(submission("job-2", pieces=1, shape="gang", waits_on=["job-1", "job-0", "job-1"]))
+    model.run(60)
+    assert {job.told for job in model.jobs.values()} == {"done"}
+
+
+def test_a_job_that_waits_is_pending_and_holds_nothing():
+    model = started()
+    model.submit(submission("job-0", shape="service", pieces=1))
+    model.run(1)
+    model.submit(submission("job-1", pieces=4, waits_on=["job-0"]))
+    model.run(25)
+    picture = model.hosts[1].core.picture
+    assert model.jobs["job-1"].accepted_us is not None
+    assert "job-1" not in picture.waiting()
+    assert not picture.placed("job-1")
+    assert len(model.workers) == 1
+    status, body = ask(model, submission("job-1"))
+    assert (status, body["status"]) == (200, "pending")
+
+
+@pytest.mark.parametrize("needs", [["job-77"], ["job-1"]])
+def test_a_job_never_accepted_and_the_job_itself_are_refused_and_the_former_only_until_it_is_accepted(needs):
+    model = started()
+    assert ask(model, submission("job-1", waits_on=needs))[0] == 422
+    assert ask(model, submission("job-77"))[0] == 201
+    assert ask(model, submission("job-1", waits_on=needs), 1)[0] == (201 if needs == ["job-77"] else 422)
+
+
+def test_whether_a_needed_job_was_accepted_is_never_guessed():
+    model = started()
+    model.state.down = True
+    model.run(1)
+    status, _ = ask(model, submission("job-1", waits_on=["job-77"]))
+    assert status == 503
+
+
+def test_a_known_job_gets_its_state_whatever_it_names_now():
+    model = started()
+    assert ask(model, submission("job-1"))[0] == 201
+    assert ask(model, submission("job-1", waits_on=["job-77"]), 1)[0] == 200
+
+
+@pytest.mark.parametrize("waits_on", ["job-1", [1], ["job"], [["job-1"]], {"job-1": 1}])
+def test_what_is_no_list_of_ids_is_malformed(waits_on):
+    with pytest.raises(Malformed):
+        parse_submission(submission("job-0", waits_on=waits_on))
+
+
+def test_more_needs_than_a_record_holds_are_refused_with_a_reason():
+    model = started()
+    status, body = ask(model, submission("job-0", waits_on=[f"job-{n}" for n in range(1, 4000)]))
+    assert status == 400
+    assert "record" in body["error"]
+
+
+@pytest.mark.parametrize("waits_on", [None, []])
+def test_no_needs_may_be_said_in_two_ways(waits_on):
+    assert parse_submission(submission("job-0", waits_on=waits_on))[1].needs == []
+
+
+def test_a_cancellation_reaches_all_jobs_after_it_whichever_controller_is_asked():
+    model = started()
+    model.submit(submission("job-0", shape="service", pieces=1))
+    model.run(1)
+    for n in range(1, 6):
+        model.submit(submission(f"job-{n}", waits_on=[f"job-{n - 1}"]))
+        model.run(1)
+    model.cancel("job-0")
+    model.run(1)
+    for host in range(3):
+        for n in range(6):
+            status, body = ask(model, submission(f"job-{n}"), host)
+            assert (status, body["status"]) == (200, "cancelled")
+    # One that names a cancelled job is accepted, and cancelled with it.
+    assert ask(model, submission("job-9", waits_on=["job-5"]))[0] == 201
+    assert ask(model, submission("job-9"), 2)[1]["status"] == "cancelled"
+    model.run(20)
+    assert not [key for key in model.state.keys if key.startswith(LIVE)]
+    assert all(model.state.keys[f"{OVER}job-{n}"][0]["status"] == "cancelled" for n in (0, 3, 5, 9))
+
+
+def test_what_is_needed_and_ended_before_all_restarted_is_read_again():
+    model = started()
+    model.submit(submission("job-0", pieces=1))
+    model.submit(submission("job-1", shape="service", pieces=1))
+    model.run(30)
+    model.submit(submission("job-2", pieces=2, waits_on=["job-0", "job-1"]))
+    model.submit(submission("job-3", pieces=2, waits_on=["job-0"]))
+    model.run(0.3)
+    for host in range(3):
+        model.crash(host, 2)
+    model.run(45)
+    assert model.jobs["job-3"].told == "done"
+    model.cancel("job-1")
+    model.run(10)
+    for host in range(3):
+        model.crash(host, 2)
+    model.run(15)
+    assert ask(model, submission("job-2"), 1)[1]["status"] == "cancelled"
+
+
+def test_stages_rank_as_the_most_urgent_job_that_needs_them_while_it_is_there():
+    picture = Picture()
+    put(picture, "job-1", 3, estimate_us=SECOND)
+    put(picture, "job-2", 3, needs=["job-1"], estimate_us=SECOND)
+    put(picture, "job-3", 1, needs=["job-2"], deadline_us=100 * SECOND, estimate_us=10 * SECOND)
+    jobs = picture.jobs
+    assert [jobs[f"job-{n}"].priority for n in (1, 2, 3)] == [1, 1, 1]
+    assert jobs["job-1"].latest_us < jobs["job-2"].latest_us < jobs["job-3"].latest_us
+    put(picture, "job-1", 3, version=9)
+    assert jobs["job-1"].priority == 1
+    picture.remove(LIVE + "job-3", 10)
+    assert [jobs[f"job-{n}"].priority for n in (1, 2)] == [3, 3]
+    assert jobs["job-1"].latest_us is None
+
+
+def test_times_count_from_the_moment_when_the_last_needed_job_was_done():
+    picture = Picture()
+    put(picture, "job-1", 2)
+    put(picture, "job-2", 2, needs=["job-1", "job-0"])
+    picture.put(OVER + "job-0", {"status": "done", "done": 1}, 5)
+    assert not picture.needs.ready(picture.jobs["job-2"])
+    picture.put(OVER + "job-1", {"status": "done", "done": 1, "at_us": 77 * SECOND}, 6)
+    picture.remove(LIVE + "job-1", 6)
+    assert picture.needs.ready(picture.jobs["job-2"])
+    assert picture.jobs["job-2"].ready_us == 77 * SECOND
+    assert picture.waiting() == {"job-2": [0]}
+
+
+def put(picture, job_id: str, priority: int, version: int = 3, **over) -> None:
+    spec = JobSpec("any", "crew", "array", priority, 1, 1.0, 0.0, 1.0, "img", 1.0, **over)
+    picture.put(LIVE + job_id, msgspec.to_builtins(JobRecord(spec, "berth-0", 0)), version)
+
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -106,7 +106,7 @@
     fold.end(picture.jobs["job-1"])
     txn = fold.transaction()
     assert txn.removes == [LIVE + "job-1"]
-    assert txn.puts["ashtray/over/job-1"] == {"status": "done", "done": 4}
+    assert txn.puts["ashtray/over/job-1"] == {"status": "done", "done": 4, "at_us": 0}
 
 
 def test_completed_tasks_go_to_the_jobs_own_record_where_they_could_fill_a_groups():
