--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -36,7 +36,7 @@
         self.kernel = Kernel(rng, verbose)
         self.limits = Limits.of(settings.cluster.state)
         self.picture = Picture(
-            int(self.limits.value_bytes * VALUE_SHARE), most_later(self.limits), lambda: self.kernel.wall_us
+            int(self.limits.least_value_bytes * VALUE_SHARE), most_later(self.limits), lambda: self.kernel.wall_us
         )
         hosts = [peer.host_name for peer in settings.others]
         self.grants = Grants(settings.host_name, hosts, settings.cluster.teams, self.picture)
@@ -57,6 +57,9 @@
         return Plan(self.picture, self.teams, self.knobs, self.kernel.rng, self.limits)
 
     def _changed(self) -> None:
+        if self.limits.fall and (self.presence.upgraded() or self.picture.lean or self.store.refused):
+            self.kernel.log("info", "all controllers are of this version: the lower limits hold from now on")
+            self.limits.lower()
         if self.picture.changes != self._seen:
             self._seen = self.picture.changes
             self.placer.changed()
--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -17,6 +17,7 @@
 from ashtray.fleet.messages import BerthList, deletion, parse_types, rental
 from ashtray.jobs.model import LIVE, Job
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Sleep
+from ashtray.placement import lean
 from ashtray.placement.picture import FLEET, SICK, TYPES, Edit, Machine, MachineType
 from ashtray.placement.plan import queue
 from ashtray.placement.preemption import Victims, orderly, stop_victims
@@ -117,7 +118,7 @@
         self._types_us = self.kernel.now_us
         if types != picture.types:
             value = {name: msgspec.to_builtins(kind) for name, kind in types.items()}
-            if self.ctl.limits.takes(len(msgspec.json.encode(value)), 0):
+            if self.ctl.limits.takes(lean.size_of(value)):
                 yield from self._note_types(TYPES, value)
                 return
             # More than a value takes: each in a record of its own.  One that all are in is read still, if it is old.
--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -128,7 +128,7 @@
 
     def _judge(self, spec: JobSpec, value: Any) -> tuple[int, str] | None:
         """The status and the reason of a refusal, as far as the job itself gives one."""
-        room = int(self.ctl.limits.value_bytes * VALUE_SHARE) - SPARE_BYTES - FEW_RUNS
+        room = int(self.ctl.limits.least_value_bytes * VALUE_SHARE) - SPARE_BYTES - FEW_RUNS
         size = len(msgspec.json.encode(value))
         if size > room:
             # It could be accepted, but never be written again.
@@ -320,7 +320,7 @@
                 return None
             groups = {picture.machines[name].group for name, _ in picture.held.get(job_id, ())}
             # Where there are more than a transaction may depend on, nobody takes the groups' word for it.
-            for key in groups if len(groups) < self.ctl.limits.guards else ():
+            for key in groups if len(groups) < self.ctl.limits.least_guards else ():
                 txn.guard(key, picture.groups[key].version)
         done = len(self.ctl.picture.finished(job))
         return txn.put(OVER + job_id, job.over("cancelled", done, self.kernel.wall_us))
--- a/ashtray/placement/picture.py
+++ b/ashtray/placement/picture.py
@@ -10,6 +10,7 @@
 
 from ashtray.jobs.model import LIVE, MOST_LATER, OVER, UNLIMITED, Job
 from ashtray.jobs.needs import Needs
+from ashtray.placement import lean
 from ashtray.runs import decode_runs, encode_runs
 from ashtray.store.client import Limits, Txn
 
@@ -112,8 +113,7 @@
 class Machine:
     """A machine in the picture, with the room its holds take.  `raw` is its part of the group's value."""
 
-    __slots__ = ("name", "group", "type", "zone", "raw", "record", "holds", "cpus", "gpus", "memory_gb", "images",
-                 "size")  # fmt: skip
+    __slots__ = ("name", "group", "type", "zone", "raw", "record", "holds", "cpus", "gpus", "memory_gb", "images")
 
     def __init__(self, name: str, group: str, kind: str, zone: str, raw: Any) -> None:
         self.name = name
@@ -124,8 +124,6 @@
         self.record = msgspec.convert(raw, MachineRecord)
         self.holds = [Hold(h) for h in self.record.holds]
         self.images = {name for name, _ in self.record.images}
-        self.size = machine_bytes(name, raw)
-        """Bytes that it takes of the group's record."""
         self.cpus = self.gpus = self.memory_gb = 0.0
         for hold in self.holds:
             n = len(hold.tasks)
@@ -135,31 +133,23 @@
 
 
 class Group:
-    __slots__ = ("key", "version", "value", "type", "zone", "machines", "done", "size", "moving")
+    __slots__ = ("key", "version", "value", "type", "zone", "machines", "done", "size", "moving", "lean")
 
     def __init__(self, key: str, value: Any, version: int) -> None:
         self.key = key
         self.version = version
-        self.value = value
+        self.lean = lean.FORM in value
+        self.size = lean.size_of(value)
+        """Bytes of its record."""
+        self.value = value = lean.unpack(value)
         self.type: str = value["type"]
         self.zone: str = value["zone"]
         self.machines: dict[str, Machine] = {}
         self.done: dict[str, set[int]] = {}
-        self.size = FRAME_BYTES + len(self.type) + len(self.zone)
         self.moving = False
         """Its machines are being moved to other groups: its record is not to be written any more."""
 
 
-def done_bytes(job_id: str, runs: str) -> int:
-    """What the completed tasks of a job take of a group's record."""
-    return len(job_id) + len(runs) + 6
-
-
-def machine_bytes(name: str, raw: Any) -> int:
-    """What a machine takes of a group's record."""
-    return len(msgspec.json.encode(raw)) + len(name) + 4
-
-
 class Edit:
     """A group's record being changed: only the machines asked for are copied, the others are shared."""
 
@@ -179,6 +169,14 @@
         """A copy that counts only once it is put back with `replace`."""
         return msgspec.convert(self.machines[name], MachineRecord)
 
+    def size_with(self, name: str, record: MachineRecord, done: dict[str, str], limits: Limits) -> int:
+        """What the record would take with one more machine changed, and these completed tasks."""
+        edit = Edit(self.group)
+        edit.machines, edit.done = dict(self.machines), done
+        edit._changed = {**self._changed, name: record}
+        value = edit.value(lambda job_id: True)
+        return lean.size_of(lean.pack(value) if limits.low or self.group.lean else value)
+
     def replace(self, name: str, record: MachineRecord) -> None:
         self._changed[name] = record
 
@@ -207,7 +205,9 @@
         """Put the changed record into a transaction, or remove it when it is empty; False if it is too large."""
         group = self.group
         value = self.value(live)
-        if group.moving or not limits.takes(len(msgspec.json.encode(value)), group.size):
+        if limits.low or group.lean:
+            value = lean.pack(value)
+        if group.moving or not limits.takes(lean.size_of(value)):
             return False
         txn.guard(group.key, group.version)
         if group.size > limits.value_bytes:
@@ -220,7 +220,6 @@
         return True
 
 
-FRAME_BYTES = 50
 NOBODY: set[int] = set()
 NO_USAGE = (0, 0)
 MICRO = 1_000_000
@@ -241,6 +240,8 @@
         """The time of day."""
         self.loads = 0
         """How often it was begun anew."""
+        self.lean = False
+        """Whether a record in lean form was seen: then no controller of the version before is about."""
         self.over: dict[str, Any] = {}
         """Final states of jobs, read or seen lately; they never change."""
         self.job_bytes = job_bytes
@@ -348,6 +349,7 @@
             self.moved[key] = upto
         group = self.groups.get(key)
         if group is not None:
+            # Its size is of no more use: it is not written again.
             self._put_group(key, group.value, group.version)
 
     def note_over(self, job_id: str, state: Any) -> None:
@@ -371,6 +373,8 @@
     def _put_group(self, key: str, value: Any, version: int) -> None:
         old = self.groups.get(key)
         group = Group(key, value, version)
+        value = group.value
+        self.lean = self.lean or group.lean
         was = old.machines if old is not None else {}
         group.moving = key in self.moved
         upto = self.moved[key][0] if group.moving else ""
@@ -389,13 +393,11 @@
                     self.held.setdefault(hold.job, {})[(name, n)] = hold
                     self._holds_changed(hold.job)
             group.machines[name] = machine
-            group.size += machine.size
         for name, machine in was.items():
             if name not in group.machines:
                 self._drop_machine(machine)
         group.done = old.done if old is not None else {}
         self._note_done(group, value.get("done", {}))
-        group.size += sum(done_bytes(job, runs) for job, runs in value.get("done", {}).items())
         self.groups[key] = group
 
     def _note_done(self, group: Group, runs: dict[str, str]) -> None:
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -28,7 +28,7 @@
 HOLD_BYTES = 160
 JOB_BYTES = 600
 """About what a hold, and a job's record, take of a transaction."""
-IMAGES_SHARE = 0.07
+IMAGES_SHARE = 0.05
 """Of a value, what the names of one machine's cached images may take."""
 PAUSE_US = 100_000
 PARTIAL_US = 800_000
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -19,7 +19,7 @@
 
 FULL_SHARE = 0.8
 """Nothing more is placed in a group whose record takes this part of a value."""
-HOLD_BYTES = 75
+HOLD_BYTES, LEAN_HOLD_BYTES = 75, 45
 IMAGE_BYTES = 12
 FEW_RUNS = 4
 ALIKE_LOOKS = 40
@@ -74,10 +74,6 @@
     return base + image + len(str(spec.tasks)) * min(count, FEW_RUNS)
 
 
-def _base_bytes(job: Job) -> int:
-    return HOLD_BYTES + len(job.id) + len(job.spec.team)
-
-
 class Plan:
     """Room and limits that are left while jobs are given places, in the queue's order."""
 
@@ -90,8 +86,9 @@
         self.rng = rng
         self.rooms: list[Room] = []
         kinds = picture.types
+        self.lean = limits.low
         self.left = {
-            key: -1.0 if group.moving else FULL_SHARE * limits.most(group.size) - group.size
+            key: -1.0 if group.moving else FULL_SHARE * limits.value_bytes - group.size
             for key, group in picture.groups.items()
         }
         """Bytes that may still be written into each group's record, with a reserve for what must be."""
@@ -166,10 +163,13 @@
             left = left[: tasks_within(team, *self.usage[team.name], job.spec)]
         return left
 
+    def _base_bytes(self, job: Job) -> int:
+        return LEAN_HOLD_BYTES if self.lean else HOLD_BYTES + len(job.id) + len(job.spec.team)
+
     def ask(self, job: Job) -> Ask:
         spec = job.spec
         ask = Ask(spec, scarcity=self.scarcity, spare_gpus=self._spares_gpus(job), priority=job.priority)
-        ask.hold_bytes = _base_bytes(job)
+        ask.hold_bytes = self._base_bytes(job)
         ask.failed_on = frozenset(job.record.failed_on)
         holds = self.picture.held.get(job.id, {})
         if spec.spread:
@@ -348,7 +348,7 @@
         )  # fmt: skip
 
     def take(self, job: Job, choices: Iterable[Choice]) -> None:
-        base = _base_bytes(job)
+        base = self._base_bytes(job)
         for room, n in choices:
             room.take(job.spec, n)
             if room.machine.group in self.left:
--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -267,18 +267,18 @@
 class Limits:
     """How much may go into one transaction and one value; sizes are estimates, so a part is kept in reserve.
 
-    Where the settings name limits that are to come, whatever is written obeys the lower ones from the start: they
-    come without notice, and what is too large then could not even be made smaller.
+    Where the settings name lower limits that are to come, these hold from the moment when no controller of the
+    version before is about any more: they come after that, without notice, and what is too large then could not even
+    be made smaller.
     """
 
     ops: int
     txn_bytes: int
     value_bytes: int
-    first_ops: int = 0
-    first_value_bytes: int = 0
-    """The limits of the beginning, up to which another version may have written."""
+    least_ops: int = 0
+    least_value_bytes: int = 0
+    """What will hold at last."""
     low: bool = False
-    """The lower limits may be in force by now."""
 
     @classmethod
     def of(cls, limits: StateLimits) -> Limits:
@@ -286,29 +286,31 @@
         if limits.next is not None:
             ops, value_kb = min(ops, limits.next.txn_ops), min(value_kb, limits.next.value_kb)
         txn_bytes = int(TXN_BYTES * 0.85)
-        return cls(ops, txn_bytes, int(value_kb * 1024), limits.txn_ops, int(limits.value_kb * 1024))
+        return cls(limits.txn_ops, txn_bytes, int(limits.value_kb * 1024), ops, int(value_kb * 1024))
 
     @property
     def fall(self) -> bool:
         """Whether lower limits are to come."""
-        return self.ops < self.first_ops or self.value_bytes < self.first_value_bytes
+        return not self.low and (self.least_ops < self.ops or self.least_value_bytes < self.value_bytes)
 
-    def most(self, size: int) -> int:
-        """How large a record may become that takes so many bytes now.
+    def lower(self) -> None:
+        self.low = True
+        self.ops, self.value_bytes = self.least_ops, self.least_value_bytes
 
-        One that another version has made larger goes on as it is until the lower limits may be there.
-        """
-        return self.first_value_bytes if size > self.value_bytes and not self.low else self.value_bytes
-
-    def takes(self, size: int, before: int) -> bool:
-        """Whether a record may be written with so many bytes."""
-        return size <= self.most(before) * VALUE_SHARE
+    def takes(self, size: int) -> bool:
+        """Whether a record of so many bytes may be written."""
+        return size <= self.value_bytes * VALUE_SHARE
 
     @property
     def guards(self) -> int:
         """How many versions a transaction may depend on."""
         return 4 * self.ops
 
+    @property
+    def least_guards(self) -> int:
+        """The same at last: what all controllers must agree on does not change with the limits."""
+        return 4 * (self.least_ops or self.ops)
+
 
 class Txn:
     """A transaction being put together: versions that must hold, and changes to apply."""
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -5,8 +5,6 @@
 from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
-import msgspec
-
 from ashtray.jobs.model import LIVE, MOST_LATER, OVER, Job
 from ashtray.kernel import SECOND_US, Kernel
 from ashtray.placement.picture import (
@@ -19,8 +17,6 @@
     MachineRecord,
     MachineType,
     Picture,
-    done_bytes,
-    machine_bytes,
 )
 from ashtray.runs import decode_runs, encode_runs
 from ashtray.store.client import Limits, Txn
@@ -34,10 +30,10 @@
 NEW_MACHINE_BYTES = 120
 FULL_SHARE = 0.6
 """A group that takes this part of a value gets no more machines."""
-MACHINE_BYTES = 450
-LEAN_MACHINE_BYTES = 140
-"""The former is with many images, the latter without any."""
-HOLD_BYTES = 90
+FULL_BYTES, LEAN_BYTES = (450, 110), (90, 35)
+"""What a machine and a hold take of a record, with images and completed tasks: in full and in lean form."""
+SIGNED_BYTES = 60
+"""What a new token, an address and a flag may add to a machine's part."""
 CPUS_PER_HOLD = 16
 MAX_FAILED = 6
 """So many jobs that failed on a machine, and machines that a job failed on, are remembered."""
@@ -230,7 +226,7 @@
 
 def most_later(limits: Limits) -> int:
     """Of how many tasks such a job may be."""
-    return min(MOST_LATER, limits.guards - 2)
+    return min(MOST_LATER, limits.least_guards - 2)
 
 
 class Fold:
@@ -279,8 +275,8 @@
                     record, trial = edit.copy_of(name), {}
                     fold_machine(self.picture, machine, record, known, trial, later)
                 ops = sum(self._ops_of(j, fold, edit, spills) for j, fold in trial.items())
-                more = self._growth(edit, machine, record, trial)
-                if not self.limits.takes(self._size(group) + more, group.size):
+                after = self._size_after(edit, machine, record, trial)
+                if not self.limits.takes(after):
                     continue
                 ops += group.key not in self.edits
                 size = 0 if group.key in self.edits else group.size
@@ -288,7 +284,7 @@
                     break
                 self._ops += ops
                 self._bytes += size
-                self._keep(edit, name, record, trial, more)
+                self._keep(edit, name, record, trial, after)
                 break
 
     def add_light(self, group: Group, names: Iterable[str], evidence: dict[str, Evidence]) -> None:
@@ -306,10 +302,11 @@
                 continue
             if any(self._ops_of(job_id, fold, edit, self._full(group)) for job_id, fold in trial.items()):
                 continue
-            more = self._growth(edit, machine, record, trial)
-            if not self.limits.takes(self._size(group) + more, group.size):
+            after = self._size_after(edit, machine, record, trial)
+            if self.limits.takes(after):
+                self._keep(edit, name, record, trial, after)
+            else:
                 continue
-            self._keep(edit, name, record, trial, more)
             kept = [len(decode_runs(hold.tasks)) for hold in record.holds]
             self.freed[name] = (
                 machine.cpus - sum(n * hold.cpus for n, hold in zip(kept, record.holds, strict=True)),
@@ -322,28 +319,31 @@
         return self._sizes.get(group.key, group.size)
 
     def _full(self, group: Group) -> bool:
-        return self._size(group) > self.limits.most(group.size) * SPILL_SHARE
+        return self._size(group) > self.limits.value_bytes * SPILL_SHARE
 
-    def _growth(
+    def _size_after(
         self, edit: Edit, machine: Machine, record: MachineRecord, folds: dict[str, JobFold]
     ) -> int:  # fmt: skip
-        """How much larger a group's record becomes by one machine's report."""
-        more = machine_bytes(machine.name, msgspec.to_builtins(record)) - machine.size
+        """What a group's record takes with one machine's report; while there is room, more rather than less."""
+        done = dict(edit.done)
+        rough = self._size(edit.group) + SIGNED_BYTES + sum(len(hold.tasks) for hold in record.holds)
         for job_id, fold in folds.items():
-            old = edit.done.get(job_id)
-            if old is not None:
-                more -= done_bytes(job_id, old)
-            if not fold.spilt and (fold.finished or old is not None):
-                more += done_bytes(job_id, edit.with_done(job_id, fold.finished))
-        return more
+            if fold.spilt:
+                done.pop(job_id, None)
+            elif fold.finished:
+                done[job_id] = edit.with_done(job_id, fold.finished)
+                rough += len(job_id) + len(done[job_id]) + 6
+        if self.limits.takes(rough):
+            return rough
+        return edit.size_with(machine.name, record, done, self.limits)
 
     def _keep(
-        self, edit: Edit, name: str, record: MachineRecord, folds: dict[str, JobFold], more: int
+        self, edit: Edit, name: str, record: MachineRecord, folds: dict[str, JobFold], size: int
     ) -> None:  # fmt: skip
         """Make what a machine's report says a part of this transaction."""
         edit.replace(name, record)
         self.edits[edit.group.key] = edit
-        self._sizes[edit.group.key] = self._size(edit.group) + more
+        self._sizes[edit.group.key] = size
         self.taken.add(name)
         for job_id, fold in folds.items():
             self.jobs.setdefault(job_id, JobFold()).add(fold)
@@ -399,25 +399,25 @@
                     self.lines.append(f"{job_id} is done")
                 elif fold.broken or fold.errors:
                     self.lines.append(f"{job_id} lost tasks: gang attempt {fold.broken}, errors {fold.errors}")
+
+        def still(job_id: str) -> bool:
+            return self.picture.is_live(job_id) and job_id not in ended
+
         for edit in self.edits.values():
-            if not edit.write(txn, self.limits, lambda job_id: self.picture.is_live(job_id) and job_id not in ended):
+            if not edit.write(txn, self.limits, still):
                 # Its size was worked out before: this is a fault, and must not be tried again and again.
                 raise AssertionError(f"{edit.group.key} grew over its limit")
         return txn
 
 
-def expected_bytes(kind: MachineType | None, value_bytes: int) -> float:
-    """What a machine of a type may be expected to take of its group's record."""
-    holds = max(kind.gpus / 2, kind.cpus / CPUS_PER_HOLD, 1.0) if kind is not None else 1.0
-    return min(MACHINE_BYTES, LEAN_MACHINE_BYTES + value_bytes / 32) + holds * HOLD_BYTES
-
-
-def group_size(kind: MachineType | None, value_bytes: int) -> int:
+def group_size(kind: MachineType | None, limits: Limits) -> int:
     """How many machines of a type share a record: as many as a value holds with the holds that they may take.
 
     Fewer, larger groups mean fewer changes, for a placement or a fold costs one for each group.
     """
-    return max(int(value_bytes * GROUP_SHARE / expected_bytes(kind, value_bytes)), 1)
+    holds = max(kind.gpus / 2, kind.cpus / CPUS_PER_HOLD, 1.0) if kind is not None else 1.0
+    machine, hold = LEAN_BYTES if limits.low else FULL_BYTES
+    return max(int(limits.value_bytes * GROUP_SHARE / (machine + holds * hold)), 1)
 
 
 def adoption(
@@ -429,7 +429,7 @@
     gets into two groups.
     """
     first = next(iter(strangers.values()))
-    size = fixed or group_size(picture.types.get(first.type), limits.value_bytes)
+    size = fixed or group_size(picture.types.get(first.type), limits)
     full = limits.value_bytes * FULL_SHARE - NEW_MACHINE_BYTES
     kind = (first.type, first.zone)
     lock = f"{ADOPTED}{first.type}.{first.zone}"
--- a/ashtray/workers/splitting.py
+++ b/ashtray/workers/splitting.py
@@ -11,7 +11,8 @@
 from typing import TYPE_CHECKING, Any
 
 from ashtray.kernel import SECOND_US, Fiber, Sleep
-from ashtray.placement.picture import GROUP, SPLIT, Edit, Group, Picture, done_bytes, machine_bytes
+from ashtray.placement import lean
+from ashtray.placement.picture import GROUP, SPLIT, Group, Picture
 from ashtray.runs import encode_runs
 from ashtray.store.client import Limits, Txn, Urgency
 from ashtray.workers.folding import FULL_SHARE, group_size
@@ -21,7 +22,7 @@
 
 LOOK_US = SECOND_US // 4
 SPLIT_SHARE = 0.9
-"""A group of several machines that takes more of a value is split, so that there is always room to fold."""
+"""A group that takes more of a value is split, so that there is always room to fold."""
 RUNS_SHARE = 0.5
 """Of a value, what one job's completed tasks may take of a record: more is written in parts."""
 
@@ -30,15 +31,15 @@
 class Piece:
     """What goes into one new record."""
 
-    size: int
+    group: Group
     machines: dict[str, Any] = field(default_factory=dict)
     done: dict[str, str] = field(default_factory=dict)
 
-    def value(self, group: Group) -> dict[str, Any]:
-        value: dict[str, Any] = {"type": group.type, "zone": group.zone, "machines": self.machines}
+    def value(self) -> dict[str, Any]:
+        value: dict[str, Any] = {"type": self.group.type, "zone": self.group.zone, "machines": self.machines}
         if self.done:
             value["done"] = self.done
-        return value
+        return lean.pack(value)
 
 
 def _done_parts(job_id: str, tasks: set[int], most: int) -> list[str]:
@@ -60,27 +61,27 @@
 
     A machine that is too large by itself gets a record of its own, to be written once enough of it has ended.
     """
-    frame = Group(group.key, {"type": group.type, "zone": group.zone, "machines": {}}, 0).size
     most = int(limits.value_bytes * FULL_SHARE)
-    count = group_size(picture.types.get(group.type), limits.value_bytes)
-    cut = [Piece(frame)]
+    count = group_size(picture.types.get(group.type), limits)
+    cut = [Piece(group)]
     upto = picture.moved.get(group.key, ("", ""))[1]
     for job_id, tasks in sorted(group.done.items()):
         if job_id <= upto or not picture.is_live(job_id):
             continue
         for runs in _done_parts(job_id, tasks, int(limits.value_bytes * RUNS_SHARE)):
-            size = done_bytes(job_id, runs)
-            if cut[-1].size + size > most or job_id in cut[-1].done:
-                cut.append(Piece(frame))
+            if job_id in cut[-1].done:
+                cut.append(Piece(group))
             cut[-1].done[job_id] = runs
-            cut[-1].size += size
+            if lean.size_of(cut[-1].value()) > most and len(cut[-1].done) > 1:
+                del cut[-1].done[job_id]
+                cut.append(Piece(group, done={job_id: runs}))
     for name in sorted(group.machines):
         raw = group.machines[name].raw
-        size = machine_bytes(name, raw)
-        if cut[-1].size + size > most or len(cut[-1].machines) >= count:
-            cut.append(Piece(frame))
         cut[-1].machines[name] = raw
-        cut[-1].size += size
+        crowded = len(cut[-1].machines) > count or lean.size_of(cut[-1].value()) > most
+        if crowded and (len(cut[-1].machines) > 1 or cut[-1].done):
+            del cut[-1].machines[name]
+            cut.append(Piece(group, {name: raw}))
     return [piece for piece in cut if piece.machines or piece.done]
 
 
@@ -93,19 +94,17 @@
 
     def run(self) -> Fiber[None]:
         ctl = self.ctl
-        limits = ctl.limits
-        if not limits.fall or not ctl.follower.loaded or not ctl.presence.incarnation:
-            yield Sleep(SECOND_US)
+        if not ctl.limits.low or not ctl.follower.loaded or not ctl.presence.incarnation:
+            yield Sleep(LOOK_US)
             return
-        limits.low = limits.low or ctl.presence.upgraded() or ctl.store.refused
         for group in self.due():
-            urgency = Urgency.FREE if limits.low else Urgency.PLACE
-            number = min(len(pieces(ctl.picture, group, limits)) + 1, self._ops())
+            number = min(len(pieces(ctl.picture, group, ctl.limits)), ctl.limits.ops)
 
             def build(key: str = group.key) -> Txn | None:
                 return self.split(key)
 
-            if (yield from ctl.follower.commit(build, number, urgency, "split")):
+            # Nothing else can be done with its machines meanwhile.
+            if (yield from ctl.follower.commit(build, number, Urgency.CANCEL, "split")):
                 self.kernel.log("info", f"{group.key} ({group.size} bytes) is split")
             elif not (yield from ctl.follower.barrier()):
                 break
@@ -117,14 +116,11 @@
         most = ctl.limits.value_bytes * SPLIT_SHARE
         groups = [
             group for group in ctl.picture.groups.values()
-            if (group.moving or (group.size > most and len(group.machines) > 1))
+            if (group.moving or (group.size > most and (len(group.machines) > 1 or not group.lean)))
             and ctl.presence.foreman(group.key) == ctl.settings.host_name
         ]  # fmt: skip
         return sorted(groups, key=lambda group: (not group.moving, -group.size))
 
-    def _ops(self) -> int:
-        return self.ctl.limits.ops if self.ctl.limits.low else self.ctl.limits.first_ops
-
     def _key(self, base: str, taken: set[str]) -> str:
         """The key of a new group, such that its workers stay with this controller: another one would have to sign
         each of them."""
@@ -146,30 +142,18 @@
         """
         picture, limits = self.ctl.picture, self.ctl.limits
         group = picture.groups.get(key)
-        if group is None:
+        if group is None or not self.ctl.limits.low:
             return None
         cut = pieces(picture, group, limits)
-        ops = self._ops()
+        ops = limits.ops
         txn = Txn().guard(key, group.version)
         lock = SPLIT + key[len(GROUP):]
         base = f"{GROUP}{group.type}.{group.zone}."
         if not group.moving and len(cut) <= ops:
-            if len(cut) < 2:
-                return None
-            # The record keeps the last piece.
+            # The record keeps the last piece; in lean form that may be all of it.
             *others, last = cut
-            if group.size > limits.value_bytes:
-                txn.guard(lock, 0)
-            txn.put(key, last.value(group))
-        elif not group.moving and not limits.low:
-            # The version before knows nothing of a second record: the rest stays, as large as it may still be.
-            others = cut[: ops - 1]
-            edit = Edit(group)
-            for piece in others:
-                for name in piece.machines:
-                    edit.remove(name)
-            # What is completed may be said twice: it stays true.
-            if not edit.write(txn, limits, picture.is_live):
+            txn.guard(lock, 0).put(key, last.value())
+            if not limits.takes(lean.size_of(last.value())):
                 return None
         elif len(cut) <= ops - 2:
             others = cut
@@ -189,7 +173,10 @@
             txn.guard(lock, picture.version(lock)).put(lock, mark)
         taken: set[str] = set()
         for piece in others:
+            if not limits.takes(lean.size_of(piece.value())):
+                # One machine that is too large alone: it has to wait until enough has ended there.
+                return None
             new = self._key(base + next(iter(piece.machines), key.rpartition(".")[2]), taken)
             taken.add(new)
-            txn.guard(new, 0).put(new, piece.value(group))
+            txn.guard(new, 0).put(new, piece.value())
         return txn
--- /dev/null
+++ b/tests/production.py
@@ -0,0 +1,41 @@
+"""The version in production, taken from the repository's history, to be run beside the present one."""
+
+from __future__ import annotations
+
+import importlib
+import io
+import subprocess
+import sys
+import tarfile
+import tomllib
+from pathlib import Path
+from types import SimpleNamespace
+
+ROOT = Path(__file__).resolve().parent.parent
+NAME = "ashtray_production"
+
+
+def load() -> SimpleNamespace | None:
+    """Its controller under a name of its own; None where the history is not there."""
+    commit = tomllib.loads((ROOT / "deploy/service.toml").read_text())["production"]
+    folder = ROOT / "target" / f"production-{commit}"
+    if not (folder / NAME).is_dir():
+        done = subprocess.run(
+            ["git", "archive", commit, "ashtray"], cwd=ROOT, capture_output=True, check=False
+        )
+        if done.returncode != 0:
+            return None
+        with tarfile.open(fileobj=io.BytesIO(done.stdout)) as archive:
+            for member in archive.getmembers():
+                file = archive.extractfile(member)
+                if file is not None and member.name.endswith(".py"):
+                    path = folder / member.name.replace("ashtray", NAME, 1)
+                    path.parent.mkdir(parents=True, exist_ok=True)
+                    path.write_text(file.read().decode().replace("from ashtray", f"from {NAME}"))
+    if str(folder) not in sys.path:
+        sys.path.insert(0, str(folder))
+    return SimpleNamespace(
+        Controller=importlib.import_module(f"{NAME}.controller").Controller,
+        Settings=importlib.import_module(f"{NAME}.config.settings").Settings,
+        Knobs=importlib.import_module(f"{NAME}.config.operators").Knobs,
+    )
