--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from functools import partial
 from typing import Any
 
@@ -78,6 +79,24 @@
             f"picture: {len(picture.machines)} machines, {len(picture.groups)} groups, {len(picture.jobs)} jobs, "
             f"{waiting} tasks wait, {len(self.desk.workers)} workers here",
         )
+        by_class: Counter[str] = Counter()
+        for job_id, tasks in picture.waiting().items():
+            by_class[picture.jobs[job_id].spec.job_class] += len(tasks)
+        self.kernel.log("debug", f"waiting: {', '.join(f'{name} {n}' for name, n in by_class.most_common())}")
+        held: dict[str, list[float]] = {}
+        for machine in picture.machines.values():
+            kind = picture.types.get(machine.type)
+            if kind is not None:
+                sums = held.setdefault(f"{'spot ' if machine.record.spot else ''}{kind.name}", [0.0] * 6)
+                idle = 0.0 if machine.holds else 1.0
+                for n, amount in enumerate((1.0, idle, machine.cpus, kind.cpus, machine.gpus, kind.gpus)):
+                    sums[n] += amount
+        for name, (number, idle, cpus, all_cpus, gpus, all_gpus) in sorted(held.items()):
+            self.kernel.log(
+                "debug",
+                f"held: {number:.0f} {name}, {idle:.0f} idle, {cpus:.0f} of {all_cpus:.0f} CPUs, "
+                f"{gpus:.0f} of {all_gpus:.0f} GPUs",
+            )
         return
         yield
 
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -281,7 +281,9 @@
         for retry in range(ctl.knobs.retries):
             lines: list[str] = []
             build = partial(self._transaction, batch, lines)
-            good = yield from ctl.follower.commit(build, batch.changes(), Urgency.PLACE, "place")
+            # What is urgent takes its turn with the folds: a controller with many workers never came to place.
+            urgency = Urgency.FREE if batch.urgent else Urgency.PLACE
+            good = yield from ctl.follower.commit(build, batch.changes(), urgency, "place")
             if good is None:
                 return False
             txn, teams = self._sent
@@ -397,6 +399,8 @@
         """What its jobs take, by team."""
         self._jobs: set[str] = set()
         self.groups: set[str] = set()
+        self.urgent = False
+        """One of its jobs is urgent."""
         self._bytes = 0
 
     def changes(self) -> int:
@@ -425,6 +429,7 @@
         self._bytes += self._size(item)
         self.items.append(item)
         self._jobs.add(item.job_id)
+        self.urgent = self.urgent or (job.priority <= 1 and not job.suspect)
         self.groups |= item.groups()
         cpus, gpus = self.used.get(job.spec.team, (0.0, 0.0))
         self.used[job.spec.team] = (cpus + item.count * job.spec.cpus, gpus + item.count * job.spec.gpus)
--- a/ashtray/workers/desk.py
+++ b/ashtray/workers/desk.py
@@ -21,14 +21,14 @@
 FOLD_US = 150_000
 SCARCE_FOLD_US = 500_000
 LAZY_US = 1_700_000
-SCARCE_US = 4 * SECOND_US
+SCARCE_US, LOW_SCARCE_US = 4 * SECOND_US, 12 * SECOND_US
 """A fold waits no longer for company, the latter when commits wait for their budget.
 
 What ends a job, or failed, is folded at once: a job's end is to show within 3 s.
 """
 MANY_TASKS = 40
 """With more open tasks than these a job is not looked at for its end at each report."""
-TIDY_US = 30 * SECOND_US
+TIDY_US, SCARCE_TIDY_US = 30 * SECOND_US, 240 * SECOND_US
 MAX_UNTIDY = 300
 ADOPT_US = 200_000
 DIRECT_US = 1_500_000
@@ -261,7 +261,8 @@
                 news = urgent = True
             if ended:
                 news = True
-                if holder is not None:
+                if holder is not None and holder.id not in picture.completed():
+                    # One task that is done speaks for its gang: those heard of after it can wait for company.
                     urgent = urgent or holder.spec.kind == "gang" or self._all_ended(holder)
         if news:
             self.fold_soon(machine, urgent)
@@ -445,7 +446,8 @@
     def _pace_us(self) -> int:
         """How long to wait for company: folds may take half of this controller's changes, a quarter when scarce."""
         changes = self.ctl.store.changes
-        part, most_us = (4, SCARCE_US) if changes.scarce() else (2, LAZY_US)
+        scarce_us = LOW_SCARCE_US if self.ctl.limits.low else SCARCE_US
+        part, most_us = (4, scarce_us) if changes.scarce() else (2, LAZY_US)
         return min(int(part * self._fold_cost / max(changes.bucket.rate, 0.1) * SECOND_US), most_us)
 
     def fold(self) -> Fiber[None]:
@@ -489,8 +491,10 @@
             return
         jobs.sort(key=lambda job: self._done_us[job.id])
         changes = self.ctl.store.changes
-        late = now - self._done_us[jobs[0].id] > TIDY_US
-        if changes.scarce() and not late and len(jobs) < MAX_UNTIDY:
+        scarce = changes.scarce()
+        # What is kept in groups takes room there, but moving it costs two changes a job.
+        late = now - self._done_us[jobs[0].id] > (SCARCE_TIDY_US if scarce else TIDY_US)
+        if scarce and not late and len(jobs) < MAX_UNTIDY:
             return
         lines: list[str] = []
 
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -30,7 +30,7 @@
 NEW_MACHINE_BYTES = 120
 FULL_SHARE = 0.6
 """A group that takes this part of a value gets no more machines."""
-FULL_BYTES, LEAN_BYTES = (450, 110), (90, 35)
+FULL_BYTES, LEAN_BYTES = (450, 110), (70, 28)
 """What a machine and a hold take of a record, with images and completed tasks: in full and in lean form."""
 SIGNED_BYTES = 60
 """What a new token, an address and a flag may add to a machine's part."""
@@ -416,7 +416,10 @@
     Fewer, larger groups mean fewer changes, for a placement or a fold costs one for each group.
     """
     holds = max(kind.gpus / 2, kind.cpus / CPUS_PER_HOLD, 1.0) if kind is not None else 1.0
-    machine, hold = LEAN_BYTES if limits.low else FULL_BYTES
+    machine, hold = FULL_BYTES
+    if limits.low:
+        # One that fills up is split: it need not be small from the start.
+        machine, hold, holds = *LEAN_BYTES, max(holds / 2, 1.0)
     return max(int(limits.value_bytes * GROUP_SHARE / (machine + holds * hold)), 1)
 
 
--- a/ashtray/workers/splitting.py
+++ b/ashtray/workers/splitting.py
@@ -21,8 +21,8 @@
     from ashtray.controller import Controller
 
 LOOK_US = SECOND_US // 4
-SPLIT_SHARE = 0.9
-"""A group that takes more of a value is split, so that there is always room to fold."""
+SPLIT_SHARE = 0.8
+"""A group that takes more of a value is split: nothing more is placed there, and there is to be room to fold."""
 RUNS_SHARE = 0.5
 """Of a value, what one job's completed tasks may take of a record: more is written in parts."""
 
