--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -157,7 +157,7 @@
             self._low_us = min(2 * self._low_us, MOST_LOW_US) if again else LOW_US
             self._low_until_us = now + self._low_us
             self._pinched_us = []
-            self.kernel.log("info", f"the state service takes fewer changes: at the lower rate for {self._low_us} us")
+            self.kernel.log("info", f"the state service takes fewer changes: at the lower rate for {self._low_us // SECOND_US} s")
             self.changes.bucket.rate = min(self.changes.bucket.rate, self.changes.bucket.rate
                                            * self.limits.next.write_rps / self.limits.write_rps)  # fmt: skip
 
--- a/tests/bite.py
+++ b/tests/bite.py
@@ -14,6 +14,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from tests import production
+
 TESTS = ["tests/test_safety.py", "tests/test_placement.py", "tests/test_grants.py", "tests/test_bad_nights.py",
          "tests/test_pipelines.py", "tests/test_limits.py", "tests/test_upgrade.py", "tests/test_model.py"]
 ROOT = Path(__file__).resolve().parent.parent
@@ -99,7 +101,7 @@
     "answers-without-needs": (
         SERVICE, "known = yield from self._know_needs(job, urgency)", "known = True"),
     "never-accepted-not-looked-up": (
-        SERVICE, "            if status != 200:\n                # Only", "            if False:\n                # Only"),
+        SERVICE, "            if status != 200:\n                #", "            if False:\n                #"),
     "lean-form-too-early": (
         "ashtray/controller.py", "(self.presence.upgraded() or self.picture.lean or self.store.refused)", "True"),
     "older-one-not-asked": (
@@ -124,6 +126,9 @@
             source = ROOT / part
             copy = shutil.copytree if source.is_dir() else shutil.copy
             copy(source, Path(scratch) / part)
+        for before in (ROOT / "target").glob("production-*"):
+            # The scratch copy has no history of its own.
+            shutil.copytree(before, Path(scratch) / "target" / before.name)
         broken = Path(scratch) / file
         text = broken.read_text()
         if text.count(old) != 1:
@@ -144,6 +149,7 @@
     options.add_argument("--runs", type=int, default=300, help="generated runs for each break")
     options.add_argument("names", nargs="*", default=list(BREAKS))
     chosen = options.parse_args()
+    production.load()
     with ThreadPoolExecutor(os.cpu_count()) as pool:
         for found in pool.map(lambda name: bite(name, chosen.runs), chosen.names):
             print("{:26} {}".format(*found), flush=True)
