--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -58,6 +58,7 @@
         return Plan(self.picture, self.teams, self.knobs, self.kernel.rng, self.limits)
 
     def _changed(self) -> None:
+        self.limits.refused = self.store.refused
         if self.limits.fall and (self.presence.upgraded() or self.picture.lean or self.store.refused):
             self.kernel.log("info", "all controllers are of this version: the lower limits hold from now on")
             self.limits.lower()
--- a/ashtray/placement/picture.py
+++ b/ashtray/placement/picture.py
@@ -207,7 +207,9 @@
         value = self.value(live)
         if limits.low or group.lean:
             value = lean.pack(value)
-        if group.moving or not limits.takes(lean.size_of(value)):
+        size = lean.size_of(value)
+        alone = len(group.machines) == 1 and size < group.size
+        if group.moving or not limits.takes(size, alone):
             return False
         txn.guard(group.key, group.version)
         if group.size > limits.value_bytes:
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -331,6 +331,9 @@
             job = picture.jobs.get(item.job_id)
             if job is None or full & item.groups() or not draft.allows(job, item):
                 continue
+            # The limits may have fallen since this was planned.
+            if len(lines) + 1 + len(draft.edits.keys() | item.groups()) > ctl.limits.ops:
+                continue
             number = attempt_of(job)
             draft.add(job, item, number, ctl.kernel.wall_us, ctl.settings.host_name)
             placed = job.portion + item.count
--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -157,7 +157,8 @@
             self._low_us = min(2 * self._low_us, MOST_LOW_US) if again else LOW_US
             self._low_until_us = now + self._low_us
             self._pinched_us = []
-            self.kernel.log("info", f"the state service takes fewer changes: at the lower rate for {self._low_us // SECOND_US} s")
+            low_s = self._low_us // SECOND_US
+            self.kernel.log("info", f"the state service takes fewer changes: at the lower rate for {low_s} s")
             self.changes.bucket.rate = min(self.changes.bucket.rate, self.changes.bucket.rate
                                            * self.limits.next.write_rps / self.limits.write_rps)  # fmt: skip
 
@@ -279,6 +280,9 @@
     least_value_bytes: int = 0
     """What will hold at last."""
     low: bool = False
+    refused: bool = False
+    """A transaction was too large: the lower limits are there."""
+    first_value_bytes: int = 0
 
     @classmethod
     def of(cls, limits: StateLimits) -> Limits:
@@ -295,10 +299,16 @@
 
     def lower(self) -> None:
         self.low = True
+        self.first_value_bytes = self.value_bytes
         self.ops, self.value_bytes = self.least_ops, self.least_value_bytes
 
-    def takes(self, size: int) -> bool:
-        """Whether a record of so many bytes may be written."""
+    def takes(self, size: int, alone: bool = False) -> bool:
+        """Whether a record of so many bytes may be written.
+
+        A machine that is too large `alone` cannot be split: its record may stay so while nothing has been refused.
+        """
+        if alone and not self.refused and size > self.value_bytes:
+            return size <= self.first_value_bytes * VALUE_SHARE
         return size <= self.value_bytes * VALUE_SHARE
 
     @property
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -276,7 +276,7 @@
                     fold_machine(self.picture, machine, record, known, trial, later)
                 ops = sum(self._ops_of(j, fold, edit, spills) for j, fold in trial.items())
                 after = self._size_after(edit, machine, record, trial)
-                if not self.limits.takes(after):
+                if not self.limits.takes(after, len(group.machines) == 1 and after < group.size):
                     continue
                 ops += group.key not in self.edits
                 size = 0 if group.key in self.edits else group.size
@@ -333,6 +333,7 @@
             elif fold.finished:
                 done[job_id] = edit.with_done(job_id, fold.finished)
                 rough += len(job_id) + len(done[job_id]) + 6
+            rough += len(job_id) + 6 if fold.errors else 0
         if self.limits.takes(rough):
             return rough
         return edit.size_with(machine.name, record, done, self.limits)
--- a/ashtray/workers/splitting.py
+++ b/ashtray/workers/splitting.py
@@ -153,7 +153,7 @@
             # The record keeps the last piece; in lean form that may be all of it.
             *others, last = cut
             txn.guard(lock, 0).put(key, last.value())
-            if not limits.takes(lean.size_of(last.value())):
+            if not limits.takes(lean.size_of(last.value()), len(last.machines) == 1):
                 return None
         elif len(cut) <= ops - 2:
             others = cut
@@ -173,7 +173,7 @@
             txn.guard(lock, picture.version(lock)).put(lock, mark)
         taken: set[str] = set()
         for piece in others:
-            if not limits.takes(lean.size_of(piece.value())):
+            if not limits.takes(lean.size_of(piece.value()), len(piece.machines) == 1):
                 # One machine that is too large alone: it has to wait until enough has ended there.
                 return None
             new = self._key(base + next(iter(piece.machines), key.rpartition(".")[2]), taken)
