--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -82,6 +82,8 @@
         self._term = 0
         """The revision of the fleet's key under which this controller runs it, or last did."""
         self._rented_us = 0
+        self._wished = True
+        """The last forecast called for machines: the next one is made sooner."""
         self._types_us = -TYPES_US
         self._ending: set[str] = set()
 
@@ -571,10 +573,13 @@
         if self.kernel.now_us - self.started_us < self._settle_us():
             return
         # A forecast goes through the whole fleet and queue: not at each round.
-        if self.kernel.now_us - self._rented_us < RENT_US * len(self.ctl.picture.machines):
+        pause_us = RENT_US * len(self.ctl.picture.machines) * (1 if self._wished else 2)
+        if self.kernel.now_us - self._rented_us < pause_us:
             return
         self._rented_us = self.kernel.now_us
-        for kind, number in self.wishes().items():
+        wishes = self.wishes()
+        self._wished = bool(wishes)
+        for kind, number in wishes.items():
             self._seq += 1
             request = f"{self.ctl.settings.host_name}-{self.ctl.presence.incarnation}-{self._seq}"
             number = min(number, 50)
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -31,6 +31,7 @@
 IMAGES_SHARE = 0.05
 """Of a value, what the names of one machine's cached images may take."""
 PAUSE_US = 100_000
+MOST_VAIN = 2
 PARTIAL_US = 800_000
 SCARCE_PARTIAL_US = 3 * SECOND_US
 WORTH_PLACES = 4
@@ -55,6 +56,8 @@
         self.counts: Counter[str] = Counter()
         """What the work went into since the last report."""
         self._hurry = False
+        self._commits = self._vain = 0
+        """Commits tried, and rounds in a row that came to none though there was something to place."""
         self._sent: tuple[Txn, list[str]] = (Txn(), [])
         """The last commit, and the teams with a limit that it placed for."""
         self._folds: set[str] = set()
@@ -77,7 +80,11 @@
             self._hurry = False
             if self.ctl.follower.loaded and self.ctl.presence.incarnation:
                 self._seen = self.ctl.picture.changes
-                yield Sleep(PAUSE_US + VISIT_US * (yield from self._round()))
+                commits = self._commits
+                work_us = VISIT_US * (yield from self._round())
+                # In a full fleet round after round finds no room: each of them makes the next one later.
+                self._vain = 0 if commits != self._commits or not work_us else min(self._vain + 1, MOST_VAIN)
+                yield Sleep(PAUSE_US * 2**self._vain + work_us)
 
     def changed(self) -> None:
         if self.ctl.picture.changes != self._seen:
@@ -135,7 +142,10 @@
             for within_s in (None,) if aim_s is None else (0.8 * aim_s, None):
                 # Room that only this controller knows of yet is for its own jobs, or for urgent ones: the others
                 # could not be placed there, and it would stand empty until a fold shows it.
-                choices = plan.place(job, len(tasks), widen, within_s, freed=mine or urgent)
+                choices = plan.place(job, len(tasks), widen, within_s, freed=mine)
+                if not choices and not mine and urgent and plan.freed:
+                    # Only where there is no other: under scarce changes each such fold is a placement less.
+                    choices = plan.place(job, len(tasks), widen, within_s, freed=True)
                 if choices:
                     if not mine and urgent:
                         ripe.setdefault(job.id, self._ripe.get(job.id, began_us))
@@ -294,6 +304,7 @@
             if txn.doubt:
                 ctl.grants.doubt(teams)
             self.window.append(not good)
+            self._commits += 1
             if good:
                 for line in lines:
                     ctl.kernel.log("info", line)
--- a/ashtray/workers/desk.py
+++ b/ashtray/workers/desk.py
@@ -21,7 +21,7 @@
 FOLD_US = 150_000
 SCARCE_FOLD_US = 500_000
 LAZY_US = 1_700_000
-SCARCE_US, LOW_SCARCE_US = 4 * SECOND_US, 12 * SECOND_US
+SCARCE_US, LOW_SCARCE_US = 4 * SECOND_US, 20 * SECOND_US
 """A fold waits no longer for company, the latter when commits wait for their budget.
 
 What ends a job, or failed, is folded at once: a job's end is to show within 3 s.
@@ -444,10 +444,14 @@
             self._urgent.discard(group)
 
     def _pace_us(self) -> int:
-        """How long to wait for company: folds may take half of this controller's changes, a quarter when scarce."""
+        """How long to wait for company: folds may take half of this controller's changes, a quarter when scarce.
+
+        Under the lower limits a fold takes few groups and a job more changes, so it is a tenth: who needs room asks
+        for it, and placements take along what is free where they go.
+        """
         changes = self.ctl.store.changes
-        scarce_us = LOW_SCARCE_US if self.ctl.limits.low else SCARCE_US
-        part, most_us = (4, scarce_us) if changes.scarce() else (2, LAZY_US)
+        scarce = (10, LOW_SCARCE_US) if self.ctl.limits.low else (4, SCARCE_US)
+        part, most_us = scarce if changes.scarce() else (2, LAZY_US)
         return min(int(part * self._fold_cost / max(changes.bucket.rate, 0.1) * SECOND_US), most_us)
 
     def fold(self) -> Fiber[None]:
