--- a/ashtray/jobs/pace.py
+++ b/ashtray/jobs/pace.py
@@ -68,5 +68,8 @@
         """How long a job may wait for each time that a machine costs as much again as the cheapest."""
         if job.spec.job_class in self.urgent:
             return self._patience_s / 4
-        timed = self._all_timed or job.spec.job_class in self._timed or job.latest_us is not None
-        return self._patience_s if timed else self._patience_s * UNTIMED
+        return self._patience_s if self.timed(job) else self._patience_s * UNTIMED
+
+    def timed(self, job: Job) -> bool:
+        """Whether an aim or a deadline states a time for a job, or for one that needs it."""
+        return self._all_timed or job.spec.job_class in self._timed or job.latest_us is not None
--- a/ashtray/workers/desk.py
+++ b/ashtray/workers/desk.py
@@ -26,7 +26,7 @@
 
 What ends a job, or failed, is folded at once: a job's end is to show within 3 s.
 """
-MANY_TASKS = 40
+MANY_TASKS, MANY_TIMED_TASKS = 40, 400
 """With more open tasks than these a job is not looked at for its end at each report."""
 TIDY_US, SCARCE_TIDY_US = 30 * SECOND_US, 240 * SECOND_US
 MAX_UNTIDY = 300
@@ -268,14 +268,22 @@
             self.fold_soon(machine, urgent)
 
     def _all_ended(self, job: Job) -> bool:
-        """Whether the workers that report here say that all that is left of a job has ended."""
+        """Whether the workers that report here say that all that is left of a job has ended.
+
+        For a job that others wait for, all that is left of it here: nobody else hears of that, and a lazy fold would
+        hold up the next stage.  Under the lower limits lazy folds are rare, and all that have a time are such jobs.
+        """
         picture = self.ctl.picture
-        if job.id in picture.waiting() or len(picture.placed(job.id)) > MANY_TASKS:
+        alone = not (job.id in picture.needs.after or (self.ctl.limits.low and self.ctl.pace.timed(job)))
+        many = MANY_TASKS if alone else MANY_TIMED_TASKS
+        if job.id in picture.waiting() or len(picture.placed(job.id)) > many:
             return False
         for (name, _), hold in picture.held.get(job.id, {}).items():
             worker = self.workers.get(name)
             if worker is None or worker.report is None:
-                return False
+                if alone:
+                    return False
+                continue
             for task in hold.tasks:
                 seen = worker.report.tasks.get((job.id, hold.attempt, task))
                 if seen is None or seen.state != "ended":
