--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from ashtray.config.operators import Knobs
 from ashtray.jobs.messages import Malformed, parse_submission
 from ashtray.jobs.model import LIVE, OVER, JobRecord, JobSpec
 from ashtray.placement.picture import Picture
@@ -167,3 +168,25 @@
     spec = JobSpec("any", "crew", "array", priority, 1, 1.0, 0.0, 1.0, "img", 1.0, **over)
     picture.put(LIVE + job_id, msgspec.to_builtins(JobRecord(spec, "berth-0", 0)), version)
 
+
+
+def test_the_next_stage_does_not_wait_for_lazy_folds():
+    # Found on simulated days: where no controller heard of all that was left of a job, its end waited up to 20 s.
+    model = Model(7, knobs=Knobs(group_size=1), following=(2.0, 5))
+    model.run(3)
+    for host in model.hosts:
+        host.core.store.changes.scarce = lambda: True
+        host.core.desk._pace_us = lambda: 60 * SECOND
+        host.core.desk._fold_us = model.now + SECOND
+    model.submit(submission("job-0", pieces=18, cpus=4.0, crew="free", urgency="urgent", hulls=["small"]))
+    model.run(1)
+    model.submit(submission("job-1", pieces=1, crew="free", waits_on=["job-0"], due_s=300.0))
+    for _ in range(400):
+        model.run(0.25)
+        if len(model.jobs["job-0"].finished) == 18:
+            break
+    reporting = [sum(bool(w.heard_us) for w in host.core.desk.workers.values()) for host in model.hosts]
+    assert sum(n > 0 for n in reporting) > 1
+    before = model.starts
+    model.run(6)
+    assert model.starts == before + 1
