--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -11,6 +11,8 @@
 from typing import Any
 from urllib.parse import quote
 
+import msgspec
+
 from ashtray.config.settings import StateLimits
 from ashtray.kernel import SECOND_US, Call, Fiber, Kernel, Reply, Signal, Sleep, Wait
 
@@ -237,8 +239,9 @@
             self.counts[f"{purpose} {outcome} changes"] += txn.changes()
             txn.doubt = reply.status not in SURE
             if reply.status == 400 and (reply.body or {}).get("error") != "no such lease":
-                # Never the same again: what is built from now on obeys the lower limits.
-                self.refused = True
+                # Never the same again: if that was too large for the lower limits, they hold from now on.
+                # Any other refusal says nothing of them, or of the version before.
+                self.refused = self.refused or self._over_the_next(txn)
                 self.kernel.log("error", f"the state service refuses a transaction ({purpose}): {reply.body}")
             if reply.status != 429:
                 break
@@ -247,6 +250,17 @@
         self._note("POST", f"/txn of {txn.changes() if txn else 0}", reply, asked_us)
         return txn, reply
 
+    def _over_the_next(self, txn: Txn) -> bool:
+        following = self.limits.next
+        if following is None:
+            return False
+        sizes = [len(msgspec.json.encode(value)) for value in txn.puts.values()]
+        return (
+            txn.changes() > following.txn_ops
+            or len(txn.guards) > 4 * following.txn_ops
+            or max(sizes, default=0) > following.value_kb * 1024
+        )
+
     def open_lease(self, life_us: int) -> Fiber[Reply]:
         body = {"life_ms": life_us // 1000}
         return (yield from self.request(Urgency.KEEP_ALIVE, "POST", "/leases", body, purpose="lease"))
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -14,7 +14,7 @@
 from ashtray.placement.picture import GROUP, SPLIT, GroupRecord, HoldRecord, MachineRecord, MachineType, Picture
 from ashtray.placement.plan import Plan
 from ashtray.runs import decode_runs, encode_runs
-from ashtray.store.client import Limits
+from ashtray.store.client import Limits, Txn, Urgency
 from ashtray.workers.folding import Evidence, Fold
 from ashtray.workers.messages import Report, TaskState
 from tests.model import Model, submission
@@ -218,3 +218,20 @@
     assert store.changes.bucket.rate < 0.8 * rate
     model.run(40)
     assert store.changes.bucket.rate == pytest.approx(rate, rel=0.1)
+
+
+@pytest.mark.parametrize(("changes", "size", "says"), [(2, 10, False), (6, 10, True), (1, 4000, True)])
+def test_only_what_is_over_the_lower_limits_says_that_they_are_there(changes, size, says):
+    # Taken for more, any refusal would have records written that the version before cannot read.
+    model = Model(3, following=(2.0, 5))
+    model.run(4)
+    host = model.hosts[0]
+    model.state.handle, handle = lambda *args: (400, {"error": "no"}), model.state.handle
+    txn = Txn()
+    for n in range(changes):
+        txn.put(f"ashtray/x{n}", "x" * size)
+    host.core.kernel.spawn(host.core.store.commit(lambda: txn, changes, Urgency.PLACE, "test"))
+    model.carry_out(host, host.core.wake(*model.clock(host)))
+    model.run(0.3)
+    model.state.handle = handle
+    assert host.core.store.refused == says
