--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -235,3 +235,11 @@
     model.run(0.3)
     model.state.handle = handle
     assert host.core.store.refused == says
+
+
+def test_a_record_in_fragments_keeps_the_longest_runs():
+    spec = JobSpec("any", "crew", "array", 2, 90_000, 1.0, 0.0, 1.0, "img", 1.0)
+    job = Job("job-1", msgspec.to_builtins(JobRecord(spec, "berth-0", 0)), 3, 1900)
+    value = job.value(finished=set(range(50_000)) | set(range(50_001, 60_000, 2)))
+    assert len(msgspec.json.encode(value)) <= 1900
+    assert set(range(50_000)) <= decode_runs(value["finished"])
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -190,3 +190,13 @@
     before = model.starts
     model.run(6)
     assert model.starts == before + 1
+
+
+def test_a_whole_chain_is_cancelled_with_its_first_job_before_any_record_is_moved():
+    picture = Picture()
+    put(picture, "job-0", 2)
+    for n in range(1, 5):
+        put(picture, f"job-{n}", 2, needs=[f"job-{n - 1}"])
+    picture.put(OVER + "job-0", {"status": "cancelled", "done": 0}, 5)
+    picture.remove(LIVE + "job-0", 5)
+    assert set(picture.needs.doomed) == {"job-1", "job-2", "job-3", "job-4"}
