Under overload what can still make its time goes first; one fence serves all; idle hands are signed later

Cause: with more work than room the queue by age let every gang wait beyond the 30 s that the users state. After all controllers had ended each of them fenced each team at the end of a round, and each group was signed for every worker that came over. test_grants followed a prefix without keys, so its hosts never saw one another: mended. Change: bands by how many stated times a job has missed (placement/order.py), by age within, with a bound on waiting; a fence by anybody after this process signed in counts, and comes before the first plan; the token of a machine whose tasks run on undisturbed waits for company.

--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -10,14 +10,15 @@
 from ashtray.config.operators import Knobs
 from ashtray.config.settings import Settings
 from ashtray.fleet.runner import ROUND_US, Runner
-from ashtray.jobs.model import JOB_ID, NOW, ROOT
+from ashtray.jobs.model import JOB_ID, NOW, ROOT, Job
 from ashtray.jobs.pace import Pace
 from ashtray.jobs.service import JobDesk
 from ashtray.kernel import SECOND_US, Fiber, Kernel, Output, Reply
 from ashtray.peers.presence import Peers, Presence
+from ashtray.placement.order import StatedTimes
 from ashtray.placement.picture import Picture
 from ashtray.placement.placer import Placer
-from ashtray.placement.plan import Plan
+from ashtray.placement.plan import Plan, queue
 from ashtray.store.client import VALUE_SHARE, Limits, StoreClient
 from ashtray.store.follower import Follower
 from ashtray.teams.grants import Grants
@@ -45,6 +46,7 @@
         self.store = StoreClient(self.kernel, settings.services.state, settings.cluster.state)
         self.follower = Follower(self.kernel, self.store, ROOT, NOW, self.picture, self._changed)
         self.pace = Pace(settings.cluster.objectives, knobs.patience_s)
+        self.times = StatedTimes(settings.cluster.objectives, self.pace)
         self.presence = Presence(self)
         self.peers = Peers(self)
         self.desk = Desk(self)
@@ -57,11 +59,16 @@
         """A plan on the picture as it is now."""
         return Plan(self.picture, self.teams, self.knobs, self.kernel.rng, self.limits)
 
+    def queue(self) -> tuple[list[Job], set[str]]:
+        """The jobs that wait, in their order, and those within their team's guarantee, as things are now."""
+        return queue(self.picture, self.teams, self.times, self.kernel.wall_us)
+
     def _changed(self) -> None:
         self.limits.refused = self.store.refused
         if self.limits.fall and (self.presence.upgraded() or self.picture.lean or self.store.refused):
             self.kernel.log("info", "all controllers are of this version: the lower limits hold from now on")
             self.limits.lower()
+        self.grants.seen(self.follower.revision)
         if self.picture.changes != self._seen:
             self._seen = self.picture.changes
             self.placer.changed()
--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -19,7 +19,6 @@
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Sleep
 from ashtray.placement import lean
 from ashtray.placement.picture import FLEET, SICK, TYPES, Edit, Machine, MachineType
-from ashtray.placement.plan import queue
 from ashtray.placement.preemption import Victims, orderly, stop_victims
 from ashtray.placement.rules import Ask, Room
 from ashtray.store.client import Bucket, Txn, Urgency
@@ -491,7 +490,7 @@
         ctl = self.ctl
         wall_us = self.kernel.wall_us
         plan = ctl.plan()
-        jobs, _ = queue(ctl.picture, ctl.teams)
+        jobs, _ = ctl.queue()
         ready_us: dict[str, int] = {}
         # At the worst a third as many again are paid for.
         hedges = {kind: max(n // 3, 2) for kind, n in Counter(c.kind for c in self.coming.values()).items()}
--- a/ashtray/peers/presence.py
+++ b/ashtray/peers/presence.py
@@ -63,6 +63,7 @@
                         self.until_us = asked_us + LEASE_US
                         if not self.incarnation:
                             self.incarnation = reply.body["ledger"]
+                            ctl.grants.begin(self.incarnation)
                             ctl.kernel.log("info", f"signed in as {ctl.settings.host_name}")
                 if self.lease is None:
                     yield Sleep(SECOND_US // 2)
--- a/ashtray/placement/explain.py
+++ b/ashtray/placement/explain.py
@@ -7,12 +7,13 @@
 
 from ashtray.jobs.model import Job
 from ashtray.kernel import SECOND_US
+from ashtray.placement.order import Standing
 from ashtray.placement.plan import Plan, back_off_us
 from ashtray.placement.rules import PREFERENCES, VALIDATORS, Room
 from ashtray.teams.limits import tasks_within
 
 
-def explain(plan: Plan, job: Job, wall_us: int, owner: str) -> dict[str, Any]:
+def explain(plan: Plan, job: Job, wall_us: int, owner: str, standing: Standing | None = None) -> dict[str, Any]:
     """An answer for a person: plain reasons, and the scores of the rules where tasks have places."""
     spec = job.spec
     placed = plan.picture.placed(job.id)
@@ -42,6 +43,11 @@
     left = [n for n in range(spec.tasks) if n not in placed and n not in finished]
     if left and not (spec.kind == "gang" and placed):
         answer["waiting"] = _waits(plan, job, len(left), wall_us, list(rooms.values()))
+        if standing is not None and standing.aged:
+            answer["waiting"].insert(1, "it has waited so long that it goes before the other jobs of its team")
+        elif standing is not None and standing.missed:
+            missed = f"it can no longer make {standing.missed} of the {standing.stated} times stated for its class"
+            answer["waiting"].insert(1, f"{missed}: jobs that can still make theirs go first")
     return answer
 
 
--- /dev/null
+++ b/ashtray/placement/order.py
@@ -0,0 +1,102 @@
+"""The order of the queue under overload: what can still make its next stated time goes before what cannot.
+
+While there is room for everybody the queue is served by age.  Once more comes than there is room for, that lets
+*every* job wait beyond the time that the settings state for its class: each is served just after it has become too
+late.  So the jobs of a team and priority are put into bands by how many of their class's stated times they have
+missed for sure, the fewest first, and are served by age within a band.  This is the drop rule of Moore and Hodgson
+("An n job, one machine sequencing algorithm for minimizing the number of late jobs", 1968) without its choice of whom
+to drop: places are alike here, so a large gang in time is worth as much as the small ones that it displaces.
+
+Nothing starves: what has waited for `AGED` times its longest stated time goes before all bands, by age.
+
+While no job of a team and priority has missed a time, the order is the age, as it always was.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ashtray.config.settings import Objective
+from ashtray.jobs.model import Job
+from ashtray.jobs.pace import Pace
+from ashtray.kernel import SECOND_US
+from ashtray.placement.picture import MachineType, Picture
+
+LAUNCH_US = 2 * SECOND_US
+"""From a plan to a task's start, beside the fetch of its image: the commit, the order and the report."""
+AGED = 2
+Level = tuple[int, bool, str, bool]
+"""Jobs that may change places: of one priority and team, and alike in what else goes before age."""
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """How a job stands with the times that the settings state for its class."""
+
+    missed: int
+    """How many of them it can no longer make."""
+    stated: int
+    """How many there are."""
+    aged: bool
+    """It has waited so long that it goes before all others of its team and priority."""
+
+    @property
+    def band(self) -> int:
+        return -1 if self.aged else self.missed
+
+
+class StatedTimes:
+    """The times that aims state for a class: to start by, and to be done by."""
+
+    def __init__(self, objectives: Iterable[Objective], pace: Pace) -> None:
+        self._pace = pace
+        self._waits: dict[str, set[int]] = {}
+        self._done: dict[str, set[int]] = {}
+        self._guaranteed = False
+        for aim in objectives:
+            self._guaranteed = self._guaranteed or aim.kind == "guarantee"
+            found = {"wait": self._waits, "finished": self._done}.get(aim.kind)
+            if found is not None and aim.job_class and aim.within_s:
+                found.setdefault(aim.job_class, set()).add(int(aim.within_s * SECOND_US))
+
+    def standing(self, job: Job, picture: Picture, wall_us: int) -> Standing:
+        """How a job stands if it gets its place now; a class without stated times has missed none."""
+        name = job.spec.job_class
+        waits, done = self._waits.get(name, ()), self._done.get(name, ())
+        if not waits and not done:
+            return Standing(0, 0, False)
+        starts_us = wall_us - job.ready_us + LAUNCH_US + fetch_us(job, picture.types.values())
+        ends_us = starts_us + self._pace.run_us(job) if done else 0
+        missed = sum(starts_us > within for within in waits) + sum(ends_us > within for within in done)
+        longest = max([*waits, *done])
+        return Standing(missed, len(waits) + len(done), wall_us - job.ready_us > AGED * longest)
+
+    def arrange(self, jobs: list[Job], inside: set[str], picture: Picture, wall_us: int) -> list[Job]:
+        """A queue served by age, with the jobs of each team and priority in their bands.
+
+        They change places with one another only: whose turn it is between teams and priorities is not judged here.
+        """
+        bands = {job.id: self.standing(job, picture, wall_us).band for job in jobs}
+        if not any(bands.values()):
+            return jobs
+        of_level: dict[Level, list[Job]] = {}
+        for job in jobs:
+            of_level.setdefault(self._level(job, inside), []).append(job)
+        turns = {level: iter(sorted(alike, key=lambda job: bands[job.id])) for level, alike in of_level.items()}
+        return [next(turns[self._level(job, inside)]) for job in jobs]
+
+    def _level(self, job: Job, inside: set[str]) -> Level:
+        # Where an aim is on what is within a guarantee, it is served before the rest of its team.
+        return job.priority, job.suspect, job.spec.team, self._guaranteed and job.id in inside
+
+
+def fetch_us(job: Job, types: Iterable[MachineType]) -> int:
+    """How long an image takes on a machine that does not have it, half-way between the types that a job may use."""
+    rates = [
+        kind.fetch_gb_per_s for kind in types
+        if (not job.spec.types or kind.name in job.spec.types) and kind.fetch_gb_per_s > 0
+    ]  # fmt: skip
+    if not rates:
+        return 0
+    return int(job.spec.image_gb * (1 / min(rates) + 1 / max(rates)) / 2 * SECOND_US)
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -10,7 +10,7 @@
 from ashtray.jobs.model import LIVE, Job
 from ashtray.kernel import SECOND_US, Fiber, Signal, Sleep, Wait
 from ashtray.placement.picture import EPS, TEAM, Edit, HoldRecord, Picture
-from ashtray.placement.plan import IMAGE_BYTES, Choice, Plan, demand, queue
+from ashtray.placement.plan import IMAGE_BYTES, Choice, Plan, demand
 from ashtray.placement.preemption import Victims, choose_victims, may_stop, stop_victims
 from ashtray.runs import encode_runs
 from ashtray.store.client import Limits, Txn, Urgency
@@ -31,6 +31,8 @@
 IMAGES_SHARE = 0.05
 """Of a value, what the names of one machine's cached images may take."""
 PAUSE_US = 100_000
+FENCE_US = 60_000
+"""For each live controller, how long one may wait for another's fence."""
 MOST_VAIN = 2
 PARTIAL_US = 800_000
 SCARCE_PARTIAL_US = 3 * SECOND_US
@@ -99,12 +101,13 @@
         picture = ctl.picture
         if not any(self.mine(picture.jobs[job_id]) for job_id in picture.waiting()):
             return 0
+        yield from self._fence()
         self.counts["rounds"] += 1
         plan = ctl.plan()
         plan.add_freed(ctl.desk.light().freed)
         plan.due = ctl.desk.due()
         plan.sparing = ctl.store.changes.scarce()
-        jobs, inside = queue(picture, ctl.teams)
+        jobs, inside = ctl.queue()
         while jobs and not self.mine(jobs[-1]):
             jobs.pop()
         self._partial_us = {j: at for j, at in self._partial_us.items() if j in picture.jobs}
@@ -115,6 +118,22 @@
             self.counts["rooms looked at"] += plan.visits
         return plan.visits + JOB_VISITS * len(jobs)
 
+    def _fence(self) -> Fiber[None]:
+        """See that nothing of this controller is on its way for teams with a limit, before placing for them.
+
+        When all controllers start together, one's fence serves all of them: who sees it in time writes none.
+        """
+        ctl = self.ctl
+        picture = ctl.picture
+        waits = {picture.jobs[job_id].spec.team for job_id in picture.waiting() if self.mine(picture.jobs[job_id])}
+        teams = sorted(team for team in waits if ctl.grants.limited(team) and not ctl.grants.ready(team))
+        if teams:
+            yield Sleep(int(ctl.kernel.rng.random() * FENCE_US * len(ctl.presence.live())))
+            build = partial(ctl.grants.fence, teams)
+            yield from ctl.follower.commit(build, len(teams), Urgency.ACCEPT, "share")
+            # What was placed before the fence, by this process or one before it, is in the picture then.
+            yield from ctl.follower.barrier()
+
     def _serve(self, plan: Plan, jobs: list[Job], inside: set[str]) -> Fiber[None]:
         ctl = self.ctl
         began_us = ctl.kernel.now_us
@@ -242,12 +261,8 @@
         short, self._short = self._short, {}
         for team, (job, count) in short.items():
             if not ctl.grants.ready(team):
-                fence = partial(ctl.grants.fence, team)
-                good = yield from ctl.follower.commit(fence, 1, Urgency.PLACE, "share")
-                # What was placed before the fence, by this process or one before it, is in the picture then.
-                if good and (yield from ctl.follower.barrier()):
-                    ctl.grants.fenced(team)
-                    self._again()
+                # After a doubt: fenced at the beginning of the next round.
+                self._again()
                 continue
             at_us, pause_us = self._reshared.get(team, (0, 0))
             if ctl.kernel.now_us < at_us + pause_us:
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -12,6 +12,7 @@
 from ashtray.config.settings import Team
 from ashtray.jobs.model import PRIORITIES, Job, JobSpec
 from ashtray.kernel import SECOND_US
+from ashtray.placement.order import StatedTimes
 from ashtray.placement.picture import EPS, Hold, Picture
 from ashtray.placement.rules import Ask, Room, rank
 from ashtray.store.client import Limits
@@ -29,9 +30,13 @@
 """A machine and how many tasks it gets."""
 
 
-def queue(picture: Picture, teams: dict[str, Team]) -> tuple[list[Job], set[str]]:
+def queue(
+    picture: Picture, teams: dict[str, Team], times: StatedTimes | None = None, wall_us: int = 0
+) -> tuple[list[Job], set[str]]:  # fmt: skip
     """The jobs with tasks that wait, the first to be served first: priority, guarantee, deadline or age.
 
+    Under overload what can still make its next stated time goes first (`order.py`).
+
     Also the names of all live jobs that are within their team's guarantee.
     """
     inside: set[str] = set()
@@ -51,7 +56,8 @@
         priority = len(PRIORITIES) if job.suspect else job.priority
         return priority, job.id not in inside, due, job.ready_us, job.id
 
-    return sorted((picture.jobs[job_id] for job_id in picture.waiting()), key=rank), inside
+    jobs = sorted((picture.jobs[job_id] for job_id in picture.waiting()), key=rank)
+    return jobs if times is None else times.arrange(jobs, inside, picture, wall_us), inside
 
 
 def back_off_us(job: Job) -> int:
--- a/ashtray/teams/grants.py
+++ b/ashtray/teams/grants.py
@@ -29,25 +29,42 @@
         self.hosts = sorted({host, *hosts})
         self.teams = {team.name: team for team in teams if has_limit(team)}
         self.picture = picture
-        self._fenced: dict[str, int] = {}
-        """For each team the version of its record from which on all of this controller's placements are known."""
+        self._above: dict[str, int] = {}
+        """For each team whose record must be raised first: what this controller may have on its way guards no later
+        version than this one."""
+        self._fenced: set[str] = set()
+        """Teams of which all placements of this controller are known."""
 
     def limited(self, name: str) -> bool:
         return name in self.teams
 
+    def begin(self, revision: int) -> None:
+        """This process signed in at that revision; the one before it can have seen nothing later."""
+        self._above = dict.fromkeys(self.teams, revision)
+        self._fenced.clear()
+
     def doubt(self, names: Iterable[str]) -> None:
         """A placement got no answer: it may be applied as long as the team's record is as it was."""
         for name in names:
-            self._fenced.pop(name, None)
-
-    def fence(self, name: str) -> Txn:
-        """Raise the record's version: what was placed before and is not seen after that can never be applied."""
-        key = TEAM + name
-        return Txn().guard(key, self.picture.version(key)).put(key, self._shares(name))
+            self._fenced.discard(name)
+            self._above[name] = self.picture.version(TEAM + name)
 
-    def fenced(self, name: str) -> None:
-        """The fence is written, and the picture read since."""
-        self._fenced[name] = self.picture.version(TEAM + name)
+    def fence(self, names: Iterable[str]) -> Txn | None:
+        """Raise the records' versions: what was placed before and is not seen after that can never be applied."""
+        txn = Txn()
+        for name in names:
+            key = TEAM + name
+            if not self.ready(name):
+                txn.guard(key, self.picture.version(key)).put(key, self._shares(name))
+        return txn if txn.puts else None
+
+    def seen(self, revision: int) -> None:
+        """The picture shows all up to that revision.  Whoever raised a record since, this controller or another, has
+        fenced off what this one had on its way: it either is in the picture or can never be applied."""
+        for name, above in list(self._above.items()):
+            if above < self.picture.version(TEAM + name) <= revision:
+                del self._above[name]
+                self._fenced.add(name)
 
     def ready(self, name: str) -> bool:
         return name in self._fenced
--- a/ashtray/workers/desk.py
+++ b/ashtray/workers/desk.py
@@ -242,20 +242,30 @@
             return
         picture = self.ctl.picture
         record = machine.record
-        news = record.token < worker.token or (report.notice_us is not None and not record.retiring)
-        urgent = news
+        unsigned = record.token < worker.token
+        notice = report.notice_us is not None and not record.retiring
+        news = unsigned or notice
+        # No order may be given before the token is in the record.  After all controllers have ended that is a change
+        # for each group, many times over: what runs on undisturbed is signed when there is company.
+        urgent = notice or (unsigned and not machine.holds)
         leaves_us = self._leaves_us(worker)
         sure = record.token == worker.token and not worker.in_flight and worker.answered is None
+        alive = sum(seen.state != "ended" for seen in report.tasks.values())
         for hold in machine.holds:
             ended = 0
+            dead = hold_is_dead(picture, hold.job, hold.attempt, hold.record.stop_us)
             for task in hold.tasks:
                 seen = report.tasks.get((hold.job, hold.attempt, task))
                 if seen is None:
-                    news = news or (sure and hold_is_dead(picture, hold.job, hold.attempt, hold.record.stop_us))
+                    news = news or (sure and dead)
+                    urgent = urgent or (unsigned and not dead)
                 elif seen.state == "ended":
                     ended += 1
                     # A failure and the end of a job are not kept waiting for company.
                     urgent = urgent or seen.cause != "done"
+                else:
+                    alive -= 1
+                    urgent = urgent or (unsigned and dead)
             holder = picture.jobs.get(hold.job)
             if leaves_us is not None and holder is not None and saves_now(holder, hold.record.stop_us, leaves_us):
                 news = urgent = True
@@ -264,6 +274,8 @@
                 if holder is not None and holder.id not in picture.completed():
                     # One task that is done speaks for its gang: those heard of after it can wait for company.
                     urgent = urgent or holder.spec.kind == "gang" or self._all_ended(holder)
+        # What is there without a hold waits for an order as well.
+        urgent = urgent or (unsigned and alive > 0)
         if news:
             self.fold_soon(machine, urgent)
 
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -28,9 +28,10 @@
         self.revision = 0
         self.picture = Picture()
         self.grants = Grants(name, HOSTS, [Team("crew", cpus_max=LIMIT)], self.picture)
+        self.grants.begin(state.revision)
 
     def sync(self) -> None:
-        status, body = self.state.handle(0, "GET", f"/follow?under=now/&after={self.revision}", None)
+        status, body = self.state.handle(0, "GET", f"/follow?under=ashtray/now/&after={self.revision}", None)
         assert status == 200
         for change in body["log"]:
             if "put" in change:
@@ -38,6 +39,7 @@
             else:
                 self.picture.remove(change["remove"], change["stamp"])
         self.revision = body["ledger"]
+        self.grants.seen(self.revision)
 
     def send(self, txn: Txn | None) -> bool:
         if txn is None:
@@ -49,9 +51,8 @@
         return status == 200
 
     def fence(self) -> None:
-        if self.send(self.grants.fence("crew")):
-            self.sync()
-            self.grants.fenced("crew")
+        self.send(self.grants.fence(["crew"]))
+        self.sync()
 
     def placement(self, slot: int, count: int) -> Txn | None:
         count = min(count, self.grants.allowed("crew", SPEC))
@@ -147,3 +148,17 @@
     assert host.grants.allowed("crew", SPEC) == 4
     host.grants.doubt(["crew"])
     assert host.grants.allowed("crew", SPEC) == 0
+
+
+def test_one_fence_serves_all_controllers_that_start_together() -> None:
+    state = State()
+    hosts = [Host(name, state) for name in HOSTS]
+    hosts[0].fence()
+    assert not hosts[1].grants.ready("crew")
+    hosts[1].sync()
+    assert hosts[1].grants.fence(["crew"]) is None
+    assert hosts[1].grants.allowed("crew", SPEC) == 4
+    # One that starts after it needs another: its predecessor may have guarded that version.
+    late = Host("h2", state)
+    late.sync()
+    assert late.grants.allowed("crew", SPEC) == 0
--- /dev/null
+++ b/tests/test_order.py
@@ -0,0 +1,79 @@
+"""The order of the queue under overload."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ashtray.config.settings import Objective
+from ashtray.jobs.model import LIVE, JobRecord, JobSpec
+from ashtray.jobs.pace import Pace
+from ashtray.kernel import SECOND_US
+from ashtray.placement.order import AGED, StatedTimes
+from ashtray.placement.picture import Picture
+from ashtray.placement.plan import queue
+
+AIMS = [
+    Objective("wait", "pages", 30.0, 0.65),
+    Objective("wait", "pages", 150.0, 0.995),
+    Objective("finished", "pages", 200.0, 0.9),
+    Objective("price"),
+]
+NOW_US = 10_000 * SECOND_US
+TEAMS = ("studio", "reader")
+
+
+def picture_of(jobs: list[tuple[str, float, int, str]]) -> Picture:
+    """Jobs by class, age in seconds, priority and team; they run for some 20 s."""
+    picture = Picture()
+    for n, (name, age_s, priority, team) in enumerate(jobs):
+        spec = JobSpec(name, team, "gang", priority, 3, 1.0, 0.0, 1.0, "img", 0.0, estimate_us=20 * SECOND_US)
+        record = JobRecord(spec, "berth-0", NOW_US - int(age_s * SECOND_US))
+        picture.put(f"{LIVE}job-{n}", msgspec.to_builtins(record), n + 1)
+    return picture
+
+
+def order(jobs: list[tuple[str, float, int, str]], aims: list[Objective] = AIMS) -> list[int]:
+    times = StatedTimes(aims, Pace(aims, 6.0))
+    found, _ = queue(picture_of(jobs), {}, times, NOW_US)
+    return [int(job.id.removeprefix("job-")) for job in found]
+
+
+def test_what_can_still_make_its_time_goes_first():
+    ages = [160.0, 140.0, 100.0, 40.0, 20.0, 5.0]
+    assert order([("pages", age, 1, "studio") for age in ages]) == [4, 5, 1, 2, 3, 0]
+
+
+def test_nothing_starves():
+    ages = [200.0 * AGED + 1, 160.0, 20.0]
+    assert order([("pages", age, 1, "studio") for age in ages]) == [0, 2, 1]
+
+
+def test_teams_and_priorities_keep_their_turns():
+    jobs = [("pages", 50.0, 1, "studio"), ("other", 45.0, 1, "reader"), ("pages", 10.0, 1, "studio"),
+            ("pages", 99.0, 0, "studio"), ("other", 9.0, 1, "reader")]  # fmt: skip
+    assert order(jobs) == [3, 2, 1, 0, 4]
+
+
+JOB = st.tuples(
+    st.sampled_from(["pages", "other"]), st.floats(0, 500), st.integers(0, 3), st.sampled_from(TEAMS)
+)
+
+
+@given(st.lists(JOB, max_size=12))
+def test_the_order_is_one_of_turns_and_neutral_without_overload(jobs: list[tuple[str, float, int, str]]):
+    by_age = order(jobs, [])
+    found = order(jobs)
+    assert sorted(found) == sorted(by_age)
+    assert [jobs[n][2:] for n in found] == [jobs[n][2:] for n in by_age]
+    if all(name == "other" or age < 28 for name, age, _, _ in jobs):
+        assert found == by_age
+
+
+@pytest.mark.parametrize(("age_s", "missed", "aged"), [(20.0, 0, False), (40.0, 1, False), (450.0, 3, True)])
+def test_how_a_job_stands(age_s: float, missed: int, aged: bool):
+    picture = picture_of([("pages", age_s, 1, "studio")])
+    standing = StatedTimes(AIMS, Pace(AIMS, 6.0)).standing(picture.jobs["job-0"], picture, NOW_US)
+    assert (standing.missed, standing.stated, standing.aged) == (missed, 3, aged)
