--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -7,10 +7,11 @@
 from functools import partial
 from typing import Any
 
+from ashtray.base import Base
 from ashtray.config.operators import Knobs
 from ashtray.config.settings import Settings
 from ashtray.fleet.runner import ROUND_US, Runner
-from ashtray.jobs.model import JOB_ID, NOW, ROOT, Job
+from ashtray.jobs.model import JOB_ID, NOW, ROOT
 from ashtray.jobs.pace import Pace
 from ashtray.jobs.service import JobDesk
 from ashtray.kernel import SECOND_US, Fiber, Kernel, Output, Reply
@@ -18,7 +19,7 @@
 from ashtray.placement.order import StatedTimes
 from ashtray.placement.picture import Picture
 from ashtray.placement.placer import Placer
-from ashtray.placement.plan import Plan, queue
+from ashtray.placement.plan import Planner
 from ashtray.store.client import VALUE_SHARE, Limits, StoreClient
 from ashtray.store.follower import Follower
 from ashtray.teams.grants import Grants
@@ -45,23 +46,19 @@
         self._seen = -1
         self.store = StoreClient(self.kernel, settings.services.state, settings.cluster.state)
         self.follower = Follower(self.kernel, self.store, ROOT, NOW, self.picture, self._changed)
-        self.pace = Pace(settings.cluster.objectives, knobs.patience_s)
-        self.times = StatedTimes(settings.cluster.objectives, self.pace)
-        self.presence = Presence(self)
-        self.peers = Peers(self)
-        self.desk = Desk(self)
-        self.jobs = JobDesk(self)
-        self.placer = Placer(self)
-        self.runner = Runner(self)
-        self.splitter = Splitter(self)
-
-    def plan(self) -> Plan:
-        """A plan on the picture as it is now."""
-        return Plan(self.picture, self.teams, self.knobs, self.kernel.rng, self.limits)
-
-    def queue(self) -> tuple[list[Job], set[str]]:
-        """The jobs that wait, in their order, and those within their team's guarantee, as things are now."""
-        return queue(self.picture, self.teams, self.times, self.kernel.wall_us)
+        base = Base(
+            settings, knobs, self.teams, self.kernel, self.limits, self.picture, self.store, self.follower
+        )  # fmt: skip
+        pace = Pace(settings.cluster.objectives, knobs.patience_s)
+        times = StatedTimes(settings.cluster.objectives)
+        planner = Planner(self.kernel, self.picture, self.teams, knobs, self.limits, times)
+        self.presence = Presence(base, self.grants)
+        self.peers = Peers(base, self.presence, lambda: self.desk.heard_us())
+        self.desk = Desk(base, self.presence, self.peers, pace)
+        self.placer = Placer(base, self.presence, self.grants, pace, planner, self.desk)
+        self.jobs = JobDesk(base, self.presence, self.peers, planner, self.placer.changed)
+        self.runner = Runner(base, self.presence, self.peers, pace, planner)
+        self.splitter = Splitter(base, self.presence)
 
     def _changed(self) -> None:
         self.limits.refused = self.store.refused
@@ -205,7 +202,7 @@
         cut_us = self.kernel.now_us - self.follower.read_us
         if not ready or not self.presence.incarnation:
             self.kernel.answer(request_id, 503, {"error": "starting"}, 1)
-        elif cut_us > UNWELL_US and self.presence.better_connected() is not None:
+        elif cut_us > UNWELL_US and self.peers.better_connected() is not None:
             self.kernel.answer(request_id, 503, {"error": "cut off from the state service"}, 1)
         else:
             self.kernel.answer(request_id, 200, {"status": "up"})
--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -8,24 +8,25 @@
 from collections import Counter
 from dataclasses import dataclass, replace
 from functools import partial
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 
+from ashtray.base import Base
 from ashtray.fleet.boots import Boots, Kind
 from ashtray.fleet.forecast import NEVER_US, Forecast, Future, futures
 from ashtray.fleet.messages import BerthList, deletion, parse_types, rental
 from ashtray.jobs.model import LIVE, Job
+from ashtray.jobs.pace import Pace
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Sleep
+from ashtray.peers.presence import Peers, Presence
 from ashtray.placement import lean
 from ashtray.placement.picture import FLEET, SICK, TYPES, Edit, Machine, MachineType
+from ashtray.placement.plan import Planner
 from ashtray.placement.preemption import Victims, orderly, stop_victims
 from ashtray.placement.rules import Ask, Room
 from ashtray.store.client import Bucket, Txn, Urgency
 
-if TYPE_CHECKING:
-    from ashtray.controller import Controller
-
 CLOUD_US = 5 * SECOND_US
 LIST_US = 2 * SECOND_US
 ROUND_US = SECOND_US // 2
@@ -50,9 +51,13 @@
 
 
 class Runner:
-    def __init__(self, ctl: Controller) -> None:
-        self.ctl = ctl
-        self.kernel = ctl.kernel
+    def __init__(self, base: Base, presence: Presence, peers: Peers, pace: Pace, planner: Planner) -> None:
+        self.base = base
+        self.kernel = base.kernel
+        self.presence = presence
+        self.peers = peers
+        self.pace = pace
+        self.planner = planner
         self.running = False
         self.coming: dict[str, Coming] = {}
         self.listed: dict[str, str] = {}
@@ -72,9 +77,9 @@
         """For each class with an aim on waiting, the type and kind that serves it at the least price."""
         self.listed_us = 0
         self.started_us = 0
-        self.bucket = Bucket(ctl.settings.cluster.cloud.rps * 0.8, 1.0, self.kernel.now_us)
+        self.bucket = Bucket(base.settings.cluster.cloud.rps * 0.8, 1.0, self.kernel.now_us)
         self.pause_until_us = 0
-        self.boots = Boots(ctl.picture, ctl.knobs.boot_patience)
+        self.boots = Boots(base.picture, base.knobs.boot_patience)
         self._newest = ""
         """The last name that was ever listed."""
         self._seq = 0
@@ -95,7 +100,7 @@
                 break
             yield Sleep(self.bucket.wait_us(1))
         self.bucket.level -= 1
-        reply: Reply = yield Call(self.ctl.settings.services.cloud, method, path, body, CLOUD_US)
+        reply: Reply = yield Call(self.base.settings.services.cloud, method, path, body, CLOUD_US)
         trouble = reply.status in (0, 429) or (reply.status == 503 and (reply.body or {}).get("error") == "trouble")
         if trouble:
             self.pause_until_us = self.kernel.now_us + int(self.kernel.rng.uniform(0.5, 1.5) * SECOND_US)
@@ -104,9 +109,9 @@
 
     def watch_types(self) -> Fiber[None]:
         """Learn the machine types; the runner also writes them down for controllers that cannot ask."""
-        picture = self.ctl.picture
+        picture = self.base.picture
         due = self.kernel.now_us - self._types_us >= TYPES_US
-        if not self.ctl.follower.loaded or not (due and (self.running or not picture.types)):
+        if not self.base.follower.loaded or not (due and (self.running or not picture.types)):
             return
         reply = yield from self._cloud("GET", "/machine_types")
         if reply.status != 200:
@@ -119,7 +124,7 @@
         self._types_us = self.kernel.now_us
         if types != picture.types:
             value = {name: msgspec.to_builtins(kind) for name, kind in types.items()}
-            if self.ctl.limits.takes(lean.size_of(value)):
+            if self.base.limits.takes(lean.size_of(value)):
                 yield from self._note_types(TYPES, value)
                 return
             # More than a value takes: each in a record of its own.  One that all are in is read still, if it is old.
@@ -128,17 +133,17 @@
                     yield from self._note_types(f"{TYPES}/{name}", {name: kind})
 
     def _note_types(self, key: str, value: dict[str, Any]) -> Fiber[None]:
-        txn = Txn().guard(key, self.ctl.picture.version(key)).put(key, value)
-        yield from self.ctl.follower.commit(lambda: txn, 1, Urgency.BOOKKEEPING, "fleet")
+        txn = Txn().guard(key, self.base.picture.version(key)).put(key, value)
+        yield from self.base.follower.commit(lambda: txn, 1, Urgency.BOOKKEEPING, "fleet")
 
     # Who runs the fleet
 
     def lead(self) -> Fiber[None]:
         """Hold the fleet's key, under the presence's lease, or see whether it is free."""
-        picture, presence = self.ctl.picture, self.ctl.presence
+        picture, presence = self.base.picture, self.presence
         lease = presence.lease
         now = self.kernel.now_us
-        fresh = now - self.ctl.follower.read_us < 3 * SECOND_US
+        fresh = now - self.base.follower.read_us < 3 * SECOND_US
         mine = picture.fleet is not None and picture.fleet[0].get("incarnation") == presence.incarnation
         if self.running and not (mine and presence.signed_in()):
             # Running the fleet ends with the lease, known or not: after a halt or a cut another one may run it.
@@ -148,8 +153,8 @@
             return
         if not mine:
             txn = Txn().guard(FLEET, 0)
-            txn.put(FLEET, {"host": self.ctl.settings.host_name, "incarnation": presence.incarnation}, lease)
-            mine = bool((yield from self.ctl.follower.commit(lambda: txn, 1, Urgency.BOOKKEEPING, "fleet")))
+            txn.put(FLEET, {"host": self.base.settings.host_name, "incarnation": presence.incarnation}, lease)
+            mine = bool((yield from self.base.follower.commit(lambda: txn, 1, Urgency.BOOKKEEPING, "fleet")))
         if mine and not self.running:
             self.running = True
             term = picture.fleet[1] if picture.fleet is not None else 0
@@ -165,7 +170,7 @@
             self.kernel.log("info", "runs the fleet")
 
     def round(self) -> Fiber[None]:
-        if not self.ctl.follower.loaded or not self.ctl.presence.incarnation:
+        if not self.base.follower.loaded or not self.presence.incarnation:
             return
         yield from self.lead()
         if self.kernel.now_us >= self.pause_until_us:
@@ -199,7 +204,7 @@
                 if berth.name_id in self.gone:
                     continue
                 coming = self.coming.get(berth.name_id)
-                if coming is None and berth.name_id not in self.ctl.picture.machines:
+                if coming is None and berth.name_id not in self.base.picture.machines:
                     since = began_us - int(berth.age_s * SECOND_US)
                     coming = Coming((berth.hull, berth.yard, berth.loaners), since)
                     self.coming[berth.name_id] = coming
@@ -216,8 +221,8 @@
     def _give_up(self) -> Fiber[None]:
         """Delete what never came up, what fell silent, what failed, and what stands idle."""
         now = self.kernel.now_us
-        picture = self.ctl.picture
-        times = self.ctl.settings.cluster.workers
+        picture = self.base.picture
+        times = self.base.settings.cluster.workers
         lost: list[str] = []
         for name, coming in list(self.coming.items()):
             if name in picture.machines:
@@ -266,7 +271,7 @@
 
         One that cannot be told in one transaction is left to its last checkpoint, for a part would lose it all.
         """
-        picture = self.ctl.picture
+        picture = self.base.picture
         seen: set[str] = set()
         for machine in list(picture.machines.values()):
             if not machine.record.retiring or machine.name in self._ending:
@@ -279,8 +284,8 @@
                 victims: Victims = {}
                 for (name, _), held in picture.held[job.id].items():
                     victims.setdefault(name, {}).setdefault((job.id, held.attempt), set()).update(held.tasks)
-                build = partial(stop_victims, picture, victims, self.ctl.limits, whole=True)
-                if (yield from self.ctl.follower.commit(build, len(victims), Urgency.FREE, "stop")):
+                build = partial(stop_victims, picture, victims, self.base.limits, whole=True)
+                if (yield from self.base.follower.commit(build, len(victims), Urgency.FREE, "stop")):
                     self.kernel.log("info", f"{job.id} saves: {machine.name} goes")
 
     def _silences(self) -> dict[str, int]:
@@ -290,13 +295,13 @@
         report to a live one that gives no word are not silent: it cannot say that it hears them.
         """
         now = self.kernel.now_us
-        peers, presence = self.ctl.peers, self.ctl.presence
+        peers, presence = self.peers, self.presence
         mute = peers.mute()
         until = min(now, peers.all_word_us(mute))
         heard = peers.last_heard()
         awake_us = self.kernel.awake_us
         found = {}
-        for name, machine in self.ctl.picture.machines.items():
+        for name, machine in self.base.picture.machines.items():
             last = max(heard.get(name, 0), self.known_since.setdefault(name, now), awake_us)
             found[name] = 0 if mute and presence.foreman(machine.group) in mute else max(until - last, 0)
         return found
@@ -307,9 +312,9 @@
         One that is the cheapest for a class with an aim on waiting is kept longer, for no machine that is rented
         when such a job comes is up in time.
         """
-        kind = self.ctl.picture.types.get(machine.type)
+        kind = self.base.picture.types.get(machine.type)
         boot_us = kind.boot_us if kind is not None else 30 * SECOND_US
-        times = self.ctl.knobs.idle_boots
+        times = self.base.knobs.idle_boots
         if (machine.type, machine.record.spot) in self.cheapest_for_urgent.values():
             times *= 6
         return int(boot_us * times)
@@ -322,32 +327,32 @@
         return name not in self.listed and name < self._newest
 
     def _lag_us(self) -> int:
-        return int((2 * self.ctl.settings.cluster.cloud.list_lag_s + 5) * SECOND_US)
+        return int((2 * self.base.settings.cluster.cloud.list_lag_s + 5) * SECOND_US)
 
     def _retire(self, names: list[str]) -> Fiber[None]:
         """Mark machines as being returned, so that nobody places on them any more; those of a group together."""
         marked: list[str] = []
         left = [name for name in names if name not in self._ending]
         for _ in range(MAX_COMMITS):
-            machines = self.ctl.picture.machines
+            machines = self.base.picture.machines
             self._ending.update(n for n in left if (m := machines.get(n)) is not None and m.record.retiring)
             left = [name for name in left if name in machines and not machines[name].record.retiring]
             if not left:
                 break
             build = partial(self._retirement, left, {n for n in left if not machines[n].holds}, marked)
-            groups = min(len({machines[name].group for name in left}), self.ctl.limits.ops)
-            good = yield from self.ctl.follower.commit(build, groups, Urgency.PLACE, "return")
+            groups = min(len({machines[name].group for name in left}), self.base.limits.ops)
+            good = yield from self.base.follower.commit(build, groups, Urgency.PLACE, "return")
             if good:
                 for name in marked:
                     self.kernel.log("info", f"{name} is to be returned")
                 self._ending.update(marked)
                 left = [name for name in left if name not in marked]
-            elif good is None or not (yield from self.ctl.follower.barrier()):
+            elif good is None or not (yield from self.base.follower.barrier()):
                 break
 
     def _retirement(self, names: list[str], idle: set[str], marked: list[str]) -> Txn | None:
         """Mark what still stands: machines that were idle when they were chosen may have got tasks meanwhile."""
-        picture = self.ctl.picture
+        picture = self.base.picture
         edits: dict[str, Edit] = {}
         marked.clear()
         for name in names:
@@ -363,16 +368,16 @@
     def _takes(self, edits: dict[str, Edit], machine: Machine, others: int) -> bool:
         """Whether a transaction with these edits and other changes has room for a machine's group."""
         if machine.group in edits:
-            return len(edits) + others <= self.ctl.limits.ops
-        size = self.ctl.picture.groups[machine.group].size + sum(edit.group.size for edit in edits.values())
-        fits = len(edits) + 1 + others <= self.ctl.limits.ops and size <= self.ctl.limits.txn_bytes
+            return len(edits) + others <= self.base.limits.ops
+        size = self.base.picture.groups[machine.group].size + sum(edit.group.size for edit in edits.values())
+        fits = len(edits) + 1 + others <= self.base.limits.ops and size <= self.base.limits.txn_bytes
         return fits or not edits
 
     def _write(self, txn: Txn, edits: dict[str, Edit], names: list[str]) -> Txn | None:
         """Write groups; takes out of `names` those in records that are too large, until they have been split."""
-        picture = self.ctl.picture
+        picture = self.base.picture
         for key, edit in edits.items():
-            if not edit.write(txn, self.ctl.limits, picture.is_live):
+            if not edit.write(txn, self.base.limits, picture.is_live):
                 names[:] = [name for name in names if name not in picture.groups[key].machines]
         return txn if txn.changes() else None
 
@@ -394,7 +399,7 @@
 
     def _free(self, names: list[str]) -> Fiber[None]:
         """Take machines that are surely gone out of their groups, with all that they held."""
-        machines = self.ctl.picture.machines
+        machines = self.base.picture.machines
         for _ in range(MAX_COMMITS):
             left = [name for name in names if name in machines]
             if not left:
@@ -407,19 +412,19 @@
             taken: list[str] = []
             changes = min(len({machines[n].group for n in left if n in machines}) + 1, 8)
             build = partial(self._removal, left, taken)
-            good = yield from self.ctl.follower.commit(build, changes, Urgency.FREE, "remove")
-            machines = self.ctl.picture.machines
+            good = yield from self.base.follower.commit(build, changes, Urgency.FREE, "remove")
+            machines = self.base.picture.machines
             if good:
                 for name in taken:
                     self.known_since.pop(name, None)
                     self.kernel.log("info", f"{name} is gone")
-            elif good is None or not (yield from self.ctl.follower.barrier()):
+            elif good is None or not (yield from self.base.follower.barrier()):
                 break
-            machines = self.ctl.picture.machines
+            machines = self.base.picture.machines
         self._ending.difference_update(name for name in names if name not in machines)
 
     def _removal(self, names: list[str], taken: list[str]) -> Txn | None:
-        picture = self.ctl.picture
+        picture = self.base.picture
         edits: dict[str, Edit] = {}
         broken: dict[str, int] = {}
         taken.clear()
@@ -428,9 +433,9 @@
             if machine is None or not machine.record.retiring:
                 continue
             gangs = {**broken, **{job.id: attempt for job, attempt in self._broken_gangs(machine)}}
-            if not edits and len(gangs) >= self.ctl.limits.ops:
+            if not edits and len(gangs) >= self.base.limits.ops:
                 # More gangs than a transaction takes: some are marked first, and the machine goes in a later turn.
-                broken = dict(list(gangs.items())[: self.ctl.limits.ops])
+                broken = dict(list(gangs.items())[: self.base.limits.ops])
                 break
             if not self._takes(edits, machine, len(gangs)):
                 continue
@@ -446,7 +451,7 @@
     def _broken_gangs(self, machine: Machine) -> list[tuple[Job, int]]:
         broken = []
         for hold in machine.holds:
-            job = self.ctl.picture.jobs.get(hold.job)
+            job = self.base.picture.jobs.get(hold.job)
             if job is not None and job.spec.kind == "gang" and hold.attempt > job.record.broken:
                 broken.append((job, hold.attempt))
         return broken
@@ -458,7 +463,7 @@
 
     def _room(self, name: str, kind: Kind) -> Room:
         """An empty machine that is not there yet."""
-        spec = self.ctl.picture.types[kind[0]]
+        spec = self.base.picture.types[kind[0]]
         machine = Machine(name, name, kind[0], kind[1], {"address": "", "spot": kind[2]})
         return Room(machine, spec, spec.cpus, spec.gpus, spec.memory_gb)
 
@@ -466,7 +471,7 @@
         """What could be rented for a job, the cheapest for each of its tasks first."""
         spec = job.spec
         offers = []
-        for kind in self.ctl.picture.types.values():
+        for kind in self.base.picture.types.values():
             if spec.types and kind.name not in spec.types:
                 continue
             fits = kind.fits(spec.cpus, spec.gpus, spec.memory_gb)
@@ -487,16 +492,16 @@
         The queue is served in a forecast on what is there and coming.  A task that would start later than a
         new machine of some kind could take it, and later by more than that kind's price is worth, calls for one.
         """
-        ctl = self.ctl
+        base = self.base
         wall_us = self.kernel.wall_us
-        plan = ctl.plan()
-        jobs, _ = ctl.queue()
+        plan = self.planner.plan()
+        jobs, _ = self.planner.queue()
         ready_us: dict[str, int] = {}
         # At the worst a third as many again are paid for.
         hedges = {kind: max(n // 3, 2) for kind, n in Counter(c.kind for c in self.coming.values()).items()}
         for name, coming in self.coming.items():
-            kind: MachineType | None = ctl.picture.types.get(coming.kind[0])
-            if kind is not None and name not in self._ending and name not in ctl.picture.machines:
+            kind: MachineType | None = base.picture.types.get(coming.kind[0])
+            if kind is not None and name not in self._ending and name not in base.picture.machines:
                 left_us = self.boots.left_us(coming.kind, coming.since_us, self.kernel.now_us)
                 if left_us is None and hedges[coming.kind] > 0:
                     # Overdue: another one is wished for, and this one is used all the same should it come.
@@ -507,7 +512,7 @@
         if not jobs:
             self.needed = set()
             return {}
-        forecast = Forecast(futures(ctl.picture, plan.rooms, wall_us, ready_us, ctl.pace.run_us))
+        forecast = Forecast(futures(base.picture, plan.rooms, wall_us, ready_us, self.pace.run_us))
         wishes: dict[Kind, int] = {}
         for job in jobs:
             left = len(plan.wanted(job, wall_us))
@@ -520,7 +525,7 @@
 
     def _parts(self, ask: Ask, left: int) -> list[tuple[Ask, int]]:
         """A job that must be spread is served zone by zone; the tasks of the others are one part."""
-        zones = [z for z in self.ctl.settings.cluster.zones if ask.spec.zone in (None, z) and ask.zone in (None, z)]
+        zones = [z for z in self.base.settings.cluster.zones if ask.spec.zone in (None, z) and ask.zone in (None, z)]
         if not ask.spec.spread or len(zones) < 2:
             return [(ask, left)]
         parts = []
@@ -531,22 +536,21 @@
         return [(part_ask, part) for part_ask, part in parts if part > 0]
 
     def _wish(self, job: Job, ask: Ask, left: int, forecast: Forecast, wishes: dict[Kind, int]) -> None:
-        ctl = self.ctl
         wall_us = self.kernel.wall_us
-        run_us = ctl.pace.run_us(job)
+        run_us = self.pace.run_us(job)
         offers = self._offers(job)
         cheapest, best_kind = min(self._offers(job, blocked=True), default=(0.0, ("", "", False)))
-        if job.spec.job_class in ctl.pace.urgent:
+        if job.spec.job_class in self.pace.urgent:
             self.cheapest_for_urgent[job.spec.job_class] = (best_kind[0], best_kind[2])
         if job.spec.same_zone and ask.zone is None and offers:
             ask.zone = offers[0][1][1]
         bars: list[tuple[int, Kind]] = []
-        latest_us = ctl.pace.latest_start_us(job)
+        latest_us = self.pace.latest_start_us(job)
         for price, kind in offers:
             if ask.zone not in (None, kind[1]) or ask.zone_allows(kind[1]) <= 0:
                 continue
             dearer = max(price / cheapest - 1.0, 0.0) if cheapest else 0.0
-            worth_us = int(ctl.pace.patience_s(job) * SECOND_US * dearer)
+            worth_us = int(self.pace.patience_s(job) * SECOND_US * dearer)
             ready_us = wall_us + self.boots.expected_us(kind)
             bar_us = ready_us + worth_us + SECOND_US
             if latest_us is not None:
@@ -572,7 +576,7 @@
         if self.kernel.now_us - self.started_us < self._settle_us():
             return
         # A forecast goes through the whole fleet and queue: not at each round.
-        pause_us = RENT_US * len(self.ctl.picture.machines) * (1 if self._wished else 2)
+        pause_us = RENT_US * len(self.base.picture.machines) * (1 if self._wished else 2)
         if self.kernel.now_us - self._rented_us < pause_us:
             return
         self._rented_us = self.kernel.now_us
@@ -580,7 +584,7 @@
         self._wished = bool(wishes)
         for kind, number in wishes.items():
             self._seq += 1
-            request = f"{self.ctl.settings.host_name}-{self.ctl.presence.incarnation}-{self._seq}"
+            request = f"{self.base.settings.host_name}-{self.presence.incarnation}-{self._seq}"
             number = min(number, 50)
             asked_us = self.kernel.now_us
             reply = yield from self._cloud("POST", "/rentals", rental(request, *kind, number))
@@ -604,5 +608,5 @@
 
     def _settle_us(self) -> int:
         """A new runner that finds machines about waits for the list; the first of all need not."""
-        others = self.ctl.picture.machines or self.listed
+        others = self.base.picture.machines or self.listed
         return self._lag_us() if others else 0
--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -2,22 +2,24 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from functools import partial
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 
+from ashtray.base import Base
+from ashtray.jobs.accepting import Accepting
 from ashtray.jobs.messages import Malformed, parse_submission, state_body
 from ashtray.jobs.model import FEW_RUNS, LIVE, MOST_LATER, OVER, SPARE_BYTES, Job, JobRecord, JobSpec
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Signal, Sleep, Wait
+from ashtray.peers.presence import Peers, Presence
 from ashtray.placement.explain import explain
+from ashtray.placement.plan import Planner
 from ashtray.store.client import VALUE_SHARE, Txn, Urgency
 from ashtray.teams.limits import can_ever_run
 from ashtray.workers.folding import end_job, ends_later
 
-if TYPE_CHECKING:
-    from ashtray.controller import Controller
-
 MAX_BACKLOG = 150
 MAX_RESOLVING = 8
 RESOLVE_US = SECOND_US // 20
@@ -29,28 +31,36 @@
 
 
 class JobDesk:
-    def __init__(self, ctl: Controller) -> None:
-        self.ctl = ctl
-        self.kernel = ctl.kernel
+    def __init__(
+        self, base: Base, presence: Presence, peers: Peers, planner: Planner, placed_anew: Callable[[], None]
+    ) -> None:  # fmt: skip
+        """`placed_anew` is told when there may be something new to place."""
+        self.base = base
+        self.kernel = base.kernel
+        self.presence = presence
+        self.peers = peers
+        self.planner = planner
+        self.placed_anew = placed_anew
         self._looking: dict[str, Signal] = {}
         """Final states that are being read for somebody: whoever else asks meanwhile waits for the same reading."""
+        self.accepting = Accepting(base.kernel, base.store, base.limits)
         self._handed_on = 0
         self._resolved = -1
         """The picture's changes when all that is needed was last seen to be known, or asked for."""
 
     def _busy(self, request_id: int) -> bool:
-        if self.ctl.store.backlog() < MAX_BACKLOG:
+        if self.base.store.backlog() + self.accepting.waiting() < MAX_BACKLOG:
             return False
         self.kernel.answer(request_id, 429, {"error": "too much to do"}, 2)
         return True
 
     def _unready(self, request_id: int, handed: bool, method: str, path: str, body: Any) -> bool:
         """Without the state service: hand on to a peer that has it, or say when to come back."""
-        follower = self.ctl.follower
-        if follower.loaded and follower.failed_since_us is None and self.ctl.presence.incarnation:
+        follower = self.base.follower
+        if follower.loaded and follower.failed_since_us is None and self.presence.incarnation:
             return False
         # A request is handed on at the first failure: it costs little, unlike sending workers to and fro.
-        peers = [] if handed else self.ctl.presence.connected()
+        peers = [] if handed else self.peers.connected()
         if not peers or self._handed_on >= MAX_HANDED_ON:
             self.kernel.answer(request_id, 503, {"error": "the state service does not answer"}, 1)
         else:
@@ -63,7 +73,7 @@
         self._handed_on += 1
         for peer in peers:
             reply: Reply = yield Call(
-                self.ctl.peers.peers[peer].address, "POST", "/peer/request", request, HAND_ON_US
+                self.peers.peers[peer].address, "POST", "/peer/request", request, HAND_ON_US
             )  # fmt: skip
             if reply.status in (200, 201, 400, 404, 422):
                 self.kernel.answer(request_id, reply.status, reply.body)
@@ -83,13 +93,13 @@
 
     def refusal(self, spec: JobSpec) -> str | None:
         """Why a job can never run, if so."""
-        team = self.ctl.teams.get(spec.team)
+        team = self.base.teams.get(spec.team)
         if team is None:
             return f"unknown team {spec.team}"
         if not can_ever_run(team, spec):
             return f"over the limit of team {spec.team}"
-        zones = set(self.ctl.settings.cluster.zones)
-        for kind in self.ctl.picture.types.values():
+        zones = set(self.base.settings.cluster.zones)
+        for kind in self.base.picture.types.values():
             allowed = not spec.types or kind.name in spec.types
             there = spec.zone is None or spec.zone in kind.zones or (not kind.zones and spec.zone in zones)
             if allowed and there and kind.fits(spec.cpus, spec.gpus, spec.memory_gb):
@@ -97,10 +107,10 @@
         return "no allowed machine type fits a task"
 
     def _submit(self, request_id: int, job_id: str, spec: JobSpec) -> Fiber[None]:
-        ctl = self.ctl
+        base = self.base
         # What could be known when the question came decides: while the look-up waits, the types may come in,
         # and a job that could not be judged must not be refused then.
-        record = JobRecord(spec, ctl.settings.host_name, self.kernel.wall_us)
+        record = JobRecord(spec, base.settings.host_name, self.kernel.wall_us)
         value = msgspec.to_builtins(record)
         refused = self._judge(spec, value) or (yield from self._judge_needs(spec))
         if refused is not None:
@@ -111,37 +121,36 @@
                 self.kernel.log("info", f"{job_id} refused: {refused[1]}")
             self._answer(request_id, status, body)
             return
-        txn = Txn().guard(LIVE + job_id, 0).guard(OVER + job_id, 0).put(LIVE + job_id, value)
-        _, reply = yield from ctl.store.commit(lambda: txn, 1, Urgency.ACCEPT, "accept")
-        if reply.status == 200:
-            ctl.picture.put(LIVE + job_id, value, reply.body["ledger"])
+        status, ledger = yield from self.accepting.accept(job_id, value)
+        if status == 200:
+            base.picture.put(LIVE + job_id, value, ledger)
             what = f"{spec.kind} of {spec.tasks}, {spec.job_class}, {spec.team}"
             self.kernel.log("info", f"{job_id} accepted ({what})")
             self.kernel.answer(request_id, 201, state_body(job_id, "pending"))
-            ctl.placer.changed()
-        elif reply.status == 409:
+            self.placed_anew()
+        elif status == 409:
             status, body = yield from self._look_up(job_id)
             self._answer(request_id, status if status != 404 else 503, body)
         else:
             # It may have been accepted all the same: the retry will find out.
-            self._answer(request_id, 429 if reply.status == 429 else 503, {"error": "not accepted yet"})
+            self._answer(request_id, 429 if status == 429 else 503, {"error": "not accepted yet"})
 
     def _judge(self, spec: JobSpec, value: Any) -> tuple[int, str] | None:
         """The status and the reason of a refusal, as far as the job itself gives one."""
-        room = int(self.ctl.limits.least_value_bytes * VALUE_SHARE) - SPARE_BYTES - FEW_RUNS
+        room = int(self.base.limits.least_value_bytes * VALUE_SHARE) - SPARE_BYTES - FEW_RUNS
         size = len(msgspec.json.encode(value))
         if size > room:
             # It could be accepted, but never be written again.
             return 400, f"the description takes {size} bytes of its record, which has room for {room}"
-        if not self.ctl.picture.types:
+        if not self.base.picture.types:
             return 503, "the machine types are not known yet"
         reason = self.refusal(spec)
         return None if reason is None else (422, reason)
 
     def _judge_needs(self, spec: JobSpec) -> Fiber[tuple[int, str] | None]:
         """The same as far as the jobs give one that it waits on."""
-        picture = self.ctl.picture
-        older = self.ctl.presence.older() if spec.needs else []
+        picture = self.base.picture
+        older = self.presence.older() if spec.needs else []
         if older:
             # It would drop what it does not know when it writes the job's record anew.
             return 503, f"{', '.join(older)} does not know of jobs that wait on others yet"
@@ -159,9 +168,9 @@
 
     def _look_up(self, job_id: str, urgency: Urgency = Urgency.ACCEPT) -> Fiber[tuple[int, Any]]:
         """A job's state as of a moment after the question came."""
-        picture = self.ctl.picture
+        picture = self.base.picture
         while job_id not in picture.over:
-            if not (yield from self.ctl.follower.barrier()):
+            if not (yield from self.base.follower.barrier()):
                 return 503, {"error": "the state service does not answer"}
             job = picture.jobs.get(job_id)
             if job is not None:
@@ -173,7 +182,7 @@
                     continue
                 if job_id in picture.needs.doomed:
                     return 200, state_body(job_id, "cancelled", 0, 0)
-                if job_id in picture.completed() and ends_later(job, self.ctl.limits):
+                if job_id in picture.completed() and ends_later(job, self.base.limits):
                     return 200, state_body(job_id, "done", job.spec.tasks, 0)
                 running = len(picture.placed(job_id))
                 status = "running" if running else "pending"
@@ -201,7 +210,7 @@
 
         True: all was known.  None: something was read.  False: it cannot be.
         """
-        picture = self.ctl.picture
+        picture = self.base.picture
         known: bool | None = True
         while unknown := [need for need in picture.needs.unknown([job.id]) if need not in picture.absent]:
             known = None
@@ -218,9 +227,9 @@
 
         They are not loaded at a start, for they grow with history; a job is not ready before all are known.
         """
-        ctl = self.ctl
-        picture = ctl.picture
-        if ctl.follower.loaded and picture.changes != self._resolved:
+        base = self.base
+        picture = base.picture
+        if base.follower.loaded and picture.changes != self._resolved:
             self._resolved = picture.changes
             for need in picture.needs.unknown():
                 if len(self._looking) >= MAX_RESOLVING:
@@ -234,13 +243,13 @@
         if job_id not in self._looking:
             if (yield from self._read_over(job_id, Urgency.PLACE)) not in (200, 404):
                 self._resolved = -1
-            self.ctl.placer.changed()
+            self.placed_anew()
 
     def bury(self) -> Fiber[None]:
         """Move the records of jobs that are cancelled with one that they need: they count as cancelled already."""
-        ctl = self.ctl
+        base = self.base
         yield Sleep(SECOND_US)
-        if not ctl.follower.loaded or not any(ctl.placer.mine(job) for job in self._doomed()):
+        if not base.follower.loaded or not any(self.presence.mine(job) for job in self._doomed()):
             return
         buried: list[str] = []
 
@@ -248,25 +257,25 @@
             buried.clear()
             txn = Txn()
             for job in self._doomed():
-                if txn.changes() + 2 <= ctl.limits.ops and ctl.placer.mine(job):
+                if txn.changes() + 2 <= base.limits.ops and self.presence.mine(job):
                     end_job(txn, job, "cancelled", 0, self.kernel.wall_us)
-                    buried.append(f"{job.id} cancelled with {ctl.picture.needs.doomed[job.id]}")
+                    buried.append(f"{job.id} cancelled with {base.picture.needs.doomed[job.id]}")
             return txn if buried else None
 
-        if (yield from ctl.follower.commit(build, 2, Urgency.FREE, "bury")):
+        if (yield from base.follower.commit(build, 2, Urgency.FREE, "bury")):
             for line in buried:
                 self.kernel.log("info", line)
 
     def _doomed(self) -> list[Job]:
-        picture = self.ctl.picture
+        picture = self.base.picture
         return [picture.jobs[job_id] for job_id in picture.needs.doomed]
 
     def _read_over(self, job_id: str, urgency: Urgency) -> Fiber[int]:
-        picture = self.ctl.picture
+        picture = self.base.picture
         signal = self._looking[job_id] = Signal()
         loads = picture.loads
         try:
-            reply = yield from self.ctl.store.read(OVER + job_id, urgency)
+            reply = yield from self.base.store.read(OVER + job_id, urgency)
         finally:
             del self._looking[job_id]
         if reply.status == 200:
@@ -277,10 +286,10 @@
         return reply.status
 
     def poll(self, request_id: int, job_id: str, handed: bool = False) -> None:
-        over = self.ctl.picture.over.get(job_id)
+        over = self.base.picture.over.get(job_id)
         if over is not None:
             self.kernel.answer(request_id, 200, state_body(job_id, over["status"], over["done"], 0))
-        elif job_id in self.ctl.picture.needs.doomed:
+        elif job_id in self.base.picture.needs.doomed:
             self.kernel.answer(request_id, 200, state_body(job_id, "cancelled", 0, 0))
         elif not self._unready(request_id, handed, "GET", f"/submissions/{job_id}", None):
             self.kernel.spawn(self._poll(request_id, job_id))
@@ -294,13 +303,14 @@
             self.kernel.spawn(self._explain(request_id, job_id))
 
     def _explain(self, request_id: int, job_id: str) -> Fiber[None]:
-        ctl = self.ctl
+        base = self.base
         status, body = yield from self._look_up(job_id)
-        job = ctl.picture.jobs.get(job_id)
+        job = base.picture.jobs.get(job_id)
         if status == 200 and job is not None:
-            plan = ctl.plan()
-            owner = ctl.presence.owner_of(job_id, job.record.owner)
-            body = explain(plan, job, self.kernel.wall_us, owner)
+            plan = self.planner.plan()
+            owner = self.presence.owner_of(job_id, job.record.owner)
+            standing = self.planner.times.standing(job, base.picture, self.kernel.wall_us)
+            body = explain(plan, job, self.kernel.wall_us, owner, standing)
         self._answer(request_id, status, body)
 
     def abort(self, request_id: int, job_id: str, handed: bool = False) -> None:
@@ -308,7 +318,7 @@
             self.kernel.spawn(self._abort(request_id, job_id))
 
     def _cancellation(self, job_id: str) -> Txn | None:
-        picture = self.ctl.picture
+        picture = self.base.picture
         job = picture.jobs.get(job_id)
         if job is None:
             return None
@@ -319,7 +329,7 @@
                 return None
             groups = {picture.machines[name].group for name, _ in picture.held.get(job_id, ())}
             # Where there are more than a transaction may depend on, nobody takes the groups' word for it.
-            for key in groups if len(groups) < self.ctl.limits.least_guards else ():
+            for key in groups if len(groups) < self.base.limits.least_guards else ():
                 txn.guard(key, picture.groups[key].version)
         return end_job(txn, job, "cancelled", len(picture.finished(job)), self.kernel.wall_us)
 
@@ -330,7 +340,7 @@
             status, body = yield from self._look_up(job_id)
             if status != 200 or body["status"] in ("done", "cancelled"):
                 break
-            if (yield from self.ctl.follower.commit(cancellation, 2, Urgency.CANCEL, "cancel")):
+            if (yield from self.base.follower.commit(cancellation, 2, Urgency.CANCEL, "cancel")):
                 self.kernel.log("info", f"{job_id} cancelled")
                 self.kernel.answer(request_id, 200, state_body(job_id, "cancelled"))
                 return
--- a/ashtray/peers/presence.py
+++ b/ashtray/peers/presence.py
@@ -4,18 +4,19 @@
 
 import hashlib
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
-from typing import TYPE_CHECKING, Annotated, Any
+from typing import Annotated, Any
 
 import msgspec
 
+from ashtray.base import Base
+from ashtray.jobs.model import Job
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Sleep
 from ashtray.placement.picture import CONTROLLER
 from ashtray.store.client import Txn, Urgency
-
-if TYPE_CHECKING:
-    from ashtray.controller import Controller
+from ashtray.teams.grants import Grants
 
 FORM = 1
 """Stands in the presence of controllers that know of jobs that wait on others, and of groups being split."""
@@ -34,8 +35,9 @@
 class Presence:
     """This controller's own key, and whom it takes for alive."""
 
-    def __init__(self, ctl: Controller) -> None:
-        self.ctl = ctl
+    def __init__(self, base: Base, grants: Grants) -> None:
+        self.base = base
+        self.grants = grants
         self.incarnation = 0
         """The state service's revision at which this process signed in: no other process has the same."""
         self.lease: int | None = None
@@ -47,30 +49,30 @@
         self._upgraded = False
 
     def run(self) -> Fiber[None]:
-        ctl = self.ctl
-        key = CONTROLLER + ctl.settings.host_name
+        base = self.base
+        key = CONTROLLER + base.settings.host_name
         while True:
             if self.lease is None:
-                asked_us = ctl.kernel.now_us
-                reply: Reply = yield from ctl.store.open_lease(LEASE_US)
+                asked_us = base.kernel.now_us
+                reply: Reply = yield from base.store.open_lease(LEASE_US)
                 if reply.status == 200:
                     lease = reply.body["permit"]
-                    host = {"host": ctl.settings.host_name, "form": FORM}
+                    host = {"host": base.settings.host_name, "form": FORM}
                     sign_in = partial(Txn().put, key, host, lease)
-                    _, reply = yield from ctl.store.commit(sign_in, 1, Urgency.KEEP_ALIVE, "sign in")
+                    _, reply = yield from base.store.commit(sign_in, 1, Urgency.KEEP_ALIVE, "sign in")
                     if reply.status == 200:
                         self.lease = lease
                         self.until_us = asked_us + LEASE_US
                         if not self.incarnation:
                             self.incarnation = reply.body["ledger"]
-                            ctl.grants.begin(self.incarnation)
-                            ctl.kernel.log("info", f"signed in as {ctl.settings.host_name}")
+                            self.grants.begin(self.incarnation)
+                            base.kernel.log("info", f"signed in as {base.settings.host_name}")
                 if self.lease is None:
                     yield Sleep(SECOND_US // 2)
                     continue
             yield Sleep(RENEW_US)
-            asked_us = ctl.kernel.now_us
-            reply = yield from ctl.store.renew_lease(self.lease)
+            asked_us = base.kernel.now_us
+            reply = yield from base.store.renew_lease(self.lease)
             if reply.status == 200:
                 self.until_us = asked_us + LEASE_US
             elif reply.status == 404:
@@ -78,7 +80,7 @@
 
     def signed_in(self) -> bool:
         """Whether the lease, with all that hangs on it, is surely there still."""
-        return self.lease is not None and self.ctl.kernel.now_us < self.until_us
+        return self.lease is not None and self.base.kernel.now_us < self.until_us
 
     def upgraded(self) -> bool:
         """Whether all controllers of the settings have been seen to be of this version, at one time.
@@ -86,19 +88,19 @@
         From then on none of an older one is about, for nothing brings one back.
         """
         if not self._upgraded:
-            seen = self.ctl.picture.controllers
-            hosts = [self.ctl.settings.host_name, *(peer.host_name for peer in self.ctl.settings.others)]
+            seen = self.base.picture.controllers
+            hosts = [self.base.settings.host_name, *(peer.host_name for peer in self.base.settings.others)]
             self._upgraded = all(seen.get(host, {}).get("form", 0) >= FORM for host in hosts)
         return self._upgraded
 
     def older(self) -> list[str]:
         """Live controllers of an older version: they drop what they do not know when they write a record anew."""
-        return [host for host, value in self.ctl.picture.controllers.items() if value.get("form", 0) < FORM]
+        return [host for host, value in self.base.picture.controllers.items() if value.get("form", 0) < FORM]
 
     def live(self) -> list[str]:
-        if self._live_of is not self.ctl.picture.controllers:
-            self._live_of = self.ctl.picture.controllers
-            self._live = sorted({*self._live_of, self.ctl.settings.host_name})
+        if self._live_of is not self.base.picture.controllers:
+            self._live_of = self.base.picture.controllers
+            self._live = sorted({*self._live_of, self.base.settings.host_name})
             self._foremen.clear()
         return self._live
 
@@ -116,20 +118,13 @@
         live = self.live()
         return owner if owner in live else self.foreman(job_id)
 
-    def better_connected(self, after_us: int = 3 * SECOND_US) -> str | None:
-        """A peer that reads from the state service while this controller has not for that long."""
-        if self.ctl.kernel.now_us - self.ctl.follower.read_us < after_us:
-            return None
-        connected = self.connected()
-        return connected[0] if connected else None
-
-    def connected(self) -> list[str]:
-        """Peers that read from the state service, by their own word, the latest word first."""
-        since_us = self.ctl.kernel.now_us - 3 * self.ctl.peers.word_us
-        peers = [p for p in self.ctl.peers.peers.values() if p.word_us > since_us and p.state_age_us < 2 * SECOND_US]
-        return [peer.host for peer in sorted(peers, key=lambda peer: -peer.word_us)]
+    def mine(self, job: Job) -> bool:
+        """Whether this controller places a job."""
+        return self.owner_of(job.id, job.record.owner) == self.base.settings.host_name
 
 
+REPORT_US = 60 * SECOND_US
+"""Older reports are not told of."""
 MUTE_WORDS = 4
 """A live peer that has missed so many words gives none: nobody knows which workers it hears."""
 MOST_US = 10**15
@@ -141,10 +136,27 @@
     host: str
     state_age_us: Annotated[int, msgspec.Meta(ge=0, le=MOST_US)] = MOST_US
     need: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 0.0
+    urgent: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 0.0
+    """Of the need, what is for urgent work.  The version before does not tell."""
     heard: dict[str, Annotated[int, msgspec.Meta(ge=0, le=MOST_US)]] = {}
     """The age of the last report of each worker that it hears."""
 
 
+def part_of(mine: tuple[float, float], others: list[tuple[float, float]], changes: float) -> float:
+    """The part of so many changes a second that one controller may make, by what it and the others need.
+
+    Each need comes with the part of it that is for urgent work.  That is met first, on all controllers; what is left
+    goes to the rest.  Found on a simulated day: after all controllers had ended, those whose jobs were idle-time work
+    spent on it what others wanted for urgent jobs.
+    """
+    floor = FLOOR * changes
+    needs = [(max(need, floor), min(urgent, max(need, floor))) for need, urgent in (mine, *others)]
+    left = max(changes - sum(urgent for _, urgent in needs), 0.0)
+    others_need = sum(need - urgent for need, urgent in needs) or 1.0
+    weights = [max(urgent + left * (need - urgent) / others_need, floor) for need, urgent in needs]
+    return weights[0] / sum(weights)
+
+
 @dataclass
 class PeerState:
     host: str
@@ -153,6 +165,8 @@
     state_age_us: int = 10**15
     need: float = 0.0
     """Changes a second that it would like to make."""
+    urgent: float = 0.0
+    """Of these, those for what is urgent."""
     heard: dict[str, int] = field(default_factory=dict)
     """When it last heard each worker, in this controller's time."""
 
@@ -160,13 +174,16 @@
 class Peers:
     """Word between controllers: who hears which worker, who can read, and that something has changed."""
 
-    def __init__(self, ctl: Controller) -> None:
-        self.ctl = ctl
-        self.peers = {p.host_name: PeerState(p.host_name, p.peer_addr) for p in ctl.settings.others}
+    def __init__(self, base: Base, presence: Presence, reports: Callable[[], dict[str, int]]) -> None:
+        """`reports` tells when each worker that reports here was last heard."""
+        self.base = base
+        self.presence = presence
+        self._reports = reports
+        self.peers = {p.host_name: PeerState(p.host_name, p.peer_addr) for p in base.settings.others}
         # Word costs both sides a request: the more peers there are, the seldomer each hears it.
         self.word_us = max(len(self.peers) * SECOND_US // 3, SECOND_US)
-        self._used = 0
-        self._need = 0.0
+        self._used = self._used_urgent = 0
+        self._need = self._urgent = 0.0
 
     def run(self, peer: PeerState) -> Fiber[None]:
         while True:
@@ -174,38 +191,43 @@
             yield Sleep(self.word_us)
 
     def _word(self, host: str) -> dict[str, Any]:
-        ctl = self.ctl
+        base = self.base
         # Only who runs the fleet has any use for the ages of reports, of each worker that there is.
-        runner = ctl.picture.fleet[0].get("host") if ctl.picture.fleet is not None else None
-        heard = ctl.desk.heard() if host == runner else {}
+        runner = base.picture.fleet[0].get("host") if base.picture.fleet is not None else None
+        now = base.kernel.now_us
+        ages = {name: now - at_us for name, at_us in self._reports().items()} if host == runner else {}
         return {
-            "host": ctl.settings.host_name,
-            "state_age_us": min(ctl.kernel.now_us - ctl.follower.read_us, MOST_US),
+            "host": base.settings.host_name,
+            "state_age_us": min(base.kernel.now_us - base.follower.read_us, MOST_US),
             "need": self._need,
-            "heard": heard,
+            "urgent": self._urgent,
+            "heard": {name: age_us for name, age_us in ages.items() if age_us < REPORT_US},
         }
 
     def budget(self) -> Fiber[None]:
         """Share the state service's budgets with the other live controllers, the changes by need."""
-        ctl = self.ctl
-        ctl.follower.controllers = len(ctl.presence.live()) if ctl.follower.loaded else ctl.settings.cluster.nodes
-        used, self._used = ctl.store.used - self._used, ctl.store.used
+        base = self.base
+        base.follower.controllers = len(self.presence.live()) if base.follower.loaded else base.settings.cluster.nodes
+        changes = base.store.changes
+        used, self._used = base.store.used - self._used, base.store.used
+        used_urgent, self._used_urgent = base.store.used_urgent - self._used_urgent, base.store.used_urgent
         # One that had to wait might have made many more: its need is taken to be the double, second by second.
-        want = used + sum(amount for _, _, amount, _ in ctl.store.changes.waiting)
-        if ctl.store.changes.throttled:
-            ctl.store.changes.throttled = False
-            want += used
+        want = used + sum(amount for _, _, amount, _ in changes.waiting)
+        urgent = used_urgent + sum(amount for level, _, amount, _ in changes.waiting if level <= Urgency.FREE)
+        if changes.throttled:
+            changes.throttled = False
+            want, urgent = want + used, urgent + used_urgent
         self._need = 0.5 * self._need + 0.5 * want
-        if not ctl.follower.loaded:
+        self._urgent = 0.5 * self._urgent + 0.5 * urgent
+        if not base.follower.loaded:
             # Until the picture is read, assume that everybody is there.
-            each = 1 / max(ctl.settings.cluster.nodes, 1)
-            ctl.store.share(each, each)
+            each = 1 / max(base.settings.cluster.nodes, 1)
+            base.store.share(each, each)
             return
-        live = ctl.presence.live()
-        floor = FLOOR * ctl.settings.cluster.state.write_rps
-        needs = [max(self.peers[host].need, floor) for host in live if host in self.peers]
-        mine = max(self._need, floor)
-        ctl.store.share(1 / len(live), mine / (mine + sum(needs)))
+        live = self.presence.live()
+        write_rps = base.settings.cluster.state.write_rps
+        needs = [(peer.need, peer.urgent) for host in live if (peer := self.peers.get(host)) is not None]
+        base.store.share(1 / len(live), part_of((self._need, self._urgent), needs, write_rps))
         return
         yield
 
@@ -214,7 +236,7 @@
         return reply
 
     def on_word(self, request_id: int, body: Any) -> None:
-        kernel = self.ctl.kernel
+        kernel = self.base.kernel
         peer = self.peers.get(str(body.get("host"))) if isinstance(body, dict) else None
         if peer is None:
             kernel.answer(request_id, 400, {"error": "unknown peer"})
@@ -224,18 +246,31 @@
         except msgspec.ValidationError as error:
             kernel.answer(request_id, 400, {"error": str(error)[:200]})
             return
-        if not math.isfinite(word.need):
-            kernel.answer(request_id, 400, {"error": "need is not a finite number"})
+        if not math.isfinite(word.need + word.urgent):
+            kernel.answer(request_id, 400, {"error": "a need is not a finite number"})
             return
         peer.word_us = kernel.now_us
         peer.state_age_us = word.state_age_us
-        peer.need = word.need
+        peer.need, peer.urgent = word.need, word.urgent
         peer.heard = {name: kernel.now_us - age_us for name, age_us in word.heard.items()}
         kernel.answer(request_id, 200, {})
 
+    def better_connected(self, after_us: int = 3 * SECOND_US) -> str | None:
+        """A peer that reads from the state service while this controller has not for that long."""
+        if self.base.kernel.now_us - self.base.follower.read_us < after_us:
+            return None
+        connected = self.connected()
+        return connected[0] if connected else None
+
+    def connected(self) -> list[str]:
+        """Peers that read from the state service, by their own word, the latest word first."""
+        since_us = self.base.kernel.now_us - 3 * self.word_us
+        peers = [p for p in self.peers.values() if p.word_us > since_us and p.state_age_us < 2 * SECOND_US]
+        return [peer.host for peer in sorted(peers, key=lambda peer: -peer.word_us)]
+
     def last_heard(self) -> dict[str, int]:
         """When any controller that this one has word of last heard each worker."""
-        heard = {worker.name: worker.heard_us for worker in self.ctl.desk.workers.values()}
+        heard = self._reports()
         for peer in self.peers.values():
             for name, at_us in peer.heard.items():
                 if at_us > heard.get(name, 0):
@@ -244,12 +279,12 @@
 
     def mute(self) -> set[str]:
         """Live peers that give no word, though they may well hear workers."""
-        since_us = self.ctl.kernel.now_us - MUTE_WORDS * self.word_us
-        live = self.ctl.presence.live()
+        since_us = self.base.kernel.now_us - MUTE_WORDS * self.word_us
+        live = self.presence.live()
         return {p.host for p in self.peers.values() if p.host in live and p.word_us < since_us}
 
     def all_word_us(self, mute: set[str]) -> int:
         """Up to when there is word from all live peers, but for the mute ones, that give none at all."""
-        now = self.ctl.kernel.now_us
-        live = self.ctl.presence.live()
+        now = self.base.kernel.now_us
+        live = self.presence.live()
         return min([p.word_us for p in self.peers.values() if p.host in live and p.host not in mute], default=now)
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -5,21 +5,21 @@
 from collections import Counter, deque
 from dataclasses import dataclass
 from functools import partial
-from typing import TYPE_CHECKING
 
+from ashtray.base import Base
 from ashtray.jobs.model import LIVE, Job
+from ashtray.jobs.pace import Pace
 from ashtray.kernel import SECOND_US, Fiber, Signal, Sleep, Wait
+from ashtray.peers.presence import Presence
 from ashtray.placement.picture import EPS, TEAM, Edit, HoldRecord, Picture
-from ashtray.placement.plan import IMAGE_BYTES, Choice, Plan, demand
+from ashtray.placement.plan import IMAGE_BYTES, Choice, Plan, Planner, demand
 from ashtray.placement.preemption import Victims, choose_victims, may_stop, stop_victims
 from ashtray.runs import encode_runs
 from ashtray.store.client import Limits, Txn, Urgency
 from ashtray.teams.grants import Grants
+from ashtray.workers.desk import Desk
 from ashtray.workers.folding import Fold
 
-if TYPE_CHECKING:
-    from ashtray.controller import Controller
-
 RETRY_US = SECOND_US // 2
 RIPE_US = SECOND_US
 OVERRIPE_US = 4 * SECOND_US
@@ -46,9 +46,16 @@
 
 
 class Placer:
-    def __init__(self, ctl: Controller) -> None:
-        self.ctl = ctl
-        self.window: deque[bool] = deque(maxlen=ctl.knobs.window)
+    def __init__(
+        self, base: Base, presence: Presence, grants: Grants, pace: Pace, planner: Planner, desk: Desk
+    ) -> None:  # fmt: skip
+        self.base = base
+        self.presence = presence
+        self.grants = grants
+        self.pace = pace
+        self.planner = planner
+        self.desk = desk
+        self.window: deque[bool] = deque(maxlen=base.knobs.window)
         """For the last commits, whether each failed."""
         self.kick = Signal()
         self._seen = -1
@@ -73,15 +80,15 @@
         """The chance of a pick among the best few: it rises with conflicts, up to a cap."""
         if not self.window:
             return 0.0
-        return min(sum(self.window) / len(self.window), self.ctl.knobs.widen_cap)
+        return min(sum(self.window) / len(self.window), self.base.knobs.widen_cap)
 
     def run(self) -> Fiber[None]:
         while True:
             if not self._hurry:
                 yield Wait(self.kick, RETRY_US)
             self._hurry = False
-            if self.ctl.follower.loaded and self.ctl.presence.incarnation:
-                self._seen = self.ctl.picture.changes
+            if self.base.follower.loaded and self.presence.incarnation:
+                self._seen = self.base.picture.changes
                 commits = self._commits
                 work_us = VISIT_US * (yield from self._round())
                 # In a full fleet round after round finds no room: each of them makes the next one later.
@@ -89,26 +96,23 @@
                 yield Sleep(PAUSE_US * 2**self._vain + work_us)
 
     def changed(self) -> None:
-        if self.ctl.picture.changes != self._seen:
-            self.ctl.kernel.fire(self.kick)
-
-    def mine(self, job: Job) -> bool:
-        return self.ctl.presence.owner_of(job.id, job.record.owner) == self.ctl.settings.host_name
+        if self.base.picture.changes != self._seen:
+            self.base.kernel.fire(self.kick)
 
     def _round(self) -> Fiber[int]:
         """Serve the queue once; returns how many jobs and rooms were looked at."""
-        ctl = self.ctl
-        picture = ctl.picture
-        if not any(self.mine(picture.jobs[job_id]) for job_id in picture.waiting()):
+        base = self.base
+        picture = base.picture
+        if not any(self.presence.mine(picture.jobs[job_id]) for job_id in picture.waiting()):
             return 0
         yield from self._fence()
         self.counts["rounds"] += 1
-        plan = ctl.plan()
-        plan.add_freed(ctl.desk.light().freed)
-        plan.due = ctl.desk.due()
-        plan.sparing = ctl.store.changes.scarce()
-        jobs, inside = ctl.queue()
-        while jobs and not self.mine(jobs[-1]):
+        plan = self.planner.plan()
+        plan.add_freed(self.desk.light().freed)
+        plan.due = self.desk.due()
+        plan.sparing = base.store.changes.scarce()
+        jobs, inside = self.planner.queue()
+        while jobs and not self.presence.mine(jobs[-1]):
             jobs.pop()
         self._partial_us = {j: at for j, at in self._partial_us.items() if j in picture.jobs}
         try:
@@ -123,31 +127,31 @@
 
         When all controllers start together, one's fence serves all of them: who sees it in time writes none.
         """
-        ctl = self.ctl
-        picture = ctl.picture
-        waits = {picture.jobs[job_id].spec.team for job_id in picture.waiting() if self.mine(picture.jobs[job_id])}
-        teams = sorted(team for team in waits if ctl.grants.limited(team) and not ctl.grants.ready(team))
+        base = self.base
+        jobs = base.picture.jobs
+        waits = {jobs[job_id].spec.team for job_id in base.picture.waiting() if self.presence.mine(jobs[job_id])}
+        teams = sorted(team for team in waits if self.grants.limited(team) and not self.grants.ready(team))
         if teams:
-            yield Sleep(int(ctl.kernel.rng.random() * FENCE_US * len(ctl.presence.live())))
-            build = partial(ctl.grants.fence, teams)
-            yield from ctl.follower.commit(build, len(teams), Urgency.ACCEPT, "share")
+            yield Sleep(int(base.kernel.rng.random() * FENCE_US * len(self.presence.live())))
+            build = partial(self.grants.fence, teams)
+            yield from base.follower.commit(build, len(teams), Urgency.ACCEPT, "share")
             # What was placed before the fence, by this process or one before it, is in the picture then.
-            yield from ctl.follower.barrier()
+            yield from base.follower.barrier()
 
     def _serve(self, plan: Plan, jobs: list[Job], inside: set[str]) -> Fiber[None]:
-        ctl = self.ctl
-        began_us = ctl.kernel.now_us
-        batch = Batch(ctl.picture, ctl.limits)
+        base = self.base
+        began_us = base.kernel.now_us
+        batch = Batch(base.picture, base.limits)
         freed = {id(room) for room in plan.freed}
         ripe: dict[str, int] = {}
         for job in jobs:
-            if ctl.kernel.now_us - began_us > STALE_US:
+            if base.kernel.now_us - began_us > STALE_US:
                 self._again()
                 break
-            tasks = plan.wanted(job, ctl.kernel.wall_us)
+            tasks = plan.wanted(job, base.kernel.wall_us)
             if not tasks:
                 continue
-            mine = self.mine(job)
+            mine = self.presence.mine(job)
             urgent = job.priority <= 1 and not job.suspect
             if plan.sparing and not mine and not urgent:
                 # It waits for its controller's changes rather than for room: found by a profile, planning for the
@@ -157,7 +161,7 @@
             need = len(tasks) if job.spec.kind == "gang" else 1
             choices: list[Choice] = []
             # A class with an aim on waiting first looks where its image is there in time.
-            aim_s = ctl.pace.urgent.get(job.spec.job_class)
+            aim_s = self.pace.urgent.get(job.spec.job_class)
             for within_s in (None,) if aim_s is None else (0.8 * aim_s, None):
                 # Room that only this controller knows of yet is for its own jobs, or for urgent ones: the others
                 # could not be placed there, and it would stand empty until a fold shows it.
@@ -169,7 +173,7 @@
                     if not mine and urgent:
                         ripe.setdefault(job.id, self._ripe.get(job.id, began_us))
                         if any(id(room) in freed for room, _ in choices):
-                            ctl.desk.hurry()
+                            self.desk.hurry()
                     break
                 if not job.suspect and ((job.spec.kind == "gang" and urgent) or job.id in inside):
                     if plan.keep_soon(job, need, within_s):
@@ -194,25 +198,25 @@
                 # Room for a few of many tasks: several such commits are made one, for each costs changes.  While
                 # these are scarce, the job at the head would otherwise use them all up on room as it is freed, and
                 # jobs behind it that could go elsewhere would never come to their turn.
-                scarce = plan.sparing or ctl.store.changes.scarce()
+                scarce = plan.sparing or base.store.changes.scarce()
                 pause_us = SCARCE_PARTIAL_US if scarce else PARTIAL_US
-                if ctl.kernel.now_us - self._partial_us.get(job.id, 0) < pause_us:
+                if base.kernel.now_us - self._partial_us.get(job.id, 0) < pause_us:
                     continue
                 if scarce and not urgent:
                     choices = self._worthwhile(plan, job, choices)
                     if not choices:
                         continue
-                self._partial_us[job.id] = ctl.kernel.now_us
-            if ctl.grants.limited(job.spec.team):
+                self._partial_us[job.id] = base.kernel.now_us
+            if self.grants.limited(job.spec.team):
                 choices = self._granted(job, choices, batch)
                 if not choices:
                     continue
-            for item in portions(job, tasks, choices, ctl.picture, ctl.limits):
+            for item in portions(job, tasks, choices, base.picture, base.limits):
                 if not batch.takes(item):
                     if not (yield from self._commit(batch)):
                         # The picture was too late: start anew on the fresh one.
                         return self._again()
-                    batch = Batch(ctl.picture, ctl.limits)
+                    batch = Batch(base.picture, base.limits)
                 batch.add(item)
                 plan.due |= item.groups()
         if batch.items and not (yield from self._commit(batch)):
@@ -239,7 +243,7 @@
 
     def _granted(self, job: Job, choices: list[Choice], batch: Batch) -> list[Choice]:
         """The choices that this controller's share of the team's limit allows; note what more is wanted."""
-        spec, grants = job.spec, self.ctl.grants
+        spec, grants = job.spec, self.grants
         count = sum(n for _, n in choices)
         allowed = grants.allowed(spec.team, spec, *batch.used.get(spec.team, (0.0, 0.0)))
         if allowed >= count:
@@ -257,22 +261,22 @@
 
     def _reshare(self) -> Fiber[None]:
         """See to the shares of teams whose jobs could not be placed for want of one."""
-        ctl = self.ctl
+        base = self.base
         short, self._short = self._short, {}
         for team, (job, count) in short.items():
-            if not ctl.grants.ready(team):
+            if not self.grants.ready(team):
                 # After a doubt: fenced at the beginning of the next round.
                 self._again()
                 continue
             at_us, pause_us = self._reshared.get(team, (0, 0))
-            if ctl.kernel.now_us < at_us + pause_us:
+            if base.kernel.now_us < at_us + pause_us:
                 continue
-            build = partial(ctl.grants.reshare, team, job.spec, count, ctl.presence.live())
-            good = yield from ctl.follower.commit(build, 1, Urgency.PLACE, "share")
+            build = partial(self.grants.reshare, team, job.spec, count, self.presence.live())
+            good = yield from base.follower.commit(build, 1, Urgency.PLACE, "share")
             # While it does not help it is tried ever more seldom: the limit itself may bind.
             pause_us = RESHARE_US if good else min(max(2 * pause_us, RESHARE_US), MAX_RESHARE_US)
-            self._reshared[team] = (ctl.kernel.now_us, pause_us)
-            if good and (yield from ctl.follower.barrier()):
+            self._reshared[team] = (base.kernel.now_us, pause_us)
+            if good and (yield from base.follower.barrier()):
                 self._again()
 
     def _again(self) -> None:
@@ -292,41 +296,41 @@
             if plan.no_victims.get((alike, image), count + 1) <= count:
                 return {}
         self.counts["looks for work to stop"] += 1
-        allowed = may_stop(self.ctl.picture, self.ctl.teams, inside, job)
-        victims = choose_victims(plan, job, count, allowed, self.ctl.kernel.wall_us, within_s)
+        allowed = may_stop(self.base.picture, self.base.teams, inside, job)
+        victims = choose_victims(plan, job, count, allowed, self.base.kernel.wall_us, within_s)
         if not victims:
             plan.no_victims[(alike, None if within_s is None else spec.image)] = count
         return victims
 
     def _stop(self, job: Job, victims: Victims) -> Fiber[None]:
-        ctl = self.ctl
-        build = partial(stop_victims, ctl.picture, victims, ctl.limits)
-        if (yield from ctl.follower.commit(build, len(victims), Urgency.PLACE, "preempt")):
+        base = self.base
+        build = partial(stop_victims, base.picture, victims, base.limits)
+        if (yield from base.follower.commit(build, len(victims), Urgency.PLACE, "preempt")):
             number = sum(len(tasks) for held in victims.values() for tasks in held.values())
-            ctl.kernel.log("info", f"{job.id} stops {number} tasks on {', '.join(sorted(victims))}")
+            base.kernel.log("info", f"{job.id} stops {number} tasks on {', '.join(sorted(victims))}")
 
     def _commit(self, batch: Batch) -> Fiber[bool]:
-        ctl = self.ctl
-        for retry in range(ctl.knobs.retries):
+        base = self.base
+        for retry in range(base.knobs.retries):
             lines: list[str] = []
             build = partial(self._transaction, batch, lines)
             # What is urgent takes its turn with the folds: a controller with many workers never came to place.
             urgency = Urgency.FREE if batch.urgent else Urgency.PLACE
-            good = yield from ctl.follower.commit(build, batch.changes(), urgency, "place")
+            good = yield from base.follower.commit(build, batch.changes(), urgency, "place")
             if good is None:
                 return False
             txn, teams = self._sent
             if txn.doubt:
-                ctl.grants.doubt(teams)
+                self.grants.doubt(teams)
             self.window.append(not good)
             self._commits += 1
             if good:
                 for line in lines:
-                    ctl.kernel.log("info", line)
-                ctl.desk.folded(self._folds, ())
+                    base.kernel.log("info", line)
+                self.desk.folded(self._folds, ())
                 return len(lines) == len(batch.items)
-            yield Sleep(int(ctl.kernel.rng.uniform(0.0, 0.02) * min(2**retry, 16) * SECOND_US))
-            if not (yield from ctl.follower.barrier()):
+            yield Sleep(int(base.kernel.rng.uniform(0.0, 0.02) * min(2**retry, 16) * SECOND_US))
+            if not (yield from base.follower.barrier()):
                 return False
         return False
 
@@ -347,21 +351,21 @@
 
     def _draft(self, batch: Batch, lines: list[str], full: set[str]) -> Txn | str | None:
         """The transaction without some groups; the name of another one that would be too large."""
-        ctl = self.ctl
-        picture = ctl.picture
+        base = self.base
+        picture = base.picture
         txn = Txn()
         lines.clear()
-        fold = ctl.desk.light(batch.groups - full)
-        draft = Draft(picture, ctl.grants, fold, ctl.limits)
+        fold = self.desk.light(batch.groups - full)
+        draft = Draft(picture, self.grants, fold, base.limits)
         for item in batch.items:
             job = picture.jobs.get(item.job_id)
             if job is None or full & item.groups() or not draft.allows(job, item):
                 continue
             # The limits may have fallen since this was planned.
-            if len(lines) + 1 + len(draft.edits.keys() | item.groups()) > ctl.limits.ops:
+            if len(lines) + 1 + len(draft.edits.keys() | item.groups()) > base.limits.ops:
                 continue
             number = attempt_of(job)
-            draft.add(job, item, number, ctl.kernel.wall_us, ctl.settings.host_name)
+            draft.add(job, item, number, base.kernel.wall_us, base.settings.host_name)
             placed = job.portion + item.count
             portion = placed if job.spec.kind == "gang" and placed < job.spec.tasks else 0
             txn.guard(LIVE + job.id, job.version).put(LIVE + job.id, job.value(attempt=number, portion=portion))
@@ -372,7 +376,7 @@
         for name in draft.usage:
             txn.guard(TEAM + name, picture.version(TEAM + name))
         for key, edit in draft.edits.items():
-            if not edit.write(txn, ctl.limits, picture.is_live):
+            if not edit.write(txn, base.limits, picture.is_live):
                 return key
         self._sent = txn, list(draft.usage)
         self._folds = {name for name in fold.taken if picture.machines[name].group in draft.edits}
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -11,7 +11,7 @@
 from ashtray.config.operators import Knobs
 from ashtray.config.settings import Team
 from ashtray.jobs.model import PRIORITIES, Job, JobSpec
-from ashtray.kernel import SECOND_US
+from ashtray.kernel import SECOND_US, Kernel
 from ashtray.placement.order import StatedTimes
 from ashtray.placement.picture import EPS, Hold, Picture
 from ashtray.placement.rules import Ask, Room, rank
@@ -80,6 +80,28 @@
     return base + image + len(str(spec.tasks)) * min(count, FEW_RUNS)
 
 
+class Planner:
+    """Makes queues and plans on the picture as it is when asked."""
+
+    def __init__(
+        self, kernel: Kernel, picture: Picture, teams: dict[str, Team], knobs: Knobs, limits: Limits,
+        times: StatedTimes,
+    ) -> None:  # fmt: skip
+        self._kernel = kernel
+        self._picture = picture
+        self._teams = teams
+        self._knobs = knobs
+        self._limits = limits
+        self.times = times
+
+    def plan(self) -> Plan:
+        return Plan(self._picture, self._teams, self._knobs, self._kernel.rng, self._limits)
+
+    def queue(self) -> tuple[list[Job], set[str]]:
+        """The jobs that wait, in their order, and those within their team's guarantee."""
+        return queue(self._picture, self._teams, self.times, self._kernel.wall_us)
+
+
 class Plan:
     """Room and limits that are left while jobs are given places, in the queue's order."""
 
--- a/ashtray/workers/desk.py
+++ b/ashtray/workers/desk.py
@@ -4,19 +4,19 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
+from ashtray.base import Base
 from ashtray.jobs.model import Job
+from ashtray.jobs.pace import Pace
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Signal, Sleep, Wait
+from ashtray.peers.presence import Peers, Presence
 from ashtray.placement.picture import Group, Machine
 from ashtray.store.client import Txn, Urgency
 from ashtray.workers import messages
 from ashtray.workers.folding import Evidence, Fold, adoption, ends_later, hold_is_dead, saves_now
 from ashtray.workers.messages import Report, TaskKey, parse_report
 
-if TYPE_CHECKING:
-    from ashtray.controller import Controller
-
 TOKEN_SHIFT = 40
 FOLD_US = 150_000
 SCARCE_FOLD_US = 500_000
@@ -64,9 +64,12 @@
 
 
 class Desk:
-    def __init__(self, ctl: Controller) -> None:
-        self.ctl = ctl
-        self.kernel = ctl.kernel
+    def __init__(self, base: Base, presence: Presence, peers: Peers, pace: Pace) -> None:
+        self.base = base
+        self.kernel = base.kernel
+        self.presence = presence
+        self.peers = peers
+        self.pace = pace
         self.workers: dict[str, Worker] = {}
         self._counter = 0
         self._fold_kick = Signal()
@@ -93,17 +96,17 @@
         A cancellation that this controller has not read of was accepted after its last good read began.  If no
         lease is renewed later than cancel_s - lease_s after that, all tasks of its workers end in time.
         """
-        times = self.ctl.settings.cluster.workers
+        times = self.base.settings.cluster.workers
         margin = 1.0 + 0.002 * times.cancel_s
         limit_us = int(max(times.cancel_s - times.lease_s - margin, 0.5) * SECOND_US)
-        return self.kernel.now_us - self.ctl.follower.read_us <= limit_us
+        return self.kernel.now_us - self.base.follower.read_us <= limit_us
 
     def on_report(self, request_id: int, body: Any) -> None:
         report = parse_report(body)
         if report is None:
             self.kernel.answer(request_id, 400, {"error": "malformed report"})
             return
-        if not self.ctl.follower.loaded or not self.ctl.presence.incarnation:
+        if not self.base.follower.loaded or not self.presence.incarnation:
             self.kernel.answer(request_id, 503, {"error": "not ready"}, 1)
             return
         worker = self.workers.get(report.machine)
@@ -131,9 +134,9 @@
         orders = [
             messages.kill(key, 0)
             for key, seen in report.tasks.items()
-            if seen.state != "ended" and self.ctl.picture.is_over(key[0])
+            if seen.state != "ended" and self.base.picture.is_over(key[0])
         ]
-        machine = self.ctl.picture.machines.get(worker.name)
+        machine = self.base.picture.machines.get(worker.name)
         if machine is None:
             # Only what reports is added: found on a simulated day, machines just deleted were added again when
             # their removal was noticed, for their last reports were still known.
@@ -153,13 +156,13 @@
         """Another controller that this worker had better report to; a hint, never relied on."""
         now = self.kernel.now_us
         if now < worker.sticks_until_us:
-            return self.ctl.presence.better_connected()
-        machine = self.ctl.picture.machines.get(worker.name)
+            return self.peers.better_connected()
+        machine = self.base.picture.machines.get(worker.name)
         # Machines that are new report to one controller for each type, so that one adopts them together.
         key = machine.group if machine is not None else f"{report.type}.{report.zone}"
-        foreman = self.ctl.presence.foreman(key)
-        if foreman == self.ctl.settings.host_name:
-            return self.ctl.presence.better_connected()
+        foreman = self.presence.foreman(key)
+        if foreman == self.base.settings.host_name:
+            return self.peers.better_connected()
         if SECOND_US // 2 < now - worker.sent_away_us < 20 * SECOND_US:
             # It was sent there a moment ago and is back: it cannot reach that controller.
             worker.sticks_until_us = now + STICK_US
@@ -185,7 +188,7 @@
         # The low digits are this process's own and its counter only rises, so no token is given out twice,
         # not even when a report that was held back shows one from before.
         self._counter = max(self._counter, above >> TOKEN_SHIFT) + 1
-        return self._counter << TOKEN_SHIFT | self.ctl.presence.incarnation
+        return self._counter << TOKEN_SHIFT | self.presence.incarnation
 
     # Tending: fold what is learnt, tell what is to do
 
@@ -208,9 +211,9 @@
         report = worker.report
         if not worker.token or report is None:
             return False
-        if self.kernel.now_us - worker.heard_us > int(self.ctl.settings.cluster.workers.lease_s * SECOND_US):
+        if self.kernel.now_us - worker.heard_us > int(self.base.settings.cluster.workers.lease_s * SECOND_US):
             return False
-        machine = self.ctl.picture.machines.get(worker.name)
+        machine = self.base.picture.machines.get(worker.name)
         if machine is None:
             return False
         self._see(worker, machine, report)
@@ -230,7 +233,7 @@
             for _ in range(4):
                 worker.again = False
                 if self._needs(worker):
-                    yield from self._direct(worker, self._review(worker, self.ctl.picture.machines[worker.name]))
+                    yield from self._direct(worker, self._review(worker, self.base.picture.machines[worker.name]))
                 if not worker.again:
                     break
         finally:
@@ -240,7 +243,7 @@
         """Mark a machine whose record is to be folded."""
         if not worker.exact:
             return
-        picture = self.ctl.picture
+        picture = self.base.picture
         record = machine.record
         unsigned = record.token < worker.token
         notice = report.notice_us is not None and not record.retiring
@@ -285,8 +288,8 @@
         For a job that others wait for, all that is left of it here: nobody else hears of that, and a lazy fold would
         hold up the next stage.  Under the lower limits lazy folds are rare, and all that have a time are such jobs.
         """
-        picture = self.ctl.picture
-        alone = not (job.id in picture.needs.after or (self.ctl.limits.low and self.ctl.pace.timed(job)))
+        picture = self.base.picture
+        alone = not (job.id in picture.needs.after or (self.base.limits.low and self.pace.timed(job)))
         many = MANY_TASKS if alone else MANY_TIMED_TASKS
         if job.id in picture.waiting() or len(picture.placed(job.id)) > many:
             return False
@@ -308,11 +311,11 @@
         assert report is not None
         if worker.settled is not None and worker.settled[0] is machine and worker.settled[1].tasks == report.tasks:
             return []
-        picture = self.ctl.picture
+        picture = self.base.picture
         kills: list[dict[str, Any]] = []
         launches: list[dict[str, Any]] = []
         held: set[TaskKey] = set()
-        fresh = self.kernel.now_us - self.ctl.follower.read_us < FRESH_US
+        fresh = self.kernel.now_us - self.base.follower.read_us < FRESH_US
         for hold in machine.holds:
             dead = hold_is_dead(picture, hold.job, hold.attempt, hold.record.stop_us)
             over = hold.job not in picture.jobs
@@ -370,12 +373,12 @@
         if not self._strangers:
             yield self._stranger_kick
         yield Sleep(ADOPT_US)
-        if not (yield from self.ctl.follower.barrier()):
+        if not (yield from self.base.follower.barrier()):
             return
         taken: list[str] = []
 
         def build() -> Txn | None:
-            known = self.ctl.picture.machines
+            known = self.base.picture.machines
             self._strangers = {name: report for name, report in self._strangers.items() if name not in known}
             kinds: dict[tuple[str, str], dict[str, Report]] = {}
             for name, report in self._strangers.items():
@@ -383,10 +386,10 @@
             if not kinds:
                 return None
             largest = max(kinds.values(), key=len)
-            txn, taken[:] = adoption(self.ctl.picture, largest, self.ctl.knobs.group_size, self.ctl.limits)
+            txn, taken[:] = adoption(self.base.picture, largest, self.base.knobs.group_size, self.base.limits)
             return txn
 
-        if (yield from self.ctl.follower.commit(build, 2, Urgency.FREE, "adopt")):
+        if (yield from self.base.follower.commit(build, 2, Urgency.FREE, "adopt")):
             for name in taken:
                 report = self._strangers.pop(name)
                 self.kernel.log("info", f"{name} ({report.type}, {report.zone}) is up")
@@ -422,8 +425,8 @@
         return None if worker.notice_until_us is None else worker.notice_until_us - self.kernel.now_us
 
     def _fold(self) -> Txn | None:
-        picture = self.ctl.picture
-        fold = Fold(self.kernel, picture, self.ctl.limits)
+        picture = self.base.picture
+        fold = Fold(self.kernel, picture, self.base.limits)
         for job in self._completed(later=False):
             fold.end(job)
         # Those that were marked first come first, for not all may fit.
@@ -439,9 +442,9 @@
 
     def light(self, groups: Iterable[str] | None = None) -> Fold:
         """What reports have freed here and no commit has yet: a placement in the same groups takes it along."""
-        fold = Fold(self.kernel, self.ctl.picture, self.ctl.limits)
+        fold = Fold(self.kernel, self.base.picture, self.base.limits)
         for key in list(self._dirty) if groups is None else groups:
-            group = self.ctl.picture.groups.get(key)
+            group = self.base.picture.groups.get(key)
             if group is not None and key in self._dirty:
                 fold.add_light(group, self._dirty[key], self._evidence(group))
         return fold
@@ -451,7 +454,7 @@
         for key in list(self._dirty):
             self._unmark(key, names)
         for job, placed_us in paces:
-            self.ctl.pace.learn(job, placed_us, self.kernel.wall_us)
+            self.pace.learn(job, placed_us, self.kernel.wall_us)
 
     def due(self) -> set[str]:
         """Groups whose records are to be written anyway, for their machines have something to fold."""
@@ -469,8 +472,8 @@
         Under the lower limits a fold takes few groups and a job more changes, so it is a tenth: who needs room asks
         for it, and placements take along what is free where they go.
         """
-        changes = self.ctl.store.changes
-        scarce = (10, LOW_SCARCE_US) if self.ctl.limits.low else (4, SCARCE_US)
+        changes = self.base.store.changes
+        scarce = (10, LOW_SCARCE_US) if self.base.limits.low else (4, SCARCE_US)
         part, most_us = scarce if changes.scarce() else (2, LAZY_US)
         return min(int(part * self._fold_cost / max(changes.bucket.rate, 0.1) * SECOND_US), most_us)
 
@@ -481,12 +484,12 @@
             yield Wait(self._fold_kick, SECOND_US // 4)
             return
         # A job's end may wait for others while changes are scarce, but it is to show within 3 s.
-        yield Sleep(SCARCE_FOLD_US if self.ctl.store.changes.scarce() else FOLD_US)
+        yield Sleep(SCARCE_FOLD_US if self.base.store.changes.scarce() else FOLD_US)
         while not self._urgent and not mine and self.kernel.now_us < self._fold_us + self._pace_us():
             yield Wait(self._fold_kick, self._fold_us + self._pace_us() - self.kernel.now_us)
         self._due = self.kernel.now_us >= self._fold_us + self._pace_us()
-        changes = min(len(self._dirty if self._due else self._urgent) + 1, self.ctl.limits.ops)
-        good = yield from self.ctl.follower.commit(self._fold, changes, Urgency.FREE, "fold")
+        changes = min(len(self._dirty if self._due else self._urgent) + 1, self.base.limits.ops)
+        good = yield from self.base.follower.commit(self._fold, changes, Urgency.FREE, "fold")
         folded = self._folded
         if good and folded is not None:
             self._failures = 0
@@ -499,13 +502,13 @@
         elif good is False:
             self._failures = min(self._failures + 1, 5)
             yield Sleep(int(self.kernel.rng.uniform(0.0, 0.03) * 2**self._failures * SECOND_US))
-            yield from self.ctl.follower.barrier()
+            yield from self.base.follower.barrier()
 
     def _completed(self, later: bool) -> list[Job]:
         """This controller's jobs all of whose tasks are done: those whose records may wait, or those that may not."""
-        picture = self.ctl.picture
+        picture = self.base.picture
         jobs = (picture.jobs[job_id] for job_id in sorted(picture.completed()))
-        return [job for job in jobs if ends_later(job, self.ctl.limits) == later and self.ctl.placer.mine(job)]
+        return [job for job in jobs if ends_later(job, self.base.limits) == later and self.presence.mine(job)]
 
     def tidy(self) -> Fiber[None]:
         """Move the records of jobs that count as done already, when there is little else to do, or at last."""
@@ -514,7 +517,7 @@
         if not jobs:
             return
         jobs.sort(key=lambda job: self._done_us[job.id])
-        changes = self.ctl.store.changes
+        changes = self.base.store.changes
         scarce = changes.scarce()
         # What is kept in groups takes room there, but moving it costs two changes a job.
         late = now - self._done_us[jobs[0].id] > (SCARCE_TIDY_US if scarce else TIDY_US)
@@ -523,25 +526,23 @@
         lines: list[str] = []
 
         def build() -> Txn | None:
-            fold = Fold(self.kernel, self.ctl.picture, self.ctl.limits)
+            fold = Fold(self.kernel, self.base.picture, self.base.limits)
             for job in jobs:
-                if job.id in self.ctl.picture.completed():
-                    fold.end(self.ctl.picture.jobs[job.id])
+                if job.id in self.base.picture.completed():
+                    fold.end(self.base.picture.jobs[job.id])
             txn = fold.transaction()
             lines[:] = fold.lines
             return txn
 
-        number = min(2 * len(jobs), self.ctl.limits.ops)
+        number = min(2 * len(jobs), self.base.limits.ops)
         urgency = Urgency.FREE if late else Urgency.BOOKKEEPING
-        if (yield from self.ctl.follower.commit(build, number, urgency, "tidy")):
+        if (yield from self.base.follower.commit(build, number, urgency, "tidy")):
             for line in lines:
                 self.kernel.log("debug", line)
 
-    def heard(self) -> dict[str, int]:
-        """The age of the last report of each worker that reports here."""
-        now = self.kernel.now_us
-        limit = 60 * SECOND_US
-        return {w.name: now - w.heard_us for w in self.workers.values() if w.heard_us and now - w.heard_us < limit}
+    def heard_us(self) -> dict[str, int]:
+        """When each worker that reports here was last heard."""
+        return {worker.name: worker.heard_us for worker in self.workers.values() if worker.heard_us}
 
     def sweep(self) -> Fiber[None]:
         """Forget workers that have long been silent."""
--- a/ashtray/workers/splitting.py
+++ b/ashtray/workers/splitting.py
@@ -8,18 +8,17 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
+from ashtray.base import Base
 from ashtray.kernel import SECOND_US, Fiber, Sleep
+from ashtray.peers.presence import Presence
 from ashtray.placement import lean
 from ashtray.placement.picture import GROUP, SPLIT, Group, Picture
 from ashtray.runs import encode_runs
 from ashtray.store.client import Limits, Txn, Urgency
 from ashtray.workers.folding import FULL_SHARE, group_size
 
-if TYPE_CHECKING:
-    from ashtray.controller import Controller
-
 LOOK_US = SECOND_US // 4
 SPLIT_SHARE = 0.8
 """A group that takes more of a value is split: nothing more is placed there, and there is to be room to fold."""
@@ -88,49 +87,50 @@
 class Splitter:
     """Splits the groups that this controller looks after."""
 
-    def __init__(self, ctl: Controller) -> None:
-        self.ctl = ctl
-        self.kernel = ctl.kernel
+    def __init__(self, base: Base, presence: Presence) -> None:
+        self.base = base
+        self.kernel = base.kernel
+        self.presence = presence
 
     def run(self) -> Fiber[None]:
-        ctl = self.ctl
-        if not ctl.limits.low or not ctl.follower.loaded or not ctl.presence.incarnation:
+        base = self.base
+        if not base.limits.low or not base.follower.loaded or not self.presence.incarnation:
             yield Sleep(LOOK_US)
             return
         for group in self.due():
-            number = min(len(pieces(ctl.picture, group, ctl.limits)), ctl.limits.ops)
+            number = min(len(pieces(base.picture, group, base.limits)), base.limits.ops)
 
             def build(key: str = group.key) -> Txn | None:
                 return self.split(key)
 
             # Nothing else can be done with its machines meanwhile.
-            if (yield from ctl.follower.commit(build, number, Urgency.CANCEL, "split")):
+            if (yield from base.follower.commit(build, number, Urgency.CANCEL, "split")):
                 self.kernel.log("info", f"{group.key} ({group.size} bytes) is split")
-            elif not (yield from ctl.follower.barrier()):
+            elif not (yield from base.follower.barrier()):
                 break
         yield Sleep(LOOK_US)
 
     def due(self) -> list[Group]:
         """The groups to be split, those begun first, then the largest."""
-        ctl = self.ctl
-        most = ctl.limits.value_bytes * SPLIT_SHARE
+        base = self.base
+        most = base.limits.value_bytes * SPLIT_SHARE
         groups = [
-            group for group in ctl.picture.groups.values()
+            group for group in base.picture.groups.values()
             if (group.moving or (group.size > most and (len(group.machines) > 1 or not group.lean)))
-            and ctl.presence.foreman(group.key) == ctl.settings.host_name
+            and self.presence.foreman(group.key) == base.settings.host_name
         ]  # fmt: skip
         return sorted(groups, key=lambda group: (not group.moving, -group.size))
 
     def _key(self, base: str, taken: set[str]) -> str:
         """The key of a new group, such that its workers stay with this controller: another one would have to sign
         each of them."""
-        presence, picture = self.ctl.presence, self.ctl.picture
+        presence, picture = self.presence, self.base.picture
         key = base
         for n in range(200):
             key = f"{base}+{n}"
             if key in taken or picture.version(key):
                 continue
-            if presence.foreman(key) == self.ctl.settings.host_name:
+            if presence.foreman(key) == self.base.settings.host_name:
                 break
         return key
 
@@ -140,9 +140,9 @@
         In the latter case another record says up to which machine that is; the old one stays as it is until it can be
         removed.  Machines that were moved count in their new groups only.  See `docs/design.md`, safety, point 16.
         """
-        picture, limits = self.ctl.picture, self.ctl.limits
+        picture, limits = self.base.picture, self.base.limits
         group = picture.groups.get(key)
-        if group is None or not self.ctl.limits.low:
+        if group is None or not self.base.limits.low:
             return None
         cut = pieces(picture, group, limits)
         ops = limits.ops
--- a/tests/bite.py
+++ b/tests/bite.py
@@ -38,7 +38,7 @@
         '                elif seen.state == "ended":\n                    kills.append(messages.clear(key))\n'
         '                elif over and seen.state == "saving":'),
     "one-token-for-all": (
-        DESK, "return self._counter << TOKEN_SHIFT | self.ctl.presence.incarnation", "return max(above, 1)"),
+        DESK, "return self._counter << TOKEN_SHIFT | self.presence.incarnation", "return max(above, 1)"),
     "orders-without-record": (
         DESK, "return worker.exact and machine.record.token == worker.token", "return worker.exact"),
     "no-doubt": (
@@ -46,7 +46,7 @@
     "orders-in-flight-ignored": (
         DESK, "busy = worker.in_flight or worker.answered is not None", "busy = False"),
     "renew-for-ever": (
-        DESK, "return self.kernel.now_us - self.ctl.follower.read_us <= limit_us", "return True"),
+        DESK, "return self.kernel.now_us - self.base.follower.read_us <= limit_us", "return True"),
     "job-not-guarded": (
         PLACER, "txn.guard(LIVE + job.id, job.version).put(", "txn.put("),
     "groups-not-guarded": (
@@ -66,7 +66,7 @@
     "gang-portions-of-two-attempts": (
         PLACER, "return job.record.attempt if job.portion else", "return"),
     "answers-without-barrier": (
-        SERVICE, "if not (yield from self.ctl.follower.barrier()):", "if False:"),
+        SERVICE, "if not (yield from self.base.follower.barrier()):", "if False:"),
     "accept-without-look": (
         SERVICE, ".guard(OVER + job_id, 0).put(", ".put("),
     "stopped-holds-hide": (
--- a/tests/model.py
+++ b/tests/model.py
@@ -170,9 +170,11 @@
         core = host.core
         core.kernel.strict = True
         # Steering and who places a job are hints: no rule may rest on them.
-        foreman, mine = core.desk._foreman, core.placer.mine
+        foreman = core.desk._foreman
+        who = core.placer if host.old else core.presence
+        mine = who.mine
         core.desk._foreman = lambda *args: None if self.now < self.roaming_until else foreman(*args)
-        core.placer.mine = lambda job: self.now < self.all_place_until or mine(job)
+        who.mine = lambda job: self.now < self.all_place_until or mine(job)
         self.carry_out(host, host.core.start(*self.clock(host)))
 
     def _knobs_set(self) -> dict[str, Any]:
--- a/tests/test_bad_nights.py
+++ b/tests/test_bad_nights.py
@@ -112,7 +112,7 @@
     core = model.hosts[0].core
     model.hosts[0].refused_until = model.now + 30 * SECOND
     model.run(1)
-    first = core.presence.connected()[0]
+    first = core.peers.connected()[0]
     model.cut("c0", "c" + first.removeprefix("berth-"), 30, False)
     request, answers = next(model._requests), []
     model.waiting[request] = lambda status, body: answers.append((model.now, status))
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,86 @@
+"""After all controllers have ended together: what it costs until what is urgent has its place.
+
+Counted in requests and changes, without a clock: see `docs/distance.md`, "After a fall".
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import pytest
+
+from ashtray.config.operators import Knobs
+from tests.model import SECOND, Model, UserJob, submission
+
+HOSTS = 5
+CHANGES, GROUP_CHANGES = 5 * HOSTS, 2
+"""The bound of a start of all controllers, up to the first urgent place, and what each group adds to it."""
+REQUESTS = 60 * HOSTS
+GROUP = 4
+
+
+@dataclass
+class Cost:
+    changes: int
+    requests: int
+    groups: int
+    seconds: float
+
+
+def fall(machines: int, idle: int, seed: int = 1) -> Cost:
+    """A fleet full of idle work; all controllers end; an urgent gang is submitted meanwhile."""
+    model = Model(seed, hosts=HOSTS, knobs=Knobs(group_size=GROUP))
+    model.cloud.capacity = machines
+    model._run_us = lambda key: 600 * SECOND  # type: ignore[method-assign]
+    model.run(3)
+    for n in range(idle):
+        model.submit(submission(f"job-{n}", crew="free", urgency="idle", pieces=4 * machines // idle, expect_s=600.0))
+    model.run(90)
+    placed = sum(len(machines) for machines in model.on.values())
+    assert placed >= machines and len(model.workers) == machines
+    for number in range(HOSTS):
+        model.crash(number, 2 + 0.2 * number)
+    urgent = submission("job-900", crew="crew", urgency="urgent", shape="gang", pieces=2, expect_s=5.0)
+    model.submit(urgent)
+    began, requests, at = len(model.state.log), model.state_requests, model.now
+    while not any(job == "job-900" for job, _ in model.on):
+        model.run(0.1)
+        assert model.now - at < 60 * SECOND
+    groups = sum("/group/" in key for key in model.state.keys)
+    return Cost(len(model.state.log) - began, model.state_requests - requests, groups, (model.now - at) / SECOND)
+
+
+@pytest.mark.parametrize(("machines", "idle"), [(8, 2), (16, 4), (16, 16), (48, 12)])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_fall_costs_no_more_than_its_bound(machines: int, idle: int, seed: int) -> None:
+    # The bound knows nothing of idle work, and grows with the groups, that is, linearly with machines.
+    cost = fall(machines, idle, seed)
+    assert cost.changes <= CHANGES + GROUP_CHANGES * cost.groups
+    assert cost.requests <= REQUESTS
+
+
+def test_a_crowd_shares_transactions_and_one_that_is_known_holds_up_nobody() -> None:
+    model = Model(4)
+    model.run(3)
+    model.submit(submission("job-7", crew="free"))
+    model.run(2)
+    host = model.hosts[0]
+    core = host.core
+    # This controller does not know yet what another one has accepted.
+    core.picture.remove("ashtray/now/job/job-7", model.state.revision)
+    answers: dict[str, int] = {}
+    sent = core.store.counts["accept good"] + core.store.counts["accept conflicted"]
+    for n in [*range(40), 3]:
+        request = 10_000 + len(answers) + 1000 * n
+        body = submission(f"job-{n}", crew="free")
+        model.jobs.setdefault(f"job-{n}", UserJob(body))
+        name = f"job-{n} again" if f"job-{n}" in answers else f"job-{n}"
+        answers[name] = 0
+        model.waiting[request] = lambda status, _, name=name: answers.__setitem__(name, status)
+        model.carry_out(host, core.request(*model.clock(host), request, "POST", "/submissions", body))
+    model.run(5)
+    sent = core.store.counts["accept good"] + core.store.counts["accept conflicted"] - sent
+    assert [name for name, status in answers.items() if status == 200] == ["job-7", "job-3 again"]
+    assert all(status in (200, 201) for status in answers.values())
+    # Four go at once, with one job each; the rest by as many as a transaction takes, and once more after a conflict.
+    assert sent <= 4 + 4 + 2
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -112,7 +112,7 @@
     model = settled()
     name = next(n for machines in model.on.values() for n in machines)
     desk = next(h.core.desk for h in model.hosts if h.core.desk.workers.get(name) and h.core.desk.workers[name].exact)
-    machine = desk.ctl.picture.machines[name]
+    machine = desk.base.picture.machines[name]
     assert desk._owns(desk.workers[name], machine)
     machine.record.token += 1
     assert not desk._owns(desk.workers[name], machine)
