--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -50,7 +50,7 @@
             settings, knobs, self.teams, self.kernel, self.limits, self.picture, self.store, self.follower
         )  # fmt: skip
         pace = Pace(settings.cluster.objectives, knobs.patience_s)
-        times = StatedTimes(settings.cluster.objectives)
+        times = StatedTimes(settings.cluster.objectives, pace)
         planner = Planner(self.kernel, self.picture, self.teams, knobs, self.limits, times)
         self.presence = Presence(base, self.grants)
         self.peers = Peers(base, self.presence, lambda: self.desk.heard_us())
--- a/ashtray/placement/explain.py
+++ b/ashtray/placement/explain.py
@@ -46,7 +46,7 @@
         if standing is not None and standing.aged:
             answer["waiting"].insert(1, "it has waited so long that it goes before the other jobs of its team")
         elif standing is not None and standing.missed:
-            missed = f"it can no longer make {standing.missed} of {standing.stated} times stated for its start"
+            missed = f"it can no longer make {standing.missed} of {standing.stated} times stated for its class"
             answer["waiting"].insert(1, f"{missed}: jobs that can still make theirs go first")
     return answer
 
--- a/ashtray/placement/order.py
+++ b/ashtray/placement/order.py
@@ -2,7 +2,7 @@
 
 While there is room for everybody the queue is served by age.  Once more comes than there is room for, that lets
 *every* job wait beyond the time by which the settings want its class started: each is served just after it has become
-too late.  So the jobs of a team and priority are put into bands by how many of their class's stated times to start
+too late.  So the jobs of a team and priority are put into bands by how many of the times stated for their class
 they have missed for sure, the fewest first, and are served by age within a band.  This is the drop rule of Moore and
 Hodgson ("An n job, one machine sequencing algorithm for minimizing the number of late jobs", 1968) without its choice
 of whom to drop: places are alike here, so a large gang in time is worth as much as the small ones that it displaces.
@@ -19,6 +19,7 @@
 
 from ashtray.config.settings import Objective
 from ashtray.jobs.model import Job
+from ashtray.jobs.pace import Pace
 from ashtray.kernel import SECOND_US
 from ashtray.placement.picture import MachineType, Picture
 
@@ -31,7 +32,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Standing:
-    """How a job stands with the times by which the settings want its class started."""
+    """How a job stands with the times that the settings state for its class."""
 
     missed: int
     """How many of them it can no longer make."""
@@ -46,28 +47,35 @@
 
 
 class StatedTimes:
-    """The times by which aims want a class started.
+    """The times by which aims want a class started and, for gangs, done: theirs follow from their start.
 
-    Those by which it should be done are no bands: an array is placed as room comes, and one put back because its
-    first such time is lost loses the next one, too (tried on simulated days, see `docs/distance.md`).
+    An array is placed as room comes and done with its last task.  One put back because its first time to be done is
+    lost loses the next one, too (tried on simulated days, see `docs/distance.md`).
     """
 
-    def __init__(self, objectives: Iterable[Objective]) -> None:
+    def __init__(self, objectives: Iterable[Objective], pace: Pace) -> None:
+        self._pace = pace
         self._waits: dict[str, set[int]] = {}
+        self._done: dict[str, set[int]] = {}
         self._guaranteed = False
         for aim in objectives:
             self._guaranteed = self._guaranteed or aim.kind == "guarantee"
-            if aim.kind == "wait" and aim.job_class and aim.within_s:
-                self._waits.setdefault(aim.job_class, set()).add(int(aim.within_s * SECOND_US))
+            found = {"wait": self._waits, "finished": self._done}.get(aim.kind)
+            if found is not None and aim.job_class and aim.within_s:
+                found.setdefault(aim.job_class, set()).add(int(aim.within_s * SECOND_US))
 
     def standing(self, job: Job, picture: Picture, wall_us: int) -> Standing:
         """How a job stands if it gets its place now; a class without stated times has missed none."""
-        waits = self._waits.get(job.spec.job_class)
-        if not waits:
+        name = job.spec.job_class
+        waits = self._waits.get(name, ())
+        done = self._done.get(name, ()) if job.spec.kind == "gang" else ()
+        if not waits and not done:
             return Standing(0, 0, False)
         age_us = wall_us - job.ready_us
         starts_us = age_us + LAUNCH_US + fetch_us(job, picture.types.values())
-        return Standing(sum(starts_us > within for within in waits), len(waits), age_us > AGED * max(waits))
+        ends_us = starts_us + self._pace.run_us(job) if done else 0
+        missed = sum(starts_us > within for within in waits) + sum(ends_us > within for within in done)
+        return Standing(missed, len(waits) + len(done), age_us > AGED * max([*waits, *done]))
 
     def arrange(self, jobs: list[Job], inside: set[str], picture: Picture, wall_us: int) -> list[Job]:
         """A queue served by age, with the jobs of each team and priority in their bands.
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -162,3 +162,15 @@
     late = Host("h2", state)
     late.sync()
     assert late.grants.allowed("crew", SPEC) == 0
+
+
+def test_a_fence_counts_once_the_picture_is_read_up_to_it() -> None:
+    # A change of the shares by this controller is in its picture at once; what others placed before it need not be.
+    state = State()
+    host = Host("h0", state)
+    host.sync()
+    host.send(host.grants.fence(["crew"]))
+    host.grants.seen(host.revision)
+    assert not host.grants.ready("crew")
+    host.sync()
+    assert host.grants.ready("crew")
--- a/tools/bounds.py
+++ b/tools/bounds.py
@@ -4,6 +4,8 @@
     python tools/bounds.py price --demand 35 --cheap-units 20 --cheap 0.83 --dear 2.46
     python tools/bounds.py useful --boot 50 --fetch 17 --busy 300
     python tools/bounds.py changes --rate 25 --jobs 1.93 --groups 20 --run 50
+    python tools/bounds.py overload --places 1080 --rate 7.4 --hold 126 --seconds 420 --factor 3 --burst 100 \
+        --start 700 --within 20
     python tools/bounds.py wait --images 4 --machines 11 --jobs 99 --fetch 12.5 --within 8
 """
 
@@ -64,6 +66,35 @@
     return max(0.0, 1.0 - missed / jobs)
 
 
+def overload(
+    places: float, rate: float, hold: float, seconds: float, factor: float, burst: float, start: float, within: float
+) -> float:  # fmt: skip
+    """The greatest share of tasks that any order can give a place within so many seconds.
+
+    `rate` tasks come a second, `factor` times as many during `burst` of all `seconds` (from a third of them on), and
+    `start` at the beginning; each holds one of the `places` for `hold` seconds.  Tasks are taken as a fluid, places
+    come free evenly, and who can no longer be in time is left out: no gang has to find all of its places at once.
+    """
+    served = came = 0.0
+    queue: list[list[float]] = []
+    ends: dict[int, float] = {}
+    free = places
+    for second in range(int(seconds)):
+        free += ends.pop(second, 0.0)
+        times = factor if seconds / 3 <= second < seconds / 3 + burst else 1.0
+        new = rate * times + (start if second == 0 else 0.0)
+        came += new
+        queue.append([second, new])
+        queue = [entry for entry in queue if second - entry[0] <= within and entry[1] > 0]
+        for entry in queue:
+            got = min(free, entry[1])
+            entry[1] -= got
+            free -= got
+            served += got
+            ends[int(second + hold)] = ends.get(int(second + hold), 0.0) + got
+    return served / came
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description="Bounds on the best that could be done.")
     bounds = parser.add_subparsers(dest="bound", required=True)
@@ -72,6 +103,8 @@
         ("price", price, {"demand": float, "cheap_units": float, "cheap": float, "dear": float}),
         ("useful", useful, {"boot": float, "fetch": float, "busy": float}),
         ("changes", changes, {"rate": float, "jobs": float, "groups": int, "run": float}),
+        ("overload", overload, dict.fromkeys(
+            ("places", "rate", "hold", "seconds", "factor", "burst", "start", "within"), float)),
         ("wait", wait, {"images": int, "machines": int, "jobs": int, "fetch": float, "within": float}),
     ):
         sub = bounds.add_parser(name, description=call.__doc__)
