--- a/ashtray/peers/presence.py
+++ b/ashtray/peers/presence.py
@@ -213,7 +213,7 @@
         used_urgent, self._used_urgent = base.store.used_urgent - self._used_urgent, base.store.used_urgent
         # One that had to wait might have made many more: its need is taken to be the double, second by second.
         want = used + sum(amount for _, _, amount, _ in changes.waiting)
-        urgent = used_urgent + sum(amount for level, _, amount, _ in changes.waiting if level <= Urgency.FREE)
+        urgent = used_urgent + sum(amount for level, _, amount, _ in changes.waiting if level <= Urgency.ACCEPT)
         if changes.throttled:
             changes.throttled = False
             want, urgent = want + used, urgent + used_urgent
--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -233,7 +233,8 @@
             self.changes.bucket.level -= txn.changes() - changes
             self.requests.bucket.level -= 1
             self.used += txn.changes()
-            self.used_urgent += txn.changes() if urgency <= Urgency.FREE else 0
+            # Folds are a matter of how many workers report here, whatever they run.
+            self.used_urgent += txn.changes() if urgency <= Urgency.FREE and purpose != "fold" else 0
             reply = yield Call(self.address, "POST", "/txn", txn.body(), CALL_US)
             outcome = OUTCOMES.get(reply.status, "refused")
             self.counts[f"{purpose} {outcome}"] += 1
