--- a/ashtray/peers/presence.py
+++ b/ashtray/peers/presence.py
@@ -136,27 +136,10 @@
     host: str
     state_age_us: Annotated[int, msgspec.Meta(ge=0, le=MOST_US)] = MOST_US
     need: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 0.0
-    urgent: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 0.0
-    """Of the need, what is for urgent work.  The version before does not tell."""
     heard: dict[str, Annotated[int, msgspec.Meta(ge=0, le=MOST_US)]] = {}
     """The age of the last report of each worker that it hears."""
 
 
-def part_of(mine: tuple[float, float], others: list[tuple[float, float]], changes: float) -> float:
-    """The part of so many changes a second that one controller may make, by what it and the others need.
-
-    Each need comes with the part of it that is for urgent work.  That is met first, on all controllers; what is left
-    goes to the rest.  Found on a simulated day: after all controllers had ended, those whose jobs were idle-time work
-    spent on it what others wanted for urgent jobs.
-    """
-    floor = FLOOR * changes
-    needs = [(max(need, floor), min(urgent, max(need, floor))) for need, urgent in (mine, *others)]
-    left = max(changes - sum(urgent for _, urgent in needs), 0.0)
-    others_need = sum(need - urgent for need, urgent in needs) or 1.0
-    weights = [max(urgent + left * (need - urgent) / others_need, floor) for need, urgent in needs]
-    return weights[0] / sum(weights)
-
-
 @dataclass
 class PeerState:
     host: str
@@ -165,8 +148,6 @@
     state_age_us: int = 10**15
     need: float = 0.0
     """Changes a second that it would like to make."""
-    urgent: float = 0.0
-    """Of these, those for what is urgent."""
     heard: dict[str, int] = field(default_factory=dict)
     """When it last heard each worker, in this controller's time."""
 
@@ -182,8 +163,8 @@
         self.peers = {p.host_name: PeerState(p.host_name, p.peer_addr) for p in base.settings.others}
         # Word costs both sides a request: the more peers there are, the seldomer each hears it.
         self.word_us = max(len(self.peers) * SECOND_US // 3, SECOND_US)
-        self._used = self._used_urgent = 0
-        self._need = self._urgent = 0.0
+        self._used = 0
+        self._need = 0.0
 
     def run(self, peer: PeerState) -> Fiber[None]:
         while True:
@@ -200,7 +181,6 @@
             "host": base.settings.host_name,
             "state_age_us": min(base.kernel.now_us - base.follower.read_us, MOST_US),
             "need": self._need,
-            "urgent": self._urgent,
             "heard": {name: age_us for name, age_us in ages.items() if age_us < REPORT_US},
         }
 
@@ -208,26 +188,23 @@
         """Share the state service's budgets with the other live controllers, the changes by need."""
         base = self.base
         base.follower.controllers = len(self.presence.live()) if base.follower.loaded else base.settings.cluster.nodes
-        changes = base.store.changes
         used, self._used = base.store.used - self._used, base.store.used
-        used_urgent, self._used_urgent = base.store.used_urgent - self._used_urgent, base.store.used_urgent
         # One that had to wait might have made many more: its need is taken to be the double, second by second.
-        want = used + sum(amount for _, _, amount, _ in changes.waiting)
-        urgent = used_urgent + sum(amount for level, _, amount, _ in changes.waiting if level <= Urgency.ACCEPT)
-        if changes.throttled:
-            changes.throttled = False
-            want, urgent = want + used, urgent + used_urgent
+        want = used + sum(amount for _, _, amount, _ in base.store.changes.waiting)
+        if base.store.changes.throttled:
+            base.store.changes.throttled = False
+            want += used
         self._need = 0.5 * self._need + 0.5 * want
-        self._urgent = 0.5 * self._urgent + 0.5 * urgent
         if not base.follower.loaded:
             # Until the picture is read, assume that everybody is there.
             each = 1 / max(base.settings.cluster.nodes, 1)
             base.store.share(each, each)
             return
         live = self.presence.live()
-        write_rps = base.settings.cluster.state.write_rps
-        needs = [(peer.need, peer.urgent) for host in live if (peer := self.peers.get(host)) is not None]
-        base.store.share(1 / len(live), part_of((self._need, self._urgent), needs, write_rps))
+        floor = FLOOR * base.settings.cluster.state.write_rps
+        needs = [max(self.peers[host].need, floor) for host in live if host in self.peers]
+        mine = max(self._need, floor)
+        base.store.share(1 / len(live), mine / (mine + sum(needs)))
         return
         yield
 
@@ -246,12 +223,12 @@
         except msgspec.ValidationError as error:
             kernel.answer(request_id, 400, {"error": str(error)[:200]})
             return
-        if not math.isfinite(word.need + word.urgent):
-            kernel.answer(request_id, 400, {"error": "a need is not a finite number"})
+        if not math.isfinite(word.need):
+            kernel.answer(request_id, 400, {"error": "need is not a finite number"})
             return
         peer.word_us = kernel.now_us
         peer.state_age_us = word.state_age_us
-        peer.need, peer.urgent = word.need, word.urgent
+        peer.need = word.need
         peer.heard = {name: kernel.now_us - age_us for name, age_us in word.heard.items()}
         kernel.answer(request_id, 200, {})
 
--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -140,8 +140,8 @@
         self._pinched_us: list[int] = []
         self._low_until_us = 0
         self._low_us = LOW_US
-        self.used = self.used_urgent = 0
-        """Changes sent since the start, and those of them for what is urgent: peers share the budget by need."""
+        self.used = 0
+        """Changes sent since the start: peers share the budget by need."""
         self.counts: Counter[str] = Counter()
         """What the budgets went to since the last report, by purpose and outcome."""
 
@@ -233,8 +233,6 @@
             self.changes.bucket.level -= txn.changes() - changes
             self.requests.bucket.level -= 1
             self.used += txn.changes()
-            # Folds are a matter of how many workers report here, whatever they run.
-            self.used_urgent += txn.changes() if urgency <= Urgency.FREE and purpose != "fold" else 0
             reply = yield Call(self.address, "POST", "/txn", txn.body(), CALL_US)
             outcome = OUTCOMES.get(reply.status, "refused")
             self.counts[f"{purpose} {outcome}"] += 1
