Learnt run times in place of the ratio, kept in the state service; a player of traces

Need: owners' estimates are wrong by half; a ratio for each class and controller was all that was learnt, of places held instead of runs, and was lost with each process. Change: ashtray/estimates: a shrunk regression of run times on owners' estimates with a histogram, a change detector, censored runs, factors of machines; runs seen in reports; four bounded records under version guards, each fold once. jobs/pace.py asks it. explain says how long a task runs. ashtray/lab plays traces with known truth.

--- a/ashtray/cli.py
+++ b/ashtray/cli.py
@@ -72,6 +72,7 @@
     for name, setting in SETTINGS.items():
         value = getattr(knobs, setting.field)
         text = " ".join(map(str, value)) if isinstance(value, tuple) else value
+        text = {True: "yes", False: "no"}[value] if isinstance(value, bool) else text
         print(f"  ({name} {text})  ; {setting.meaning}; {setting.range}")
     return EXIT_OK
 
@@ -108,6 +109,10 @@
         return f"{answer['name_id']}: {answer['status']}{counts}{needs}"
     lines = [f"{answer['name_id']}: {answer['tasks']} tasks, {answer['done']} done, {answer['placed']} placed; "
              f"{answer['placed_by']} places it"]  # fmt: skip
+    if "takes" in answer:
+        takes = answer["takes"]
+        lines.append(f"  a task runs {takes['median_s']:.0f} s, 80% between {takes['p10_s']:.0f} and "
+                     f"{takes['p90_s']:.0f} s, from {takes['seen']:g} seen")  # fmt: skip
     lines += [f"  waits: {reason}" for reason in answer["waiting"]]
     for place in answer["places"]:
         rules = ", ".join(f"{name} {score:g}" for name, score in place.get("rules", {}).items())
--- a/ashtray/config/operators.py
+++ b/ashtray/config/operators.py
@@ -36,6 +36,7 @@
     boot_patience: float = 2.5
     idle_boots: float = 0.5
     patience_s: float = 6.0
+    keep_estimates: bool = True
 
 
 @dataclass(frozen=True)
@@ -65,6 +66,12 @@
     return names
 
 
+def _yes_or_no(values: list[Any]) -> bool:
+    if len(values) != 1 or str(values[0]) not in ("yes", "no") or not isinstance(values[0], sexpdata.Symbol):
+        raise ValueError
+    return str(values[0]) == "yes"
+
+
 def _weights(values: list[Any]) -> tuple[float, float, float]:
     read = _number(float, 0.0, 100.0)
     if len(values) != 3:
@@ -89,6 +96,9 @@
     "weights": Setting("weights", "packing weights of CPUs, GPUs, memory", _weights, "three numbers from 0 to 100"),
     "boot-patience": _setting("boot_patience", "boot times after which a machine is given up", float, 1.0, 20.0),
     "idle-boots": _setting("idle_boots", "boot times for which an idle machine is kept", float, 0.0, 100.0),
+    "keep-estimates": Setting(
+        "keep_estimates", "whether learnt run times are kept in the state service", _yes_or_no, "yes or no"
+    ),
     "patience": _setting("patience_s", "seconds of waiting worth the cheapest price once more", float, 0.0, 3600.0),
 }
 
--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -10,6 +10,7 @@
 from ashtray.base import Base
 from ashtray.config.operators import Knobs
 from ashtray.config.settings import Settings
+from ashtray.estimates.keeping import Keeper
 from ashtray.fleet.runner import ROUND_US, Runner
 from ashtray.jobs.model import JOB_ID, NOW, ROOT
 from ashtray.jobs.pace import Pace
@@ -49,16 +50,17 @@
         base = Base(
             settings, knobs, self.teams, self.kernel, self.limits, self.picture, self.store, self.follower
         )  # fmt: skip
-        pace = Pace(settings.cluster.objectives, knobs.patience_s)
+        pace = Pace(settings.cluster.objectives, knobs.patience_s, lambda job_id: self.picture.jobs.get(job_id))
         times = StatedTimes(settings.cluster.objectives, pace)
         planner = Planner(self.kernel, self.picture, self.teams, knobs, self.limits, times)
         self.presence = Presence(base, self.grants)
         self.peers = Peers(base, self.presence, lambda: self.desk.heard_us())
         self.desk = Desk(base, self.presence, self.peers, pace)
         self.placer = Placer(base, self.presence, self.grants, pace, planner, self.desk)
-        self.jobs = JobDesk(base, self.presence, self.peers, planner, self.placer.changed)
+        self.jobs = JobDesk(base, self.presence, self.peers, planner, pace.estimates, self.placer.changed)
         self.runner = Runner(base, self.presence, self.peers, pace, planner)
         self.splitter = Splitter(base, self.presence)
+        self.keeper = Keeper(base, self.presence, pace.estimates)
 
     def _changed(self) -> None:
         self.limits.refused = self.store.refused
@@ -66,6 +68,7 @@
             self.kernel.log("info", "all controllers are of this version: the lower limits hold from now on")
             self.limits.lower()
         self.grants.seen(self.follower.revision)
+        self.keeper.changed()
         if self.picture.changes != self._seen:
             self._seen = self.picture.changes
             self.placer.changed()
@@ -121,6 +124,7 @@
         kernel.forever(self.desk.adopt, 0)
         kernel.forever(self.desk.tidy, SECOND_US)
         kernel.forever(self.splitter.run, 0)
+        kernel.forever(self.keeper.run, 0)
         kernel.forever(self.jobs.resolve, 0)
         kernel.forever(self.jobs.bury, 0)
         kernel.forever(self._count, COUNT_US)
--- /dev/null
+++ b/ashtray/estimates/keeping.py
@@ -0,0 +1,205 @@
+"""What was learnt, kept in the state service: few bounded records, into which each controller folds what it has seen.
+
+A record says which of each controller's folds it holds, so that one without an answer counts once: the next picture
+shows whether it was applied, and if it was not, the version that the next fold raises makes it void.  The records lie
+under `now/`, so a controller that starts has them with its first picture, before its first placement.
+"""
+
+from __future__ import annotations
+
+import base64
+import struct
+from array import array
+from typing import Any
+
+import msgspec
+
+from ashtray.base import Base
+from ashtray.estimates.learned import Estimates
+from ashtray.estimates.model import BINS, MOMENTS, WIDTH, N, merge
+from ashtray.kernel import SECOND_US, Fiber, Sleep
+from ashtray.peers.presence import Presence
+from ashtray.placement.picture import ESTIMATE
+from ashtray.store.client import Txn, Urgency
+
+FORM = 1
+SHARDS = 4
+LOOK_US = SECOND_US
+LEAST_US = 20 * SECOND_US
+CHANGES_SHARE = 0.01
+"""Of the changes that there are, what all controllers together may use for this."""
+_ROW = struct.Struct(f"<{MOMENTS}f{BINS}e")
+MOST_COUNT = 60_000.0
+
+
+class Record(msgspec.Struct):
+    """`rows`: for each level its numbers; `applied`: for each controller its incarnation and its last fold here."""
+
+    form: int
+    applied: dict[str, tuple[int, int]]
+    rows: dict[str, str]
+
+
+class Unreadable(Exception):
+    """A record that this version cannot read, or that is damaged."""
+
+
+def pack(row: array[float]) -> str:
+    counts = [min(count, MOST_COUNT) for count in row[MOMENTS:]]
+    return base64.b64encode(_ROW.pack(*row[:MOMENTS], *counts)).decode("ascii")
+
+
+def unpack(text: str) -> array[float]:
+    try:
+        numbers = _ROW.unpack(base64.b64decode(text, validate=True))
+    except (ValueError, struct.error) as error:
+        raise Unreadable(f"a row cannot be read: {error}") from None
+    if len(numbers) != WIDTH or any(number != number or abs(number) > 1e9 for number in numbers):
+        raise Unreadable("a row holds what is no number")
+    return array("f", numbers)
+
+
+def read(value: Any) -> Record:
+    try:
+        record = msgspec.convert(value, Record)
+    except msgspec.ValidationError as error:
+        raise Unreadable(str(error)) from None
+    if record.form > FORM:
+        raise Unreadable(f"it is of form {record.form}, and this version reads up to {FORM}")
+    return record
+
+
+def shard_of(key: str) -> int:
+    """Levels of one class lie together."""
+    total = 0
+    for byte in key.partition("/")[0].encode():
+        total = (total * 31 + byte) % 65_521
+    return total % SHARDS
+
+
+def folded(
+    record: Record | None, host: str, fold: tuple[int, int], rows: dict[str, array[float]], most_bytes: int
+) -> Record:  # fmt: skip
+    """A record with one controller's fold added; of too many levels those with the least data give way."""
+    old = record or Record(FORM, {}, {})
+    found = {key: unpack(text) for key, text in old.rows.items()}
+    for key, row in rows.items():
+        found[key] = merge(found[key], row) if key in found else row
+    new = Record(FORM, {**old.applied, host: fold}, {key: pack(row) for key, row in found.items()})
+    size = len(msgspec.json.encode(new))
+    for key, _ in sorted(found.items(), key=lambda entry: (entry[0] != "", entry[1][N]), reverse=False):
+        if size <= most_bytes:
+            break
+        if key:
+            size -= len(msgspec.json.encode(key)) + len(new.rows.pop(key)) + 4
+    return new
+
+
+class Keeper:
+    """Reads the records into what this controller knows, and folds into them what it has seen."""
+
+    def __init__(self, base: Base, presence: Presence, estimates: Estimates) -> None:
+        self.base = base
+        self.presence = presence
+        self.estimates = estimates
+        self._read: dict[str, int] = {}
+        """The versions of the records that are in the estimates."""
+        self._broken: set[str] = set()
+        self._number = 0
+        self._doubt: dict[int, tuple[tuple[int, int], dict[str, array[float]]]] = {}
+        """For each shard a fold without an answer, and what was in it."""
+        self._folded_us = 0
+
+    def key(self, shard: int) -> str:
+        return f"{ESTIMATE}{shard}"
+
+    def changed(self) -> None:
+        """Take in records that have changed."""
+        picture = self.base.picture
+        for key, value in picture.estimates.items():
+            version = picture.version(key)
+            if self._read.get(key) == version:
+                continue
+            self._read[key] = version
+            try:
+                record = read(value)
+                rows = {name: unpack(text) for name, text in record.rows.items()}
+            except Unreadable as error:
+                if key not in self._broken:
+                    self._broken.add(key)
+                    self.base.kernel.log("error", f"{key} is left alone: {error}")
+                continue
+            self._broken.discard(key)
+            self._settle(int(key.removeprefix(ESTIMATE)), record)
+            self.estimates.know(rows)
+
+    def _settle(self, shard: int, record: Record) -> None:
+        """See whether a fold without an answer is in the record: if not, it never will be once another one is."""
+        doubt = self._doubt.get(shard)
+        if doubt is None:
+            return
+        fold, rows = doubt
+        if record.applied.get(self.base.settings.host_name) == fold:
+            del self._doubt[shard]
+        else:
+            # Somebody else has written the record since: it can no longer be applied.
+            del self._doubt[shard]
+            self.estimates.unfold(rows)
+
+    def run(self) -> Fiber[None]:
+        base = self.base
+        yield Sleep(LOOK_US)
+        if not base.knobs.keep_estimates:
+            return
+        live = max(len(self.presence.live()), 1) if base.follower.loaded else 1
+        rate = CHANGES_SHARE * base.settings.cluster.state.write_rps
+        pause_us = max(LEAST_US, int(live / rate * SECOND_US))
+        if not base.follower.loaded or not self.presence.incarnation or base.store.changes.scarce():
+            return
+        if base.kernel.now_us - self._folded_us < pause_us:
+            return
+        shards: dict[int, list[str]] = {}
+        for key in self.estimates.fresh:
+            shards.setdefault(shard_of(key), []).append(key)
+        open_shards = [shard for shard in shards if self.key(shard) not in self._broken]
+        if open_shards:
+            self._folded_us = base.kernel.now_us
+            yield from self._fold(max(open_shards, key=lambda shard: (len(shards[shard]), shard)))
+
+    def _fold(self, shard: int) -> Fiber[None]:
+        """Fold what is new of one shard into its record."""
+        base, key = self.base, self.key(shard)
+        if shard in self._doubt:
+            # Nobody has written the record since.  A picture read anew shows whether the fold is in it; if not, the
+            # version that this one guards and raises makes it void.
+            if not (yield from base.follower.barrier()):
+                return
+            if shard in self._doubt:
+                _, rows = self._doubt.pop(shard)
+                self.estimates.unfold(rows)
+        self._number += 1
+        fold = (self.presence.incarnation, self._number)
+        taken: dict[str, array[float]] = {}
+
+        def build() -> Txn | None:
+            self.estimates.unfold(taken)
+            taken.clear()
+            taken.update(self.estimates.take(lambda name: shard_of(name) == shard))
+            try:
+                record = read(base.picture.estimates[key]) if key in base.picture.estimates else None
+                most = int(base.limits.least_value_bytes * 0.9)
+                new = folded(record, base.settings.host_name, fold, taken, most)
+            except Unreadable:
+                return None
+            return Txn().guard(key, base.picture.version(key)).put(key, msgspec.to_builtins(new))
+
+        txn, reply = yield from base.store.commit(build, 1, Urgency.BOOKKEEPING, "estimate")
+        if txn is None:
+            self.estimates.unfold(taken)
+        elif reply.status == 200:
+            base.picture.put(key, txn.puts[key], reply.body["ledger"])
+            self.changed()
+        elif txn.doubt:
+            self._doubt[shard] = (fold, dict(taken))
+        else:
+            self.estimates.unfold(taken)
--- a/ashtray/jobs/pace.py
+++ b/ashtray/jobs/pace.py
@@ -1,13 +1,15 @@
-"""How long tasks really take: estimates are biased, by class and by day, and that can be learnt."""
+"""What aims and learnt run times say of a job: by when it should start, and how long it waits for a dear machine."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ashtray.config.settings import Objective
+from ashtray.estimates.learned import Estimates
+from ashtray.estimates.watch import Watch
 from ashtray.jobs.model import Job
 from ashtray.kernel import SECOND_US
 
-WEIGHT = 0.05
-UNKNOWN_US = 30 * SECOND_US
 TIMED = ("wait", "finished", "deadline")
 RESERVE = 1.5
 """How many of its run times a task is given to be done in time."""
@@ -16,10 +18,13 @@
 
 
 class Pace:
-    """For each class, the time a task holds its place over the owner's estimate, as a running mean."""
+    """Aims by class, and what was learnt of how long tasks hold their places."""
 
-    def __init__(self, objectives: list[Objective], patience_s: float) -> None:
-        self.ratios: dict[str, float] = {}
+    def __init__(
+        self, objectives: list[Objective], patience_s: float, job_of: Callable[[str], Job | None] = lambda _: None
+    ) -> None:  # fmt: skip
+        self.estimates = Estimates()
+        self.watch = Watch(self.estimates, job_of)
         self._patience_s = patience_s
         waits = [o for o in objectives if o.kind == "wait" and o.job_class and o.within_s]
         self.urgent: dict[str, float] = {}
@@ -53,16 +58,9 @@
         since_us = job.record.accepted_us if within_s is None else job.ready_us
         return since_us + due_us - int(RESERVE * self.run_us(job))
 
-    def learn(self, job: Job, placed_us: int, ended_us: int) -> None:
-        if job.spec.estimate_us > 0:
-            ratio = min(max(ended_us - placed_us, 0) / job.spec.estimate_us, 5.0)
-            old = self.ratios.get(job.spec.job_class, ratio)
-            self.ratios[job.spec.job_class] = old + WEIGHT * (ratio - old)
-
     def run_us(self, job: Job) -> int:
-        """How long a task of a job may be expected to hold its place."""
-        estimate = job.spec.estimate_us or UNKNOWN_US
-        return int(estimate * self.ratios.get(job.spec.job_class, 1.2))
+        """How long a task of a job may be expected to hold its place: until it runs, and then its run."""
+        return self.watch.lead_us(job) + self.estimates.median_us(job)
 
     def patience_s(self, job: Job) -> float:
         """How long a job may wait for each time that a machine costs as much again as the cheapest."""
--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ashtray.base import Base
+from ashtray.estimates.learned import Estimates
 from ashtray.jobs.accepting import Accepting
 from ashtray.jobs.messages import Malformed, parse_submission, state_body
 from ashtray.jobs.model import FEW_RUNS, LIVE, MOST_LATER, OVER, SPARE_BYTES, Job, JobRecord, JobSpec
@@ -32,7 +33,8 @@
 
 class JobDesk:
     def __init__(
-        self, base: Base, presence: Presence, peers: Peers, planner: Planner, placed_anew: Callable[[], None]
+        self, base: Base, presence: Presence, peers: Peers, planner: Planner, estimates: Estimates,
+        placed_anew: Callable[[], None],
     ) -> None:  # fmt: skip
         """`placed_anew` is told when there may be something new to place."""
         self.base = base
@@ -40,6 +42,7 @@
         self.presence = presence
         self.peers = peers
         self.planner = planner
+        self.estimates = estimates
         self.placed_anew = placed_anew
         self._looking: dict[str, Signal] = {}
         """Final states that are being read for somebody: whoever else asks meanwhile waits for the same reading."""
@@ -310,7 +313,8 @@
             plan = self.planner.plan()
             owner = self.presence.owner_of(job_id, job.record.owner)
             standing = self.planner.times.standing(job, base.picture, self.kernel.wall_us)
-            body = explain(plan, job, self.kernel.wall_us, owner, standing)
+            run = self.estimates.estimate(job)
+            body = explain(plan, job, self.kernel.wall_us, owner, standing, run)
         self._answer(request_id, status, body)
 
     def abort(self, request_id: int, job_id: str, handed: bool = False) -> None:
--- /dev/null
+++ b/ashtray/lab/traces.py
@@ -0,0 +1,131 @@
+"""Traces of jobs with known truth, from one seed, and as columnar files.
+
+Each kind is a small world: what a class's tasks really take, and what their owners say.  The truth is kept beside, so
+that an estimate can be judged by the best that could be known.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import asdict, dataclass, fields, replace
+from pathlib import Path
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """One task that ran to its end."""
+
+    job: str
+    job_class: str
+    team: str
+    image: str
+    machine: str
+    expect_s: float
+    run_s: float
+    best_s: float
+    """The median of the true distribution, given what the owner said."""
+    best_p90_s: float
+
+
+SIGMA, ERROR = 0.42, 0.4
+"""Spread of run times and of owners' estimates, as logarithms: 95% of tasks run less than twice the median."""
+Z90 = 1.2816
+LARGE = "job-large"
+"""The job that would drown all others; what it takes is no measure of what they take."""
+
+
+def _run(
+    rng: random.Random, n: int, median: float, sigma: float, bias: float, error: float | None, machine: str = "m",
+    factor: float = 1.0, job_class: str = "pages", job: str | None = None,
+) -> Run:  # fmt: skip
+    """A task of a log-normal class.  `error` None: the owner says the same whatever the task."""
+    run = median * math.exp(rng.gauss(0.0, sigma))
+    if error is None:
+        expect, best, left = median * bias, median, sigma
+    else:
+        expect = run * bias * math.exp(rng.gauss(0.0, error))
+        weight = sigma**2 / (sigma**2 + error**2)
+        best = median * math.exp(weight * math.log(expect / bias / median))
+        left = math.sqrt(weight) * error
+    name = job or f"job-{n}"
+    return Run(name, job_class, "studio", "img", machine, expect, run * factor, best, best * math.exp(Z90 * left))
+
+
+def steady(rng: random.Random, n: int) -> Iterator[Run]:
+    """Owners err by some half either way."""
+    return (_run(rng, k, 100.0, SIGMA, 1.0, ERROR) for k in range(n))
+
+
+def biased(rng: random.Random, n: int) -> Iterator[Run]:
+    """All estimates of the day are too low by the same factor."""
+    return (_run(rng, k, 100.0, SIGMA, 0.5, ERROR) for k in range(n))
+
+
+def blind(rng: random.Random, n: int) -> Iterator[Run]:
+    """Owners always say the same, and too much."""
+    return (_run(rng, k, 100.0, SIGMA, 1.6, None) for k in range(n))
+
+
+def shifted(rng: random.Random, n: int) -> Iterator[Run]:
+    """After two thirds all tasks take three times as long, and owners do not know."""
+    return (_run(rng, k, 100.0 if k < 2 * n // 3 else 300.0, 0.3, 1.0 if k < 2 * n // 3 else 1 / 3, None)
+            for k in range(n))  # fmt: skip
+
+
+def two_kinds(rng: random.Random, n: int) -> Iterator[Run]:
+    """Two kinds of job under one name, ten times apart; owners know which."""
+    for k in range(n):
+        short = rng.random() < 0.5
+        yield _run(rng, k, 30.0 if short else 300.0, 0.3, 1.0, None)
+
+
+def two_kinds_blind(rng: random.Random, n: int) -> Iterator[Run]:
+    """The same, and owners do not know: no median is right, but the p90 can be."""
+    for k in range(n):
+        run = _run(rng, k, 30.0 if rng.random() < 0.5 else 300.0, 0.3, 1.0, None)
+        yield replace(run, expect_s=95.0, best_s=95.0, best_p90_s=390.0)
+
+
+def one_drowns(rng: random.Random, n: int) -> Iterator[Run]:
+    """Nine tasks of ten belong to one job that is four times as short as the rest."""
+    for k in range(n):
+        if rng.random() < 0.9:
+            yield _run(rng, k, 25.0, 0.2, 4.0, None, job=LARGE)
+        else:
+            yield _run(rng, k, 100.0, SIGMA, 1.0, None)
+
+
+def slow_machine(rng: random.Random, n: int) -> Iterator[Run]:
+    """One machine of twenty takes one and a half times as long; the others differ by up to a tenth."""
+    speeds = {f"m{k}": rng.uniform(0.95, 1.05) for k in range(19)} | {"slow": 1.5}
+    names = list(speeds)
+    for k in range(n):
+        name = names[k % len(names)]
+        yield _run(rng, k, 100.0, SIGMA, 1.0, ERROR, machine=name, factor=speeds[name])
+
+
+KINDS: dict[str, Callable[[random.Random, int], Iterator[Run]]] = {
+    "steady": steady, "biased": biased, "blind": blind, "shifted": shifted, "two-kinds": two_kinds,
+    "two-kinds-blind": two_kinds_blind, "one-drowns": one_drowns, "slow-machine": slow_machine,
+}  # fmt: skip
+
+
+def make(kind: str, seed: int, n: int) -> list[Run]:
+    return list(KINDS[kind](random.Random(f"{kind}/{seed}"), n))
+
+
+def save(runs: list[Run], path: Path) -> None:
+    """Write a trace as a Parquet file; needs the extra `lab`."""
+    import pyarrow as pa
+    import pyarrow.parquet as pq
+
+    names = [field.name for field in fields(Run)]
+    pq.write_table(pa.table({name: [asdict(run)[name] for run in runs] for name in names}), path)
+
+
+def load(path: Path) -> list[Run]:
+    import pyarrow.parquet as pq
+
+    return [Run(**row) for row in pq.read_table(path).to_pylist()]
--- a/ashtray/placement/explain.py
+++ b/ashtray/placement/explain.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import Any
 
+from ashtray.estimates.learned import Estimate
 from ashtray.jobs.model import Job
 from ashtray.kernel import SECOND_US
 from ashtray.placement.order import Standing
@@ -13,7 +14,9 @@
 from ashtray.teams.limits import tasks_within
 
 
-def explain(plan: Plan, job: Job, wall_us: int, owner: str, standing: Standing | None = None) -> dict[str, Any]:
+def explain(
+    plan: Plan, job: Job, wall_us: int, owner: str, standing: Standing | None = None, run: Estimate | None = None
+) -> dict[str, Any]:  # fmt: skip
     """An answer for a person: plain reasons, and the scores of the rules where tasks have places."""
     spec = job.spec
     placed = plan.picture.placed(job.id)
@@ -22,6 +25,11 @@
         "name_id": job.id, "placed_by": owner, "tasks": spec.tasks, "done": len(finished), "placed": len(placed),
         "waiting": [], "places": [],
     }  # fmt: skip
+    if run is not None and spec.kind != "service":
+        answer["takes"] = {
+            "median_s": run.median_us / SECOND_US, "p10_s": run.p10_us / SECOND_US, "p90_s": run.p90_us / SECOND_US,
+            "seen": round(run.weight, 1),
+        }  # fmt: skip
     ask = plan.ask(job)
     rooms = {room.machine.name: room for room in plan.rooms}
     for (name, _), hold in sorted(plan.picture.held.get(job.id, {}).items()):
--- a/ashtray/placement/picture.py
+++ b/ashtray/placement/picture.py
@@ -22,6 +22,8 @@
 TYPES = "ashtray/now/types"
 SPLIT = "ashtray/now/split/"
 """For a group that is too large to be written: up to which of its machines have been moved to other groups."""
+ESTIMATE = "ashtray/now/estimate/"
+"""What was learnt of run times: see `estimates/keeping.py`."""
 EPS = 1e-6
 SICK = 3
 """The blame from which on a machine is returned: two jobs, at least one of which works elsewhere, or three."""
@@ -265,6 +267,8 @@
         self.types: dict[str, MachineType] = {}
         self._types: dict[str, dict[str, MachineType]] = {}
         """By the records that they are in."""
+        self.estimates: dict[str, Any] = {}
+        """The records of learnt run times, by key."""
         self.touched: set[str] = set()
         """Machines whose record, or whose jobs, changed since somebody last looked and emptied this."""
         self.complete: set[str] = set()
@@ -311,6 +315,8 @@
             self._types_changed()
         elif key.startswith(SPLIT):
             self._note_moved(GROUP + key[len(SPLIT):], (value["machine"], value["job"]))
+        elif key.startswith(ESTIMATE):
+            self.estimates[key] = value
 
     def remove(self, key: str, version: int) -> None:
         if self._versions.get(key, 0) >= version:
@@ -339,6 +345,8 @@
             self._types_changed()
         elif key.startswith(SPLIT):
             self._note_moved(GROUP + key[len(SPLIT):], None)
+        elif key.startswith(ESTIMATE):
+            self.estimates.pop(key, None)
 
     def _types_changed(self) -> None:
         self.types = {name: kind for key in sorted(self._types) for name, kind in self._types[key].items()}
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -327,7 +327,7 @@
             if good:
                 for line in lines:
                     base.kernel.log("info", line)
-                self.desk.folded(self._folds, ())
+                self.desk.folded(self._folds)
                 return len(lines) == len(batch.items)
             yield Sleep(int(base.kernel.rng.uniform(0.0, 0.02) * min(2**retry, 16) * SECOND_US))
             if not (yield from base.follower.barrier()):
--- a/ashtray/workers/desk.py
+++ b/ashtray/workers/desk.py
@@ -59,6 +59,8 @@
     notice_until_us: int | None = None
     settled: tuple[Machine, Report] | None = None
     """The record and the report that agreed when they were last compared."""
+    began: dict[TaskKey, int] = field(default_factory=dict)
+    """When its tasks were first seen running, those that were not before."""
     clears: list[dict[str, Any]] = field(default_factory=list)
     """Ended tasks that may be forgotten: told with the next answer, for nothing waits for that."""
 
@@ -122,6 +124,7 @@
             worker.sent_away_us = self.kernel.now_us
             worker.token, worker.exact = 0, False
             worker.report = None
+            worker.began.clear()
             self.kernel.answer(request_id, 421, {"foreman": foreman})
             return
         if not self.renewing():
@@ -170,6 +173,7 @@
         return foreman
 
     def _learn(self, worker: Worker, report: Report) -> None:
+        self._watch(worker, report)
         worker.report = report
         if report.token >= 1 << 64:
             return
@@ -184,6 +188,18 @@
             worker.notice_until_us = self.kernel.now_us + report.notice_us
             self.kernel.log("info", f"{worker.name} goes in {report.notice_us / SECOND_US:.0f} s")
 
+    def _watch(self, worker: Worker, report: Report) -> None:
+        """Learn run times from what has changed since the last report."""
+        old = None if worker.report is None else worker.report.tasks
+        started = self.pace.watch.report(worker.name, worker.began, old, report.tasks, self.kernel.now_us)
+        machine = self.base.picture.machines.get(worker.name)
+        holds = machine.holds if machine is not None else []
+        for job_id, attempt, _ in started:
+            job = self.base.picture.jobs.get(job_id)
+            hold = next((h for h in holds if (h.job, h.attempt) == (job_id, attempt)), None)
+            if job is not None and hold is not None:
+                self.pace.watch.started(job, self.kernel.wall_us - hold.record.placed_us)
+
     def _next_token(self, above: int) -> int:
         # The low digits are this process's own and its counter only rises, so no token is given out twice,
         # not even when a report that was held back shows one from before.
@@ -449,12 +465,10 @@
                 fold.add_light(group, self._dirty[key], self._evidence(group))
         return fold
 
-    def folded(self, names: set[str], paces: Iterable[tuple[Job, int]]) -> None:
+    def folded(self, names: set[str]) -> None:
         """The reports of these machines are in their records now."""
         for key in list(self._dirty):
             self._unmark(key, names)
-        for job, placed_us in paces:
-            self.pace.learn(job, placed_us, self.kernel.wall_us)
 
     def due(self) -> set[str]:
         """Groups whose records are to be written anyway, for their machines have something to fold."""
@@ -498,7 +512,7 @@
                 self._fold_cost = changes
             for line in folded.lines:
                 self.kernel.log("info", line)
-            self.folded(folded.taken, folded.paces)
+            self.folded(folded.taken)
         elif good is False:
             self._failures = min(self._failures + 1, 5)
             yield Sleep(int(self.kernel.rng.uniform(0.0, 0.03) * 2**self._failures * SECOND_US))
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -52,8 +52,6 @@
     errors: int = 0
     failed_on: set[str] = field(default_factory=set)
     successes: int = 0
-    placed_us: int = 0
-    """When the last task that completed was placed."""
     ends: bool = False
     """The job is to be ended now, with all of its tasks known to be done."""
     spilt: bool = False
@@ -65,7 +63,6 @@
         self.errors += other.errors
         self.failed_on |= other.failed_on
         self.successes += other.successes
-        self.placed_us = max(self.placed_us, other.placed_us)
         self.spilt = self.spilt or other.spilt
         self.ends = self.ends or other.ends
 
@@ -119,8 +116,6 @@
             seen: TaskState | None = report.tasks.get((hold.job, hold.attempt, task))
             if seen is not None and seen.state == "ended":
                 note_end(picture, machine.name, record, hold, task, seen.cause, folds)
-                if seen.cause == "done" and hold.job in folds:
-                    folds[hold.job].placed_us = hold.placed_us
             elif seen is None and dead and sure:
                 note_end(picture, machine.name, record, hold, task, "absent", folds)
             else:
@@ -244,8 +239,6 @@
         self.limits = limits
         self.jobs: dict[str, JobFold] = {}
         self.lines: list[str] = []
-        self.paces: list[tuple[Job, int]] = []
-        """For jobs with tasks that completed, when one of these was placed."""
         self.idle: set[str] = set()
         """Machines whose reports say nothing that their records do not."""
         self.taken: set[str] = set()
@@ -397,7 +390,6 @@
         if not self._ops:
             return None
         txn = Txn()
-        self.paces = [(self.picture.jobs[j], fold.placed_us) for j, fold in self.jobs.items() if fold.placed_us]
         ended: set[str] = set()
         for job_id, fold in self.jobs.items():
             job = self.picture.jobs[job_id]
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import pytest
+import sexpdata
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -21,7 +22,9 @@
     knobs = Knobs()
     for setting in SETTINGS.values():
         value = getattr(knobs, setting.field)
-        if value is not None and not isinstance(value, tuple):
+        if isinstance(value, bool):
+            assert setting.read([sexpdata.Symbol("yes" if value else "no")]) is value
+        elif value is not None and not isinstance(value, tuple):
             assert setting.read([value]) == value
 
 
@@ -40,6 +43,7 @@
         ("(ashtray (rules trust trust))", "rules: expected any of"),
         ("(ashtray (weights 1 2))", "weights: expected three numbers"),
         ("(ashtray (avoidance-cap 1.5))", "avoidance-cap"),
+        ("(ashtray (keep-estimates 1))", "keep-estimates: expected yes or no"),
         ("(ashtray 3)", "expected (setting value ...)"),
         ("(other)", "expected (ashtray ...)"),
         ("(ashtray", "not an S-expression"),
