ashtray estimates: what was learnt is shown and forgotten; operators' paths behind a bearer token

Need: nobody could see what was learnt, or say that a class has changed. Change: GET /operators/estimates[/CLASS] and POST /operators/estimates/forget, off without (operators-token FILE), 401 without the token, compared in constant time; the command; forgetting is an empty row of a later era, which all controllers take over. The histogram's middle bin lies around zero: equal runs were read 7% too long.

--- a/ashtray/cli.py
+++ b/ashtray/cli.py
@@ -9,9 +9,10 @@
 import sys
 from collections.abc import Sequence
 from typing import Any
+from urllib.parse import quote
 
 from ashtray import __version__
-from ashtray.config.operators import SETTINGS, Knobs, load_knobs, place_of
+from ashtray.config.operators import SETTINGS, Knobs, load_knobs, load_token, place_of
 from ashtray.config.settings import Settings, SettingsError, load_settings
 
 EXIT_OK, EXIT_FAILED, EXIT_USAGE, EXIT_UNREACHABLE = 0, 1, 2, 3
@@ -40,6 +41,7 @@
     if operators is not None and knobs.group_size is not None and knobs.group_size > most:
         reason = f"{knobs.group_size} machines do not fit a value of the state service (cluster.state in {config})"
         raise SettingsError(f"{operators}: {place_of(operators, 'group-size')}: group-size: {reason}: at most {most}")
+    load_token(knobs)
     return settings, knobs
 
 
@@ -48,7 +50,7 @@
     _logging()
     from ashtray.daemon.server import run
 
-    run(settings, knobs)
+    run(settings, knobs, load_token(knobs))
     return EXIT_OK
 
 
@@ -83,11 +85,11 @@
     return code
 
 
-def _ask(args: argparse.Namespace, method: str, path: str, body: Any = None) -> int:
+def _ask(args: argparse.Namespace, method: str, path: str, body: Any = None, token: str | None = None) -> int:
     from ashtray.client import Client, Unreachable
 
     try:
-        status, answer = Client(args.server, args.timeout).ask(method, path, body)
+        status, answer = Client(args.server, args.timeout).ask(method, path, body, token)
     except ValueError as error:
         return _fail(f"--server: {error}", EXIT_USAGE)
     except Unreachable as error:
@@ -103,6 +105,10 @@
 
 
 def _readable(answer: dict[str, Any]) -> str:
+    if "estimates" in answer:
+        return _table(answer["estimates"])
+    if "forgotten" in answer:
+        return f"{answer['forgotten']} levels are forgotten"
     if "places" not in answer:
         counts = f", {answer['done']} done, {answer['running']} placed" if "done" in answer else ""
         needs = f"; waits on {', '.join(answer['waits_on'])}" if answer.get("waits_on") else ""
@@ -121,6 +127,19 @@
     return "\n".join(lines)
 
 
+def _table(rows: list[dict[str, Any]]) -> str:
+    """What was learnt, a level a line."""
+    if not rows:
+        return "nothing has been learnt yet"
+    lines = [f"{'class/team/image/size':42} {'seen':>6} {'of estimate':>11} {'estimates':>9} {'80% within':>17} anew"]
+    for row in rows:
+        name = row["level"] or "(all)"
+        says = "say much" if row["slope"] > -0.35 else "say some" if row["slope"] > -0.75 else "say little"
+        lines.append(f"{name[:42]:42} {row['seen']:6.1f} {row['ratio']:10.2f}x {says:>9} "
+                     f"{row['low']:7.2f}..{row['high']:.2f}x {row['eras']:5}")  # fmt: skip
+    return "\n".join(lines)
+
+
 def _submit(args: argparse.Namespace) -> int:
     try:
         if args.file == "-":
@@ -147,6 +166,23 @@
     return _ask(args, "POST", f"/submissions/{args.job}/abort")
 
 
+def _estimates(args: argparse.Namespace) -> int:
+    what: list[str] = args.what
+    if len(what) > 2 or (len(what) == 2 and what[0] != "forget") or what == ["forget"]:
+        return _fail("estimates: expected nothing, CLASS, or forget CLASS", EXIT_USAGE)
+    path = args.token_file or os.environ.get("ASHTRAY_TOKEN_FILE")
+    if path is None:
+        return _fail("estimates: --token-file or ASHTRAY_TOKEN_FILE is needed", EXIT_USAGE)
+    try:
+        with open(path, encoding="ascii") as file:
+            token = file.read().strip()
+    except (OSError, UnicodeDecodeError) as error:
+        return _fail(f"{path}: {getattr(error, 'strerror', None) or error}", EXIT_USAGE)
+    if len(what) == 2:
+        return _ask(args, "POST", "/operators/estimates/forget", {"class": what[1]}, token)
+    return _ask(args, "GET", "/operators/estimates" + (f"/{quote(what[0], safe='')}" if what else ""), None, token)
+
+
 def _explain(args: argparse.Namespace) -> int:
     return _ask(args, "GET", f"/submissions/{args.job}/explain")
 
@@ -194,6 +230,14 @@
         command = commands.add_parser(name, parents=[user], help=what.rstrip(".").lower(), description=what)
         command.add_argument("job", metavar="JOB", help="the job's id, such as job-000412")
         command.set_defaults(call=call)
+    estimates = commands.add_parser(
+        "estimates", parents=[user], help="show or forget learnt run times",
+        description="Show what was learnt of run times, by class; forget a class, say after it has changed.",
+    )  # fmt: skip
+    estimates.add_argument("what", nargs="*", metavar="CLASS | forget CLASS", help="a class, or forget and a class")
+    estimates.add_argument("--token-file", metavar="FILE",
+                           help="the operators' bearer token (default: $ASHTRAY_TOKEN_FILE)")  # fmt: skip
+    estimates.set_defaults(call=_estimates)
     return top
 
 
--- a/ashtray/client.py
+++ b/ashtray/client.py
@@ -21,15 +21,18 @@
         self.host, self.port = host, int(port)
         self.timeout_s = timeout_s
 
-    def ask(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+    def ask(self, method: str, path: str, body: Any = None, token: str | None = None) -> tuple[int, Any]:
         """One request, repeated as the protocol asks while the service cannot take it."""
         until = time.monotonic() + self.timeout_s
         data = None if body is None else msgspec.msgpack.encode(body)
+        headers = {"Content-Type": "application/msgpack"}
+        if token is not None:
+            headers["Authorization"] = f"Bearer {token}"
         while True:
             pause, reason = 1.0, ""
             connection = http.client.HTTPConnection(self.host, self.port, timeout=5)
             try:
-                connection.request(method, path, data, {"Content-Type": "application/msgpack"})
+                connection.request(method, path, data, headers)
                 response = connection.getresponse()
                 raw = response.read()
                 if response.status not in (429, 503, 504):
--- a/ashtray/config/operators.py
+++ b/ashtray/config/operators.py
@@ -37,6 +37,8 @@
     idle_boots: float = 0.5
     patience_s: float = 6.0
     keep_estimates: bool = True
+    token_file: str | None = None
+    """Where the operators' bearer token is; without it their paths are off."""
 
 
 @dataclass(frozen=True)
@@ -72,6 +74,12 @@
     return str(values[0]) == "yes"
 
 
+def _text(values: list[Any]) -> str:
+    if len(values) != 1 or not isinstance(values[0], str) or not values[0]:
+        raise ValueError
+    return values[0]
+
+
 def _weights(values: list[Any]) -> tuple[float, float, float]:
     read = _number(float, 0.0, 100.0)
     if len(values) != 3:
@@ -99,6 +107,10 @@
     "keep-estimates": Setting(
         "keep_estimates", "whether learnt run times are kept in the state service", _yes_or_no, "yes or no"
     ),
+    "operators-token": Setting(
+        "token_file", "file with the bearer token of the operators' own paths (left out: they are off)", _text,
+        'a path in quotes, such as "/etc/ashtray/token"',
+    ),
     "patience": _setting("patience_s", "seconds of waiting worth the cheapest price once more", float, 0.0, 3600.0),
 }
 
@@ -112,6 +124,24 @@
     return f"line {line}, column {at - text.rfind(chr(10), 0, at)}"
 
 
+LEAST_TOKEN = 16
+
+
+def load_token(knobs: Knobs) -> str | None:
+    """The operators' bearer token; raises `SettingsError` with one line.  None: their paths are off."""
+    if knobs.token_file is None:
+        return None
+    try:
+        token = Path(knobs.token_file).read_text(encoding="ascii").strip()
+    except OSError as error:
+        raise SettingsError(f"operators-token: {knobs.token_file}: {error.strerror or error}") from None
+    except UnicodeDecodeError:
+        raise SettingsError(f"operators-token: {knobs.token_file}: not ASCII text") from None
+    if len(token) < LEAST_TOKEN or len(token.split()) != 1:
+        raise SettingsError(f"operators-token: {knobs.token_file}: expected one word of at least {LEAST_TOKEN} signs")
+    return token
+
+
 def place_of(path: str, name: str) -> str:
     """Line and column of a setting in the operators' file."""
     return _place(Path(path).read_text(encoding="utf-8"), name)
--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -11,6 +11,7 @@
 from ashtray.config.operators import Knobs
 from ashtray.config.settings import Settings
 from ashtray.estimates.keeping import Keeper
+from ashtray.estimates.operators import operate
 from ashtray.fleet.runner import ROUND_US, Runner
 from ashtray.jobs.model import JOB_ID, NOW, ROOT
 from ashtray.jobs.pace import Pace
@@ -163,6 +164,15 @@
             self.kernel.answer(request_id, 404, {"error": "no such path"})
         return self.kernel.run()
 
+    def operator_request(
+        self, now_us: int, wall_us: int, request_id: int, method: str, path: str, body: Any, readable: bool = True
+    ) -> list[Output]:
+        """A request from an operator, whose token has been checked."""
+        self.kernel.advance(now_us, wall_us)
+        status, answer = operate(self.keeper.estimates, method, path, body if readable else None)
+        self.kernel.answer(request_id, status, answer)
+        return self.kernel.run()
+
     def _route(
         self, request_id: int, method: str, path: str, body: Any, readable: bool, handed: bool = False
     ) -> None:
--- a/ashtray/daemon/server.py
+++ b/ashtray/daemon/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hmac
 import logging
 import random
 import time
@@ -26,8 +27,10 @@
 
 
 class Daemon:
-    def __init__(self, settings: Settings, knobs: Knobs) -> None:
+    def __init__(self, settings: Settings, knobs: Knobs, token: str | None = None) -> None:
+        """`token` is the operators': without one their paths are off."""
         self.settings = settings
+        self._bearer = None if token is None else f"Bearer {token}".encode()
         self.core = Controller(settings, knobs, random.Random(), log.isEnabledFor(logging.DEBUG))
         self.loop = asyncio.get_running_loop()
         self._wake: asyncio.TimerHandle | None = None
@@ -104,11 +107,16 @@
                 readable = len(raw) <= MAX_BODY or from_peer
             except (web.HTTPRequestEntityTooLarge, ValueError, msgspec.DecodeError, RecursionError):
                 readable = False
+        take = self.core.peer_request if from_peer else self.core.request
+        if request.path.startswith("/operators/") and not from_peer and self._bearer is not None:
+            sent = request.headers.get("Authorization", "").encode("utf-8", "surrogateescape")
+            if not hmac.compare_digest(sent, self._bearer):
+                return self._response(Answer(0, 401, {"error": "the operators' bearer token is needed"}))
+            take = self.core.operator_request
         self._next_request += 1
         request_id = self._next_request
         future: asyncio.Future[Answer] = self.loop.create_future()
         self._answers[request_id] = future
-        take = self.core.peer_request if from_peer else self.core.request
         self.carry_out(take(*self.now(), request_id, request.method, request.path, body, readable))
         try:
             return self._response(await future)
@@ -142,9 +150,9 @@
         await asyncio.Event().wait()
 
 
-async def _main(settings: Settings, knobs: Knobs) -> None:
-    await Daemon(settings, knobs).serve()
+async def _main(settings: Settings, knobs: Knobs, token: str | None) -> None:
+    await Daemon(settings, knobs, token).serve()
 
 
-def run(settings: Settings, knobs: Knobs) -> Any:
-    return uvloop.run(_main(settings, knobs))
+def run(settings: Settings, knobs: Knobs, token: str | None = None) -> Any:
+    return uvloop.run(_main(settings, knobs, token))
--- a/ashtray/estimates/learned.py
+++ b/ashtray/estimates/learned.py
@@ -264,10 +264,12 @@
     def forget(self, name: str) -> int:
         """Forget a class and all below it; returns how many levels that were."""
         short = _short(name)
-        gone = [key for key in self.rows if key == short or key.startswith(short + "/")]
+        gone = [key for key in self.rows if short and (key == short or key.startswith(short + "/"))]
         for key in gone:
-            del self.rows[key]
-            self.fresh.pop(key, None)
+            # An empty row of a later era: with the next fold it takes the place of what the records hold.
+            empty = new_row()
+            empty[ERA] = self.rows[key][ERA] + 1
+            self.rows[key], self.fresh[key] = empty, array("f", empty)
         self._cache.clear()
         return len(gone)
 
--- a/ashtray/estimates/model.py
+++ b/ashtray/estimates/model.py
@@ -21,6 +21,8 @@
 BINS = 16
 BIN = 0.25
 """The width of a bin of the histogram, in logarithms; the outer two are open."""
+ZERO = BINS / 2 + 0.5
+"""Where no residual at all lies: in the middle of a bin, for much of what is learnt lies there."""
 MOMENTS = 11
 WIDTH = MOMENTS + BINS
 N, MX, MR, CXX, CXR, CRR, UP, DOWN, SINCE, SINCE_R, ERA = range(MOMENTS)
@@ -117,7 +119,7 @@
 
 
 def bin_of(residual: float) -> int:
-    return min(max(int(residual / BIN + BINS / 2), 0), BINS - 1)
+    return min(max(math.floor(residual / BIN + ZERO), 0), BINS - 1)
 
 
 def restart(row: array[float]) -> None:
@@ -168,13 +170,13 @@
         counts = row[MOMENTS:] if row is not None else array("f", bytes(4 * BINS))
         self._total = NORMAL + sum(counts)
         # Both parts are summed up at the edges of the bins, and straight lines drawn between.
-        reach = max(BINS / 2 * BIN, 5 * self._sigma)
-        inner = [(n - BINS / 2) * BIN for n in range(BINS + 1)]
+        reach = max(ZERO * BIN, 5 * self._sigma)
+        inner = [(n - ZERO) * BIN for n in range(BINS + 1)]
         fine = [self._sigma * step / 4 for step in range(-20, 21)]
         self._edges = sorted({-reach - BIN, *inner, *fine, reach + BIN})
         below = []
         for edge in self._edges:
-            place = min(max(edge / BIN + BINS / 2, 0.0), float(BINS))
+            place = min(max(edge / BIN + ZERO, 0.0), float(BINS))
             whole = int(place)
             seen = sum(counts[:whole]) + (counts[whole] * (place - whole) if whole < BINS else 0.0)
             below.append((NORMAL * STANDARD.cdf(edge / self._sigma) + seen) / self._total)
--- a/tests/bite.py
+++ b/tests/bite.py
@@ -17,7 +17,7 @@
 from tests import production
 
 TESTS = ["tests/test_safety.py", "tests/test_placement.py", "tests/test_grants.py", "tests/test_bad_nights.py",
-         "tests/test_order.py", "tests/test_recovery.py", "tests/test_pipelines.py", "tests/test_limits.py",
+         "tests/test_order.py", "tests/test_estimates.py", "tests/test_recovery.py", "tests/test_pipelines.py", "tests/test_limits.py",
          "tests/test_upgrade.py", "tests/test_model.py"]
 ROOT = Path(__file__).resolve().parent.parent
 FOLDING, DESK = "ashtray/workers/folding.py", "ashtray/workers/desk.py"
@@ -70,6 +70,14 @@
         ORDER, "return job.priority, job.suspect, job.spec.team, ", "return job.priority, job.suspect, \"\", "),
     "one-known-ends-all": (
         "ashtray/jobs/accepting.py", "if failed and not known:", "if False:"),
+    "fold-counted-twice": (
+        "ashtray/estimates/keeping.py", "if record.applied.get(self.base.settings.host_name) == fold:", "if False:"),
+    "failures-teach": (
+        "ashtray/estimates/watch.py", 'if job is None or cause == "error":', "if job is None:"),
+    "eras-are-added": (
+        "ashtray/estimates/model.py", "if row[ERA] != other[ERA]:", "if False:"),
+    "one-job-drowns-all": (
+        "ashtray/estimates/learned.py", "return float((1.0 + seen / CROWD) ** -1.5)", "return 1.0"),
     "adopted-twice": (
         FOLDING, "txn = Txn().guard(lock, picture.version(lock)).put(lock, picture.version(lock))", "txn = Txn()"),
     "loaded-after-the-pages": (
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -39,9 +39,16 @@
 async def play(directory: Path) -> None:
     stage = Stage(directory, 2, free_port_block())
     await stage.start()
+    token, operators = directory / "token", directory / "operators.sexp"
+    token.write_text("a-token-of-the-operators\n")
+    operators.write_text(f'(ashtray (operators-token "{token}"))')
+    # The second controller has no such file: its operators' paths are off.
+    more = [["--operators", str(operators)], []]
     controllers = [
-        await asyncio.create_subprocess_exec(sys.executable, "run.py", "--config", str(file), cwd=ROOT, stderr=-3)
-        for file in stage.write_settings()
+        await asyncio.create_subprocess_exec(
+            sys.executable, "run.py", "--config", str(file), *args, cwd=ROOT, stderr=-3
+        )
+        for file, args in zip(stage.write_settings(), more, strict=True)
     ]
     server = ["--server", f"127.0.0.1:{stage.apis[0]}"]
     job = directory / "job.json"
@@ -89,6 +96,14 @@
         code, _, err = await cli("status", *server, "job-77")
         assert (code, "404" in err) == (1, True)
         port = stage.apis[0]
+        both = [f"127.0.0.1:{api}" for api in stage.apis[:2]]
+        known = await cli("estimates", "--server", both[0], "--token-file", str(token))
+        assert known[0] == 0 and ("of estimate" in known[1] or "nothing has been learnt" in known[1])
+        assert (await cli("estimates", "forget", "nobody", "--server", both[0], "--token-file", str(token)))[0] == 1
+        assert (await cli("estimates", "--server", both[0]))[0] == 2
+        assert (await cli("estimates", "--server", both[1], "--token-file", str(token)))[0] == 1
+        assert await raw(port, "GET /operators/estimates") == 401
+        assert await raw(stage.apis[1], "GET /operators/estimates") == 404
         assert await raw(port, "GET /nowhere") == 404
         assert await raw(port, "PUT /submissions") == 405
         assert await raw(port, "POST /submissions", b"\xc1") == 400
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -6,6 +6,7 @@
 import random
 import statistics
 from array import array
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -13,9 +14,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ashtray.config.operators import Knobs, load_token
+from ashtray.config.settings import SettingsError
 from ashtray.estimates.keeping import SHARDS, Record, Unreadable, folded, pack, read, shard_of, unpack
 from ashtray.estimates.learned import MOST_CLASSES, Estimates, levels
 from ashtray.estimates.model import MOST, N, merge, new_row
+from ashtray.estimates.operators import operate
 from ashtray.estimates.watch import Watch
 from ashtray.kernel import SECOND_US
 from ashtray.lab import replay, traces
@@ -212,3 +216,37 @@
     assert Record(1, {}, {}) == read({"form": 1, "applied": {}, "rows": {}, "later": 3})
 
 
+
+
+def test_what_operators_ask_and_forget() -> None:
+    estimates = Estimates()
+    for n in range(20):
+        estimates.ran(replay.job_of(run_of(job=f"job-{n}", expect_s=50.0)), 100 * SECOND_US)
+    status, body = operate(estimates, "GET", "/operators/estimates/pages", None)
+    assert status == 200 and all(1.7 < row["ratio"] < 2.1 for row in body["estimates"])
+    assert [row["level"] for row in body["estimates"]] == sorted(
+        (key for key in estimates.rows if key), key=lambda key: (-round(estimates.rows[key][N], 1), key)
+    )
+    known = {key: array("f", row) for key, row in estimates.rows.items()}
+    for method, path, sent, expected in (
+        ("GET", "/operators/estimates/nobody", None, 404), ("POST", "/operators/estimates", None, 405),
+        ("POST", "/operators/estimates/forget", {"class": 3}, 400), ("GET", "/operators/else", None, 404),
+        ("POST", "/operators/estimates/forget", {"class": "pages"}, 200),
+    ):  # fmt: skip
+        assert operate(estimates, method, path, sent)[0] == expected
+    # What the records still hold does not bring it back; nor does what another controller remembers.
+    estimates.know(known)
+    assert operate(estimates, "GET", "/operators/estimates/pages", None)[0] == 404
+    assert merge(known["pages"], estimates.fresh["pages"])[N] == 0
+
+
+@pytest.mark.parametrize(
+    ("text", "named"), [(None, "No such file"), ("short", "at least 16"), ("two words of it, long", "one word")]
+)
+def test_an_operators_token_that_cannot_be_used_is_refused(tmp_path: Path, text: str | None, named: str) -> None:
+    file = tmp_path / "token"
+    if text is not None:
+        file.write_text(text)
+    with pytest.raises(SettingsError, match=named):
+        load_token(Knobs(token_file=str(file)))
+    assert load_token(Knobs()) is None
