--- a/tests/bite.py
+++ b/tests/bite.py
@@ -17,8 +17,8 @@
 from tests import production
 
 TESTS = ["tests/test_safety.py", "tests/test_placement.py", "tests/test_grants.py", "tests/test_bad_nights.py",
-         "tests/test_order.py", "tests/test_estimates.py", "tests/test_recovery.py", "tests/test_pipelines.py", "tests/test_limits.py",
-         "tests/test_upgrade.py", "tests/test_model.py"]
+         "tests/test_order.py", "tests/test_estimates.py", "tests/test_recovery.py", "tests/test_pipelines.py",
+         "tests/test_limits.py", "tests/test_upgrade.py", "tests/test_model.py"]
 ROOT = Path(__file__).resolve().parent.parent
 FOLDING, DESK = "ashtray/workers/folding.py", "ashtray/workers/desk.py"
 RUNNER, PLACER = "ashtray/fleet/runner.py", "ashtray/placement/placer.py"
