--- a/ashtray/estimates/learned.py
+++ b/ashtray/estimates/learned.py
@@ -6,6 +6,7 @@
 from array import array
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
+from functools import lru_cache
 
 from ashtray.estimates.model import (
     ERA,
@@ -88,9 +89,15 @@
 
 def levels(spec: JobSpec) -> tuple[str, str, str, str]:
     """The keys of the levels that a job's observations count on, the widest first."""
-    size = round(math.log2(max(spec.cpus, 0.1))), round(math.log2(spec.gpus)) if spec.gpus else "-"
-    name, team, image = _short(spec.job_class), _short(spec.team), _short(spec.image)
-    return "", name, f"{name}/{team}", f"{name}/{team}/{image}/{size[0]}/{size[1]}"
+    return _levels(spec.job_class, spec.team, spec.image, spec.cpus, spec.gpus)
+
+
+@lru_cache(4096)
+def _levels(job_class: str, team: str, image: str, cpus: float, gpus: float) -> tuple[str, str, str, str]:
+    # Asked for thousands of times in one forecast.
+    size = round(math.log2(max(cpus, 0.1))), round(math.log2(gpus)) if gpus else "-"
+    name, owner = _short(job_class), _short(team)
+    return "", name, f"{name}/{owner}", f"{name}/{owner}/{_short(image)}/{size[0]}/{size[1]}"
 
 
 def _short(name: str) -> str:
