--- a/ashtray/jobs/pace.py
+++ b/ashtray/jobs/pace.py
@@ -56,12 +56,17 @@
         if due_us is None or job.spec.job_class not in self._timed:
             return None
         since_us = job.record.accepted_us if within_s is None else job.ready_us
-        return since_us + due_us - int(RESERVE * self.run_us(job))
+        # A job is done with the last of its tasks, so what one of twenty takes counts.
+        return since_us + due_us - max(int(RESERVE * self.run_us(job)), self.late_run_us(job))
 
     def run_us(self, job: Job) -> int:
         """How long a task of a job may be expected to hold its place: until it runs, and then its run."""
         return self.watch.lead_us(job) + self.estimates.median_us(job)
 
+    def late_run_us(self, job: Job) -> int:
+        """How long all but one of twenty tasks of a job hold their place at the most."""
+        return self.watch.lead_us(job) + self.estimates.estimate(job).p95_us
+
     def patience_s(self, job: Job) -> float:
         """How long a job may wait for each time that a machine costs as much again as the cheapest."""
         if job.spec.job_class in self.urgent:
