--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -224,17 +224,23 @@
         picture = self.base.picture
         times = self.base.settings.cluster.workers
         lost: list[str] = []
+        freed: set[Kind] = set()
         for name, coming in list(self.coming.items()):
             if name in picture.machines:
                 self.boots.came(coming.kind, coming.since_us, now)
                 del self.coming[name]
                 continue
             late = self.boots.hopeless(coming.kind, coming.since_us, now)
+            if not late and coming.kind not in freed and self._in_the_way(coming, now):
+                late = True
+                freed.add(coming.kind)
             mute = coming.up and now - coming.up_us > int(times.lease_s * SECOND_US)
             vanished = self._unlisted(name) and now - coming.since_us > self._lag_us()
             if (late and not coming.up) or mute or vanished or self.listed.get(name) == "failed":
                 self.kernel.log("info", f"{name} never reported: given up")
                 lost.append(name)
+                # The room that it took can be asked for again.
+                self.blocked.pop(coming.kind, None)
         lease_us = int(times.lease_s * SECOND_US)
         silence = self._silences()
         silent = {name for name, us in silence.items() if us > lease_us + 4 * SECOND_US}
@@ -266,6 +272,16 @@
         self._ending.update(name for name in lost if name not in picture.machines)
         yield from self._retire([name for name in lost if name in picture.machines])
 
+    def _in_the_way(self, coming: Coming, now: int) -> bool:
+        """Whether a machine that is overdue takes up room for the one that would replace it.
+
+        Found in a recorded day: the only machine of its type never came up, and the urgent gang that needed it waited
+        for four minutes until it was given up.  One of a kind at a time, and the next only when the cloud has refused
+        again: should all be late, as they are at times, most of them are waited for.
+        """
+        overdue = self.boots.left_us(coming.kind, coming.since_us, now) is None
+        return overdue and not coming.up and self._blocked(coming.kind)
+
     def _spare_gangs(self) -> Fiber[None]:
         """Stop gangs that are about to lose a machine in the orderly way: all their tasks at once, so that they save.
 
--- a/tests/test_bad_nights.py
+++ b/tests/test_bad_nights.py
@@ -263,3 +263,16 @@
     assert min(core.runner._silences().values()) > 50 * SECOND
     core.kernel.awake_us = later
     assert max(core.runner._silences().values()) == 0
+
+
+def test_the_only_machine_of_a_type_that_never_comes_up_is_replaced() -> None:
+    # Found in a recorded day (inc-3c9f): it held the place of its own replacement for four minutes.
+    model = Model(11)
+    model.cloud.capacity = 1
+    boot = model._boot
+    model.cloud.boot = lambda machine: 10**12 if machine.name == "vm-000000" else boot(machine)
+    model.submit(submission("job-1", crew="free", urgency="urgent", shape="gang", pieces=1))
+    model.run(50)
+    # Five seconds of boot time, two and a half times that and five more of patience; then as long again to boot.
+    assert "vm-000000" in model.cloud.deleted and len(model.cloud.machines) == 2
+    assert model.jobs["job-1"].told == "done"
