--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -239,8 +239,9 @@
             if (late and not coming.up) or mute or vanished or self.listed.get(name) == "failed":
                 self.kernel.log("info", f"{name} never reported: given up")
                 lost.append(name)
-                # The room that it took can be asked for again.
-                self.blocked.pop(coming.kind, None)
+                if coming.kind in freed:
+                    # The room that it took can be asked for again.
+                    self.blocked.pop(coming.kind, None)
         lease_us = int(times.lease_s * SECOND_US)
         silence = self._silences()
         silent = {name for name, us in silence.items() if us > lease_us + 4 * SECOND_US}
@@ -276,11 +277,14 @@
         """Whether a machine that is overdue takes up room for the one that would replace it.
 
         Found in a recorded day: the only machine of its type never came up, and the urgent gang that needed it waited
-        for four minutes until it was given up.  One of a kind at a time, and the next only when the cloud has refused
-        again: should all be late, as they are at times, most of them are waited for.
+        for four minutes until it was given up.  Only where none of its kind is up: what is late by a little comes
+        sooner than its replacement, and with others up nobody waits for it alone.
         """
         overdue = self.boots.left_us(coming.kind, coming.since_us, now) is None
-        return overdue and not coming.up and self._blocked(coming.kind)
+        if not overdue or coming.up or not self._blocked(coming.kind):
+            return False
+        kinds = ((m.type, m.zone, m.record.spot) for m in self.base.picture.machines.values())
+        return coming.kind not in kinds
 
     def _spare_gangs(self) -> Fiber[None]:
         """Stop gangs that are about to lose a machine in the orderly way: all their tasks at once, so that they save.
