--- a/ashtray/placement/order.py
+++ b/ashtray/placement/order.py
@@ -69,8 +69,11 @@
         name = job.spec.job_class
         waits = self._waits.get(name, ())
         done = self._done.get(name, ()) if job.spec.kind == "gang" else ()
-        if not waits and not done:
-            return Standing(0, 0, False)
+        # A stage that others wait for, or a job with a deadline, is in time as long as that can be met: put back for
+        # a time of its own class, it would hold up the end of its pipeline.
+        in_time = job.latest_us is not None and wall_us <= job.latest_us
+        if in_time or (not waits and not done):
+            return Standing(0, len(waits) + len(done), False)
         age_us = wall_us - job.ready_us
         starts_us = age_us + LAUNCH_US + fetch_us(job, picture.types.values())
         ends_us = starts_us + self._pace.run_us(job) if done else 0
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -57,6 +57,14 @@
     assert order(jobs) == [3, 2, 1, 0, 4]
 
 
+def test_a_stage_whose_end_can_still_be_in_time_is_not_put_back():
+    picture = picture_of([("pages", 100.0, 1, "studio"), ("pages", 20.0, 1, "studio"), ("pages", 90.0, 1, "studio")])
+    picture.jobs["job-0"].latest_us = NOW_US + SECOND_US
+    picture.jobs["job-2"].latest_us = NOW_US - SECOND_US
+    times = StatedTimes(AIMS, Pace(AIMS, 6.0))
+    assert [times.standing(picture.jobs[f"job-{n}"], picture, NOW_US).band for n in (0, 1, 2)] == [0, 0, 1]
+
+
 JOB = st.tuples(
     st.sampled_from(["pages", "other"]), st.floats(0, 500), st.integers(0, 3), st.sampled_from(TEAMS)
 )
