Classes without stated times keep their turns under overload

Cause: they had missed nothing and so went before all that had missed a time, in the same team and priority. Change: only jobs of classes with stated times change places with one another.

--- a/ashtray/placement/order.py
+++ b/ashtray/placement/order.py
@@ -26,7 +26,7 @@
 LAUNCH_US = 2 * SECOND_US
 """From a plan to a task's start, beside the fetch of its image: the commit, the order and the report."""
 AGED = 2
-Level = tuple[int, bool, str, bool]
+Level = tuple[int, bool, str, bool, bool]
 """Jobs that may change places: of one priority and team, and alike in what else goes before age."""
 
 
@@ -83,20 +83,25 @@
     def arrange(self, jobs: list[Job], inside: set[str], picture: Picture, wall_us: int) -> list[Job]:
         """A queue served by age, with the jobs of each team and priority in their bands.
 
-        They change places with one another only: whose turn it is between teams and priorities is not judged here.
+        They change places with one another only: whose turn it is between teams and priorities is not judged here,
+        nor between classes with stated times and without.
         """
-        bands = {job.id: self.standing(job, picture, wall_us).band for job in jobs}
-        if not any(bands.values()):
+        standings = {job.id: self.standing(job, picture, wall_us) for job in jobs}
+        if not any(standing.band for standing in standings.values()):
             return jobs
+        # Where an aim is on what is within a guarantee, it is served before the rest of its team.
+        levels: dict[str, Level] = {
+            job.id: (job.priority, job.suspect, job.spec.team, self._guaranteed and job.id in inside,
+                     standings[job.id].stated > 0)
+            for job in jobs
+        }  # fmt: skip
         of_level: dict[Level, list[Job]] = {}
         for job in jobs:
-            of_level.setdefault(self._level(job, inside), []).append(job)
-        turns = {level: iter(sorted(alike, key=lambda job: bands[job.id])) for level, alike in of_level.items()}
-        return [next(turns[self._level(job, inside)]) for job in jobs]
-
-    def _level(self, job: Job, inside: set[str]) -> Level:
-        # Where an aim is on what is within a guarantee, it is served before the rest of its team.
-        return job.priority, job.suspect, job.spec.team, self._guaranteed and job.id in inside
+            of_level.setdefault(levels[job.id], []).append(job)
+        turns = {
+            level: iter(sorted(alike, key=lambda job: standings[job.id].band)) for level, alike in of_level.items()
+        }
+        return [next(turns[levels[job.id]]) for job in jobs]
 
 
 def fetch_us(job: Job, types: Iterable[MachineType]) -> int:
--- a/tests/bite.py
+++ b/tests/bite.py
@@ -67,7 +67,7 @@
     "nothing-ages": (
         ORDER, "return -1 if self.aged else self.missed", "return self.missed"),
     "bands-across-teams": (
-        ORDER, "return job.priority, job.suspect, job.spec.team, ", "return job.priority, job.suspect, \"\", "),
+        ORDER, "job.id: (job.priority, job.suspect, job.spec.team, ", "job.id: (job.priority, job.suspect, \"\", "),
     "one-known-ends-all": (
         "ashtray/jobs/accepting.py", "if failed and not known:", "if False:"),
     "fold-counted-twice": (
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -57,6 +57,12 @@
     assert order(jobs) == [3, 2, 1, 0, 4]
 
 
+def test_classes_without_stated_times_keep_their_turns():
+    jobs = [("other", 300.0, 1, "studio"), ("pages", 90.0, 1, "studio"), ("other", 50.0, 1, "studio"),
+            ("pages", 9.0, 1, "studio"), ("other", 3.0, 1, "studio")]  # fmt: skip
+    assert order(jobs) == [0, 3, 2, 1, 4]
+
+
 def test_a_stage_whose_end_can_still_be_in_time_is_not_put_back():
     picture = picture_of([("pages", 100.0, 1, "studio"), ("pages", 20.0, 1, "studio"), ("pages", 90.0, 1, "studio")])
     picture.jobs["job-0"].latest_us = NOW_US + SECOND_US
