--- a/tests/model.py
+++ b/tests/model.py
@@ -185,8 +185,8 @@
     def limits_fall(self) -> None:
         """What was announced comes without notice.
 
-        Where a controller has been kept away since it was replaced, nobody can know that all are new: then each learns
-        it from the first transaction that is refused, and so many may be.
+        Where a controller has been kept away since it was replaced, nobody can know that all are new: then each
+        learns it from the first transaction that is refused, and so many may be.
         """
         assert self.following is not None
         keys = (f"ashtray/now/controller/berth-{host.number}" for host in self.hosts)
