--- a/ashtray/cli.py
+++ b/ashtray/cli.py
@@ -11,8 +11,8 @@
 from typing import Any
 
 from ashtray import __version__
-from ashtray.config.operators import SETTINGS, load_knobs
-from ashtray.config.settings import SettingsError, load_settings
+from ashtray.config.operators import SETTINGS, Knobs, load_knobs, place_of
+from ashtray.config.settings import Settings, SettingsError, load_settings
 
 EXIT_OK, EXIT_FAILED, EXIT_USAGE, EXIT_UNREACHABLE = 0, 1, 2, 3
 EXIT_CODES = """exit codes:
@@ -30,9 +30,21 @@
         logging.getLogger(noisy).setLevel(logging.ERROR)
 
 
+def _load(config: str, operators: str | None) -> tuple[Settings, Knobs]:
+    """Both files, each checked, and the operators' against what the platform allows."""
+    settings, knobs = load_settings(config), load_knobs(operators)
+    from ashtray.store.client import Limits
+    from ashtray.workers.folding import most_group_size
+
+    most = most_group_size(Limits.of(settings.cluster.state))
+    if operators is not None and knobs.group_size is not None and knobs.group_size > most:
+        reason = f"{knobs.group_size} machines do not fit a value of the state service (cluster.state in {config})"
+        raise SettingsError(f"{operators}: {place_of(operators, 'group-size')}: group-size: {reason}: at most {most}")
+    return settings, knobs
+
+
 def _run(args: argparse.Namespace) -> int:
-    settings = load_settings(args.config)
-    knobs = load_knobs(args.operators)
+    settings, knobs = _load(args.config, args.operators)
     _logging()
     from ashtray.daemon.server import run
 
@@ -45,9 +57,10 @@
         return _fail("check needs --config, --operators or both", EXIT_USAGE)
     shown: dict[str, Any] = {}
     if args.config is not None:
-        settings = load_settings(args.config)
+        settings, knobs = _load(args.config, args.operators)
         shown["config"] = {"host_name": settings.host_name, "others": [p.host_name for p in settings.others]}
-    knobs = load_knobs(args.operators)
+    else:
+        knobs = load_knobs(args.operators)
     shown["operators"] = {name: getattr(knobs, setting.field) for name, setting in SETTINGS.items()}
     if args.json:
         print(json.dumps(shown))
--- a/ashtray/config/operators.py
+++ b/ashtray/config/operators.py
@@ -102,6 +102,11 @@
     return f"line {line}, column {at - text.rfind(chr(10), 0, at)}"
 
 
+def place_of(path: str, name: str) -> str:
+    """Line and column of a setting in the operators' file."""
+    return _place(Path(path).read_text(encoding="utf-8"), name)
+
+
 def load_knobs(path: str | None) -> Knobs:
     """Read and check the operators' file; raises `SettingsError` with one line."""
     if path is None:
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -431,6 +431,11 @@
     return max(int(limits.value_bytes * GROUP_SHARE / (machine + holds * hold)), 1)
 
 
+def most_group_size(limits: Limits) -> int:
+    """How many machines a record can be given at most, by the least value that is to come."""
+    return int(limits.least_value_bytes * FULL_SHARE / NEW_MACHINE_BYTES) + 1
+
+
 def adoption(
     picture: Picture, strangers: dict[str, Report], fixed: int | None, limits: Limits
 ) -> tuple[Txn, list[str]]:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ashtray.cli import main
 from ashtray.config.operators import SETTINGS, Knobs, load_knobs
 from ashtray.config.settings import SettingsError
 
@@ -51,6 +52,24 @@
     assert "\n" not in str(caught.value)
 
 
+def test_groups_that_fit_no_value_are_refused(tmp_path: Path, capsys: pytest.CaptureFixture[str]):
+    config, operators = tmp_path / "settings.toml", tmp_path / "operators.sexp"
+    config.write_text(
+        'host_name = "berth-0"\napi_addr = "127.0.0.1:1"\ncluster_listen = "127.0.0.1:2"\n'
+        '[services]\ncloud = "127.0.0.1:3"\nstate = "127.0.0.1:4"\n[cluster]\nzones = ["a"]\n'
+        "[cluster.workers]\nreport_s = 2.0\nlease_s = 10.0\ngang_wait_s = 20.0\ngang_peer_s = 3.0\n"
+        "cancel_s = 30.0\n[cluster.cloud]\nrps = 5.0\nlist_lag_s = 2.0\n"
+        "[cluster.state]\nrps = 100.0\nwrite_rps = 25.0\nvalue_kb = 32.0\ntxn_ops = 16\n"
+        "[cluster.state.next]\nwrite_rps = 18.0\nvalue_kb = 2.0\ntxn_ops = 5\n"
+    )
+    command = ["check", "--config", str(config), "--operators", str(operators)]
+    operators.write_text("(ashtray (group-size 11))")
+    assert main(command) == 0
+    operators.write_text("(ashtray\n  (group-size 12))")
+    assert main(command) == 2
+    assert "line 2, column 4: group-size: 12 machines do not fit a value" in capsys.readouterr().err
+
+
 @given(st.text(alphabet="()ashtry 01.;\n\"'-", max_size=40))
 def test_any_text_is_read_or_refused_with_one_line(tmp_path_factory, text):
     try:
--- /dev/null
+++ b/tools/regress.py
@@ -0,0 +1,121 @@
+"""Score the sites that a change may have hurt, and say which days fell from the best that the repository knows.
+
+    python tools/regress.py --bench PATH/fleetbench --sites A.toml B.toml --wide C.toml D.toml --why "..."
+
+`--sites` are always scored; `--wide` too where the change since `--base` (default: HEAD~1) touches storage,
+membership, timers or what machines say to each other.  The bests are in `docs/figures.toml`.  `--full` plays all
+standard days instead of the two roughest; `--keep` writes better figures down; `--entries N` compares what the last N
+entries of the journal say without playing anything.
+
+Exit codes: 0 nothing fell, 1 a day fell by more than `--noise`, broke a rule or failed, 2 the command line or a file
+cannot be used.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+TABLE = ROOT / "docs" / "figures.toml"
+WIDE = ("store/", "peers/", "workers/", "teams/", "fleet/", "daemon/", "kernel.py", "controller.py", 
+        "placement/picture", "placement/lean", "placement/placer", "jobs/service", "jobs/model")  # fmt: skip
+"""Where a change touches storage, membership, timers or messages."""
+
+
+def touches_wide(base: str) -> list[str]:
+    """The changed files, committed or not, that call for the wide sites as well."""
+    git = ["git", "-C", str(ROOT), "diff", "--name-only", base, "--", "ashtray"]
+    names = subprocess.run(git, check=True, capture_output=True, text=True).stdout.split()
+    return [name for name in names if name.removeprefix("ashtray/").startswith(WIDE)]
+
+
+def load_table() -> dict[str, dict[str, dict[str, Any]]]:
+    return tomllib.loads(TABLE.read_text(encoding="utf-8")) if TABLE.exists() else {}
+
+
+def save_table(table: dict[str, dict[str, dict[str, Any]]]) -> None:
+    lines = ["# The best figure of each standard day (simulated machines), and the journal's entry that it is from.",
+             "# Written by tools/regress.py --keep."]  # fmt: skip
+    for site, days in sorted(table.items()):
+        lines += ["", f"[{site}]"]
+        for day, row in days.items():
+            lines.append(f'{day} = {{ best = {row["best"]:.4f}, snapshot = "{row["snapshot"]}" }}')
+    TABLE.write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+
+def entries() -> list[Path]:
+    return sorted((ROOT / "journal").glob("*.json"))
+
+
+def compare(paths: list[Path], table: dict[str, dict[str, dict[str, Any]]], noise: float) -> int:
+    """Print each day beside its best, note better ones in the table, and count what fell, broke or failed."""
+    bad = 0
+    for path in paths:
+        entry = json.loads(path.read_text(encoding="utf-8"))
+        if entry.get("cmd") != "score":
+            continue
+        if not entry.get("ok"):
+            print(f"{path.name}: did not end: {entry.get('error')}")
+            bad += 1
+        if not entry.get("site"):
+            continue
+        known = table.setdefault(entry["site"], {})
+        for day in entry["days"]:
+            name, score = day["name"], day["score"]
+            row = known.get(name)
+            fallen = row is not None and score < row["best"] - noise
+            fault = ", ".join(day.get("rules") or ()) or day.get("fault")
+            bad += bool(fault or fallen)
+            mark = f"  FAILED: {fault}" if fault else "  FELL" if fallen else ""
+            best = "none" if row is None else f"{row['best']:.3f}"
+            print(f"{entry['site']:34} {name:14} {score:.3f}  best {best}{mark}")
+            if not name.startswith("fresh") and not fault and (row is None or score > row["best"]):
+                known[name] = {"best": score, "snapshot": entry["id"]}
+    return bad
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--bench", type=Path, help="the bench's program")
+    parser.add_argument("--sites", nargs="*", default=[], help="site files that are always scored")
+    parser.add_argument("--wide", nargs="*", default=[], help="site files for changes of storage, membership, timers")
+    parser.add_argument("--base", default="HEAD~1", help="the commit that the change is counted from")
+    parser.add_argument("--why", default="regression", help="one sentence for the journal")
+    parser.add_argument("--jobs", type=int, help="days played at one time")
+    parser.add_argument("--noise", type=float, default=0.03, help="what a figure may differ by (default: 0.03)")
+    parser.add_argument("--full", action="store_true", help="all standard days")
+    parser.add_argument("--keep", action="store_true", help="write better figures to docs/figures.toml")
+    parser.add_argument("--entries", type=int, metavar="N", help="compare the journal's last N entries; play nothing")
+    args = parser.parse_args()
+    if args.entries is None:
+        if args.bench is None or not args.sites:
+            parser.error("--bench and --sites are needed, or --entries")
+        wide = touches_wide(args.base) if args.wide else []
+        if wide:
+            print(f"the wide sites too, for {', '.join(wide)}")
+        before = set(entries())
+        command = [str(args.bench), "score", *args.sites, *(args.wide if wide else ()), "--why", args.why]
+        command += [] if args.full else ["--quick"]
+        command += ["--jobs", str(args.jobs)] if args.jobs else []
+        code = subprocess.run(command, cwd=ROOT).returncode
+        found = [path for path in entries() if path not in before]
+        if not found:
+            print(f"the bench wrote nothing into journal/ (exit code {code})", file=sys.stderr)
+            return 2
+    else:
+        found = entries()[-args.entries:]
+    table = load_table()
+    bad = compare(found, table, args.noise)
+    if args.keep:
+        save_table(table)
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
