Where no time is stated, the job that needs the least room still goes first

Renders fill what is ordinary, and what is left went to arrays by age: many begun, few ended. Change: jobs without any stated time change places with their like by the room that their waiting tasks take until done (tasks, learnt run time, dominant part of a machine); what has waited twenty runs goes first by age.

--- a/ashtray/placement/order.py
+++ b/ashtray/placement/order.py
@@ -9,7 +9,13 @@
 
 Nothing starves: what has waited for `AGED` times its longest stated time goes before all bands, by age.
 
-While no job of a team and priority has missed a time, the order is the age, as it always was.
+Jobs for which nobody states a time are judged by one thing only: that they get done.  Of these the one that needs
+the least room still goes first (`room_left`): the rule of the shortest remaining processing time (Schrage, "A proof
+of the optimality of the shortest remaining processing time discipline", 1968), which ends the most jobs in any given
+room and ends what is begun before it begins more.  By age, under pressure, large arrays are begun one after the other
+and hardly one is ended.  What has waited `PATIENT` times as long as one of its tasks runs goes first, by age.
+
+While no job of a team and priority has missed a time, and all have one, the order is the age, as it always was.
 """
 
 from __future__ import annotations
@@ -26,6 +32,10 @@
 LAUNCH_US = 2 * SECOND_US
 """From a plan to a task's start, beside the fetch of its image: the commit, the order and the report."""
 AGED = 2
+PATIENT = 20
+"""A job without stated times that has waited so many times as long as a task of it runs goes first, by age."""
+Amounts = tuple[float, float, float]
+"""CPUs, GPUs, GB of memory."""
 Level = tuple[int, bool, str, bool, bool]
 """Jobs that may change places: of one priority and team, and alike in what else goes before age."""
 
@@ -58,6 +68,7 @@
         self._waits: dict[str, set[int]] = {}
         self._done: dict[str, set[int]] = {}
         self._guaranteed = False
+        """Where an aim is on what is within a guarantee, it is served before the rest of its team."""
         for aim in objectives:
             self._guaranteed = self._guaranteed or aim.kind == "guarantee"
             found = {"wait": self._waits, "finished": self._done}.get(aim.kind)
@@ -84,27 +95,52 @@
         return Standing(missed, len(waits) + len(done), age_us > AGED * max([*waits, *done]))
 
     def arrange(self, jobs: list[Job], inside: set[str], picture: Picture, wall_us: int) -> list[Job]:
-        """A queue served by age, with the jobs of each team and priority in their bands.
+        """A queue served by age, with the jobs of each team and priority in their bands, or by the room they need.
 
         They change places with one another only: whose turn it is between teams and priorities is not judged here,
-        nor between classes with stated times and without.
+        nor between jobs with stated times and without.
         """
-        standings = {job.id: self.standing(job, picture, wall_us) for job in jobs}
-        if not any(standing.band for standing in standings.values()):
-            return jobs
-        # Where an aim is on what is within a guarantee, it is served before the rest of its team.
-        levels: dict[str, Level] = {
-            job.id: (job.priority, job.suspect, job.spec.team, self._guaranteed and job.id in inside,
-                     standings[job.id].stated > 0)
-            for job in jobs
-        }  # fmt: skip
-        of_level: dict[Level, list[Job]] = {}
+        of_level: dict[Level, list[tuple[tuple[float, ...], Job]]] = {}
+        levels: list[Level] = []
+        changes = False
+        largest = largest_of(picture.types.values())
         for job in jobs:
-            of_level.setdefault(levels[job.id], []).append(job)
-        turns = {
-            level: iter(sorted(alike, key=lambda job: standings[job.id].band)) for level, alike in of_level.items()
-        }
-        return [next(turns[levels[job.id]]) for job in jobs]
+            standing = self.standing(job, picture, wall_us)
+            by_room = standing.stated == 0 and not self._pace.timed(job)
+            rank: tuple[float, ...] = (standing.band,)
+            if by_room:
+                patience_us = PATIENT * self._pace.run_us(job)
+                aged = wall_us - job.ready_us > patience_us
+                rank = (-1.0, 0.0) if aged else (0.0, self.room_left(job, picture, largest))
+            changes = changes or any(rank)
+            level = (job.priority, job.suspect, job.spec.team, self._guaranteed and job.id in inside, by_room)
+            levels.append(level)
+            of_level.setdefault(level, []).append((rank, job))
+        if not changes:
+            return jobs
+        turns = {level: iter(sorted(alike, key=lambda entry: entry[0])) for level, alike in of_level.items()}
+        return [next(turns[level])[1] for level in levels]
+
+    def room_left(self, job: Job, picture: Picture, largest: Amounts) -> float:
+        """What a job's tasks without a place will take until they are done, in machine microseconds.
+
+        The scarcest part of the largest machine counts (dominant shares: Ghodsi and others, 2011), so that jobs of
+        different shapes compare.
+        """
+        spec = job.spec
+        part = max(
+            (need / most for need, most in zip((spec.cpus, spec.gpus, spec.memory_gb), largest, strict=True) if most),
+            default=1.0,
+        )
+        return len(picture.waiting().get(job.id, ())) * part * self._pace.run_us(job)
+
+
+def largest_of(kinds: Iterable[MachineType]) -> Amounts:
+    """The most that one machine of any type has of each."""
+    cpus = gpus = memory_gb = 0.0
+    for kind in kinds:
+        cpus, gpus, memory_gb = max(cpus, kind.cpus), max(gpus, kind.gpus), max(memory_gb, kind.memory_gb)
+    return cpus, gpus, memory_gb
 
 
 def fetch_us(job: Job, types: Iterable[MachineType]) -> int:
--- a/tests/bite.py
+++ b/tests/bite.py
@@ -67,7 +67,9 @@
     "nothing-ages": (
         ORDER, "return -1 if self.aged else self.missed", "return self.missed"),
     "bands-across-teams": (
-        ORDER, "job.id: (job.priority, job.suspect, job.spec.team, ", "job.id: (job.priority, job.suspect, \"\", "),
+        ORDER, "level = (job.priority, job.suspect, job.spec.team, ", "level = (job.priority, job.suspect, \"\", "),
+    "least-room-never-ages": (
+        ORDER, "aged = wall_us - job.ready_us > patience_us", "aged = False"),
     "one-known-ends-all": (
         "ashtray/jobs/accepting.py", "if failed and not known:", "if False:"),
     "fold-counted-twice": (
@@ -99,7 +101,7 @@
         RUNNER, "found[name] = 0 if mute and presence.foreman(machine.group) in mute else max(until - last, 0)",
         "found[name] = max(until - last, 0)"),
     "term-outlives-lease": (
-        RUNNER, "if self.running and not (mine and presence.signed_in()):", "if False:"),
+        RUNNER, "if self.running and not self._holds():", "if False:"),
     "late-list-condemns": (
         RUNNER, "return name not in self.listed and name < self._newest", "return name not in self.listed"),
     "all-late-given-up": (
@@ -126,7 +128,8 @@
     "lean-form-too-early": (
         "ashtray/controller.py", "(self.presence.upgraded() or self.picture.lean or self.store.refused)", "True"),
     "older-one-not-asked": (
-        "ashtray/peers/presence.py", "seen.get(host, {}).get(\"form\", 0) >= FORM", "host in seen"),
+        "ashtray/peers/presence.py", "min(seen.get(host, {}).get(\"form\", 0) for host in hosts)",
+        "min(WAITS if host in seen else 0 for host in hosts)"),
     "size-not-checked": (
         "ashtray/store/client.py", "return size <= self.value_bytes * VALUE_SHARE", "return True"),
     "moved-machines-count": (
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -11,8 +11,8 @@
 from ashtray.jobs.model import LIVE, JobRecord, JobSpec
 from ashtray.jobs.pace import Pace
 from ashtray.kernel import SECOND_US
-from ashtray.placement.order import AGED, StatedTimes
-from ashtray.placement.picture import Picture
+from ashtray.placement.order import AGED, PATIENT, StatedTimes
+from ashtray.placement.picture import GROUP, GroupRecord, HoldRecord, MachineRecord, Picture
 from ashtray.placement.plan import queue
 
 AIMS = [
@@ -73,6 +73,51 @@
     assert order(jobs) == [0, 3, 2, 1, 4]
 
 
+def panels(sizes: list[int], ages: list[float], runs_s: list[float] | None = None) -> Picture:
+    """Arrays of a class without stated times, of so many tasks each."""
+    picture = Picture()
+    for n, (tasks, age_s) in enumerate(zip(sizes, ages, strict=True)):
+        run_us = int((runs_s[n] if runs_s else 20.0) * SECOND_US)
+        spec = JobSpec("panels", "reader", "array", 3, tasks, 10.0, 1.0, 36.0, "img", 0.0, estimate_us=run_us)
+        record = JobRecord(spec, "berth-0", NOW_US - int(age_s * SECOND_US))
+        picture.put(f"{LIVE}job-{n}", msgspec.to_builtins(record), n + 1)
+    return picture
+
+
+def served(picture: Picture) -> list[int]:
+    found, _ = queue(picture, {}, StatedTimes(AIMS, Pace(AIMS, 6.0)), NOW_US)
+    return [int(job.id.removeprefix("job-")) for job in found]
+
+
+def test_where_no_time_is_stated_the_least_room_left_goes_first():
+    assert served(panels([90, 30, 3, 60], [40.0, 30.0, 2.0, 50.0])) == [2, 1, 3, 0]
+    # Thirty tasks of 10 s are less than ten of 60 s.
+    assert served(panels([10, 30], [5.0, 5.0], [60.0, 10.0])) == [1, 0]
+
+
+def test_what_is_begun_is_ended_first():
+    picture = panels([40, 30], [5.0, 9.0])
+    holds = [HoldRecord("job-0", 1, "0-14", "reader", 10.0, 1.0, 36.0, NOW_US)]
+    group = GroupRecord("foundry", "z", {"vm-1": MachineRecord("x", holds=holds)})
+    picture.put(f"{GROUP}1", msgspec.to_builtins(group), 9)
+    assert served(picture) == [0, 1]
+
+
+def test_the_largest_array_does_not_wait_for_ever():
+    # It has waited twenty times as long as a task of it runs, and the run's start.
+    assert served(panels([150, 3, 2], [PATIENT * 26.0, 4.0, 9.0])) == [0, 2, 1]
+
+
+def test_a_deadline_or_an_aim_keeps_its_turn_by_age():
+    jobs = [("pages", 3.0, 1, "studio"), ("other", 9.0, 1, "studio"), ("other", 5.0, 1, "studio")]
+    picture = picture_of(jobs)
+    picture.jobs["job-1"].spec.tasks = 50
+    picture.jobs["job-1"].latest_us = NOW_US + 30 * SECOND_US
+    picture.jobs["job-2"].spec.tasks = 2
+    found, _ = queue(picture, {}, StatedTimes(AIMS, Pace(AIMS, 6.0)), NOW_US)
+    assert [job.id for job in found] == ["job-1", "job-2", "job-0"]
+
+
 def test_a_stage_whose_end_can_still_be_in_time_is_not_put_back():
     picture = picture_of([("pages", 100.0, 1, "studio"), ("pages", 20.0, 1, "studio"), ("pages", 90.0, 1, "studio")])
     picture.jobs["job-0"].latest_us = NOW_US + SECOND_US
