One told to end hands its duties over; a new runner rents before it tidies up; limits are shown at debug

Need: on a roll of controllers the duties of each lay idle until its lease ended. Change: SIGTERM closes the lease, with presence and the fleet's key; the fleet's key and intents go before placements in line; the first forecast comes before deletions. Debug lines say how much of each limit is used, and in whose share. Measured: test_one_told_to_end_is_missed_by_nobody (another runs the fleet within 1.5 s, before a suspicion could); the daemon leaves with exit code 0 on loopback.

--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -47,6 +47,8 @@
         hosts = [peer.host_name for peer in settings.others]
         self.grants = Grants(settings.host_name, hosts, settings.cluster.teams, self.picture)
         self._seen = -1
+        self.ended = False
+        """Told to end, it has handed its duties over."""
         self.store = StoreClient(self.kernel, settings.services.state, settings.cluster.state)
         self.follower = Follower(self.kernel, self.store, ROOT, NOW, self.picture, self._changed)
         base = Base(
@@ -99,6 +101,8 @@
         for job_id, tasks in picture.waiting().items():
             by_class[picture.jobs[job_id].spec.job_class] += len(tasks)
         self.kernel.log("debug", f"waiting: {', '.join(f'{name} {n}' for name, n in by_class.most_common())}")
+        for line in self.grants.lines(picture.waiting()):
+            self.kernel.log("debug", line)
         held: dict[str, list[float]] = {}
         for machine in picture.machines.values():
             kind = picture.types.get(machine.type)
@@ -143,6 +147,18 @@
         self.kernel.advance(now_us, wall_us)
         return self.kernel.run()
 
+    def stop(self, now_us: int, wall_us: int) -> list[Output]:
+        """The process is to end: hand all duties over.  `ended` says when that is done."""
+        self.kernel.advance(now_us, wall_us)
+        if not self.presence.leaving:
+            self.kernel.log("info", "told to end: hands its duties over")
+            self.kernel.spawn(self._hand_over())
+        return self.kernel.run()
+
+    def _hand_over(self) -> Fiber[None]:
+        yield from self.presence.leave()
+        self.ended = True
+
     def reply(self, now_us: int, wall_us: int, call_id: int, reply: Reply) -> list[Output]:
         self.kernel.advance(now_us, wall_us)
         self.kernel.reply(call_id, reply)
@@ -223,6 +239,8 @@
         cut_us = self.kernel.now_us - self.follower.read_us
         if not ready or not self.presence.incarnation:
             self.kernel.answer(request_id, 503, {"error": "starting"}, 1)
+        elif self.presence.leaving:
+            self.kernel.answer(request_id, 503, {"error": "ending"}, 1)
         elif cut_us > UNWELL_US and self.peers.better_connected() is not None:
             self.kernel.answer(request_id, 503, {"error": "cut off from the state service"}, 1)
         else:
--- a/ashtray/daemon/server.py
+++ b/ashtray/daemon/server.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import hmac
 import logging
 import random
+import signal
 import time
 from typing import Any
 
@@ -23,6 +25,8 @@
 
 log = logging.getLogger("ashtray")
 _LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+HAND_OVER_S = 3.0
+"""How long a process that is told to end goes on, for its lease and for what it has been asked."""
 _HEADERS = {"Content-Type": "application/msgpack"}
 
 
@@ -147,7 +151,16 @@
             await self.loop.create_server(server, host, int(port), backlog=256)
         log.info("listening on %s", self.settings.api_addr)
         self.carry_out(self.core.start(*self.now()))
-        await asyncio.Event().wait()
+        told = asyncio.Event()
+        with contextlib.suppress(NotImplementedError, RuntimeError, ValueError, OSError):
+            # Where the platform has no signals a process is simply killed.
+            self.loop.add_signal_handler(signal.SIGTERM, told.set)
+        await told.wait()
+        self.carry_out(self.core.stop(*self.now()))
+        until_s = time.monotonic() + HAND_OVER_S
+        while time.monotonic() < until_s and (self._answers or not self.core.ended):
+            await asyncio.sleep(0.02)
+        await self.client.close()
 
 
 async def _main(settings: Settings, knobs: Knobs, token: str | None) -> None:
--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -185,7 +185,7 @@
             txn = Txn().guard(FLEET, picture.version(FLEET))
             own = {"host": self.base.settings.host_name, "incarnation": presence.incarnation}
             txn.put(FLEET, own, presence.lease)
-            yield from self.base.follower.commit(lambda: txn, 1, Urgency.FREE, "fleet")
+            yield from self.base.follower.commit(lambda: txn, 1, Urgency.CANCEL, "fleet")
         if self._holds() and not self.running and picture.fleet is not None:
             self.running = True
             self._free_us = None
@@ -321,6 +321,9 @@
             yield from self._list()
         if not self.listed_us:
             return
+        if not self.takeover.decided:
+            # What is wanted has waited since the former one fell; marking and deleting can wait in line for seconds.
+            yield from self._rent()
         yield from self._give_up()
         yield from self._finish()
         if self.kernel.now_us >= self.pause_until_us:
@@ -736,7 +739,7 @@
     def _rent(self) -> Fiber[None]:
         # A forecast goes through the whole fleet and queue: not at each round.
         pause_us = RENT_US * len(self.base.picture.machines) * (1 if self._wished else 2)
-        if self.kernel.now_us - self._rented_us < pause_us:
+        if self.takeover.decided and self.kernel.now_us - self._rented_us < pause_us:
             return
         self._rented_us = self.kernel.now_us
         self.intents.settle((), self.kernel.wall_us - self._lag_us() - CLOCK_US)
@@ -752,7 +755,7 @@
             return
         batch: list[Intent] = []
         build = partial(self._intend, wishes, batch)
-        if not (yield from self.base.follower.commit(build, 1, Urgency.FREE, "intent")):
+        if not (yield from self.base.follower.commit(build, 1, Urgency.ACCEPT, "intent")):
             # Perhaps it is written all the same: what nobody has asked for is dropped with the next change.
             return
         self.intents.begin(batch)
--- a/ashtray/peers/presence.py
+++ b/ashtray/peers/presence.py
@@ -54,11 +54,13 @@
         self._able: list[str] = []
         self._foremen: dict[str, str] = {}
         self._upgraded = 0
+        self.leaving = False
+        """This process has been told to end: nothing is its duty any more."""
 
     def run(self) -> Fiber[None]:
         base = self.base
         key = CONTROLLER + base.settings.host_name
-        while True:
+        while not self.leaving:
             if self.lease is None:
                 asked_us = base.kernel.now_us
                 reply: Reply = yield from base.store.open_lease(LEASE_US)
@@ -78,12 +80,23 @@
                     yield Sleep(SECOND_US // 2)
                     continue
             yield Sleep(RENEW_US)
+            if self.lease is None:
+                continue
             asked_us = base.kernel.now_us
             reply = yield from base.store.renew_lease(self.lease)
             if reply.status == 200:
                 self.until_us = asked_us + LEASE_US
             elif reply.status == 404:
                 self.lease = None
+        yield Sleep(SECOND_US)
+
+    def leave(self) -> Fiber[None]:
+        """Give the lease up, with all that hangs on it, so that others need not wait for its end."""
+        self.leaving = True
+        self._able_of = None
+        lease, self.lease = self.lease, None
+        if lease is not None:
+            yield from self.base.store.close_lease(lease)
 
     def signed_in(self) -> bool:
         """Whether the lease, with all that hangs on it, is surely there still."""
@@ -116,7 +129,10 @@
         live, away = self.live(), self.notice.away
         if self._able_of is None or self._able_of[0] is not live or self._able_of[1] is not away:
             self._able_of = live, away
-            self._able = [host for host in live if host not in away or host == self.base.settings.host_name]
+            own = self.base.settings.host_name
+            self._able = [host for host in live if host not in away or host == own]
+            if self.leaving and len(self._able) > 1:
+                self._able.remove(own)
             self._foremen.clear()
         return self._able
 
--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -269,6 +269,9 @@
         path = f"/leases/{lease}/renew"
         return (yield from self.request(Urgency.KEEP_ALIVE, "POST", path, {}, purpose="lease"))
 
+    def close_lease(self, lease: int) -> Fiber[Reply]:
+        return (yield from self.request(Urgency.KEEP_ALIVE, "DELETE", f"/leases/{lease}", purpose="lease"))
+
 
 TXN_BYTES = 64 * 1024
 """What the state service takes in one transaction, in all."""
--- a/ashtray/teams/grants.py
+++ b/ashtray/teams/grants.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sized
 
 from ashtray.config.settings import Team
 from ashtray.jobs.model import JobSpec
@@ -76,6 +76,26 @@
             shares = dict.fromkeys(self.hosts, (team.cpus_max / n, team.gpus_max / n))
         return shares
 
+    def lines(self, waiting: Mapping[str, Sized]) -> list[str]:
+        """For each limit how much of it is used, and how much lies in whose share, for people."""
+        wait: dict[str, int] = dict.fromkeys(self.teams, 0)
+        for job_id, tasks in waiting.items():
+            job = self.picture.jobs.get(job_id)
+            if job is not None and job.spec.team in wait:
+                wait[job.spec.team] += len(tasks)
+        found = []
+        for name, team in self.teams.items():
+            shares = self._shares(name)
+            for n, what, limit in ((0, "CPUs", team.cpus_max), (1, "GPUs", team.gpus_max)):
+                if limit:
+                    parts = ", ".join(
+                        f"{host} {self.picture.team_usage(name, host)[n]:g} of {share[n]:g}"
+                        for host, share in sorted(shares.items())
+                    )
+                    used = self.picture.team_usage(name)[n]
+                    found.append(f"limit of {name}: {used:g} of {limit:g} {what}, {wait[name]} tasks wait; {parts}")
+        return found
+
     def allowed(self, name: str, spec: JobSpec, cpus: float = 0.0, gpus: float = 0.0) -> int:
         """How many tasks this controller may place, when so much goes with them."""
         if name not in self._fenced:
--- a/tests/bite.py
+++ b/tests/bite.py
@@ -83,7 +83,7 @@
     "excess-of-the-plan": (
         "ashtray/placement/preemption.py", "    if not excess.allows(taken):\n        return None\n", ""),
     "rented-without-a-record": (
-        RUNNER, "        if not (yield from self.base.follower.commit(build, 1, Urgency.FREE, \"intent\")):",
+        RUNNER, "        if not (yield from self.base.follower.commit(build, 1, Urgency.ACCEPT, \"intent\")):",
         "        if build() is None:"),
     "heir-does-not-ask-again": (
         RUNNER, "        asked = len(self.intents.unanswered())\n        if not (yield from self._ask_for_all()):",
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -41,8 +41,8 @@
         if url.path == "/txn":
             return self._txn(body)
         parts = url.path.strip("/").split("/")
-        if parts[0] == "leases" and method == "POST":
-            return self._lease(now_us, parts, body)
+        if parts[0] == "leases" and method in ("POST", "DELETE"):
+            return self._lease(now_us, method, parts, body)
         return 400, {"error": "malformed"}
 
     def expire(self, now_us: int) -> None:
@@ -97,7 +97,7 @@
                 self.log.append((self.revision, change["remove"], None))
         return 200, {"ledger": self.revision}
 
-    def _lease(self, now_us: int, parts: list[str], body: Any) -> Answer:
+    def _lease(self, now_us: int, method: str, parts: list[str], body: Any) -> Answer:
         if len(parts) == 1:
             lease = self.next_lease
             self.next_lease += 1
@@ -106,6 +106,10 @@
         lease = int(parts[1])
         if lease not in self.leases:
             return 404, {"error": "no such lease"}
+        if method == "DELETE":
+            self.leases[lease] = (0, now_us)
+            self.expire(now_us)
+            return 200, {}
         life = self.leases[lease][0]
         self.leases[lease] = (life, now_us + life)
         return 200, {"permit": lease}
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -111,9 +111,15 @@
         assert await raw(port, "POST /hello", msgspec.msgpack.encode({"berth": 1})) == 400
         assert await raw(port, "GET /submissions/job-x") == 400
         assert await raw(port, "GET /up") == 200
+        # Told to end, the first one hands over and leaves; the other one goes on.
+        controllers[0].terminate()
+        assert await asyncio.wait_for(controllers[0].wait(), 10) == 0
+        assert not any(key.endswith("controller/berth-0") for key in stage.state.keys)
+        assert await raw(stage.apis[1], "GET /up") == 200
     finally:
         for controller in controllers:
-            controller.kill()
+            if controller.returncode is None:
+                controller.kill()
             await controller.wait()
         await stage.stop()
 
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -241,6 +241,22 @@
     assert rented(model) == MACHINES and len(model.on) == MACHINES
 
 
+def test_one_told_to_end_is_missed_by_nobody() -> None:
+    model = Model(19, hosts=5)
+    model.checks()
+    model.run(10)
+    for _ in range(5):
+        (runner,) = runners(model)
+        model.carry_out(runner, runner.core.stop(*model.clock(runner)))
+        model.run(0.3)
+        assert runner.core.ended and f"{CONTROLLER}berth-{runner.number}" not in model.state.keys
+        model.crash(runner.number, 4)
+        model.run(1.2)
+        # Before it would even be suspected.
+        assert len(runners(model)) == 1
+        model.run(8)
+
+
 # How a fall is noticed
 
 
