Shares of a limit stay with who has use for them; a dead one's are free as its tasks end; gangs collect in turn

Change: an asker takes only what others cannot use themselves, unless its job is urgent, a gang, or it has less than half of its part by what waits; the share of one that places nothing any more goes to nothing at once, so that what its tasks leave is free without another change; raising and lowering go into one change; a gang collects undisturbed by what comes after it in the queue.

--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -16,7 +16,7 @@
 from ashtray.placement.preemption import Right, Victims, choose_victims, stop_for
 from ashtray.runs import encode_runs
 from ashtray.store.client import Limits, Txn, Urgency
-from ashtray.teams.grants import Grants
+from ashtray.teams.grants import Grants, rank_of
 from ashtray.workers.desk import Desk
 from ashtray.workers.folding import Fold
 
@@ -271,7 +271,7 @@
             at_us, pause_us = self._reshared.get(team, (0, 0))
             if base.kernel.now_us < at_us + pause_us:
                 continue
-            build = partial(self.grants.reshare, team, job.spec, count, self.presence.live())
+            build = partial(self._shares_for, team, job, count)
             good = yield from base.follower.commit(build, 1, Urgency.PLACE, "share")
             # While it does not help it is tried ever more seldom: the limit itself may bind.
             pause_us = RESHARE_US if good else min(max(2 * pause_us, RESHARE_US), MAX_RESHARE_US)
@@ -279,6 +279,13 @@
             if good and (yield from base.follower.barrier()):
                 self._again()
 
+    def _shares_for(self, team: str, job: Job, count: int) -> Txn | None:
+        wants = self.grants.wants(team, self._owner, self.presence.able())
+        return self.grants.reshare(team, job.spec, count, wants, rank_of(job))
+
+    def _owner(self, job: Job) -> str:
+        return self.presence.owner_of(job.id, job.record.owner)
+
     def _again(self) -> None:
         self._hurry = True
 
--- a/ashtray/teams/grants.py
+++ b/ashtray/teams/grants.py
@@ -11,16 +11,37 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sized
+from collections.abc import Callable, Iterable, Mapping, Sized
+from typing import NamedTuple
 
 from ashtray.config.settings import Team
-from ashtray.jobs.model import JobSpec
+from ashtray.jobs.model import Job, JobSpec
 from ashtray.placement.picture import EPS, TEAM, Picture
 from ashtray.store.client import Txn
 from ashtray.teams.limits import has_limit, tasks_within
 
 Share = tuple[float, float]
 """CPUs and GPUs."""
+Rank = tuple[int, int, str]
+"""A job's priority, since when it is ready, and its id: an order that all controllers agree on."""
+FAIR = 0.5
+"""One with less than this of its part by what waits may ask others for what they would use themselves."""
+
+
+class Want(NamedTuple):
+    """What the waiting tasks of a team need with one controller."""
+
+    cpus: float = 0.0
+    gpus: float = 0.0
+    gang: Rank | None = None
+    """Its first gang that waits: what that collects nobody behind it may ask for."""
+
+
+def rank_of(job: Job) -> Rank:
+    return job.priority, job.ready_us, job.id
+
+
+NOTHING = Want()
 
 
 class Grants:
@@ -105,53 +126,127 @@
         own = _within(self.teams[name], share)
         return tasks_within(own, used[0] + cpus, used[1] + gpus, spec)
 
-    def reshare(self, name: str, spec: JobSpec, count: int, live: Iterable[str]) -> Txn | None:
-        """Take what nobody uses for so many more tasks, or first ask the others to give up what they do not use.
+    def wants(self, name: str, owner: Callable[[Job], str], able: Iterable[str]) -> dict[str, Want]:
+        """What the waiting tasks of a team need, by the controller that places them.
+
+        One that is not in it places nothing any more: it is gone, or its jobs have moved away from it.
+        """
+        found = dict.fromkeys(able, NOTHING)
+        for job_id, tasks in self.picture.waiting().items():
+            job = self.picture.jobs[job_id]
+            if job.spec.team == name:
+                host = owner(job)
+                want, rank = found.get(host, NOTHING), rank_of(job)
+                gang = want.gang
+                if job.spec.kind == "gang" and not job.suspect and (gang is None or rank < gang):
+                    gang = rank
+                found[host] = Want(
+                    want.cpus + len(tasks) * job.spec.cpus, want.gpus + len(tasks) * job.spec.gpus, gang
+                )
+        return found
+
+    def reshare(
+        self, name: str, spec: JobSpec, count: int, wants: Mapping[str, Want], rank: Rank = (2, 0, "")
+    ) -> Txn | None:  # fmt: skip
+        """Take what is in nobody's share for so many more tasks, and ask others to give up what they cannot use.
 
         What another controller gives up may be in use before it knows: it is taken only by a later change, made on
-        a picture in which the lower share already binds.
+        a picture in which the lower share already binds.  So a share may be lowered at any time, whoever holds it,
+        and that of a controller that places nothing any more to nothing: what its tasks still use counts as long as
+        they do, and what they leave is free at once.
+
+        One that has tasks waiting will use what it has, as its tasks end.  It is asked only for what is urgent, for
+        a gang, or where the asker has less than `FAIR` of its part by what waits: moved to and fro between
+        controllers that all have use for it, a limit lay idle on the way.  And one whose own gang goes before the
+        asker's job (`rank`) is not asked: the first gang of all collects until it fits, and then the next one.
         """
+        urgent = rank[0] <= 1
         team = self.teams[name]
+        limits = (team.cpus_max, team.gpus_max)
         shares = {host: (float(c), float(g)) for host, (c, g) in self._shares(name).items()}
         own = shares.setdefault(self.host, (0.0, 0.0))
         used = {host: self.picture.team_usage(name, host) for host in {*shares, *self.hosts}}
-        free = [team.cpus_max, team.gpus_max]
-        for host in used:
-            if host != self.host:
-                for n in (0, 1):
-                    free[n] -= max(shares.get(host, (0.0, 0.0))[n], used[host][n])
-        need = [used[self.host][0] + count * spec.cpus, used[self.host][1] + count * spec.gpus]
-        short = [n for n, limit in enumerate((team.cpus_max, team.gpus_max)) if limit and need[n] > free[n] + EPS]
-        new = dict(shares)
-        could = tasks_within(_within(team, (free[0], free[1])), *used[self.host], spec)
+        others = [host for host in used if host != self.host]
+        free = [
+            limits[n] - sum(max(shares.get(host, (0.0, 0.0))[n], used[host][n]) for host in others) for n in (0, 1)
+        ]  # fmt: skip
+        more = (count * spec.cpus, count * spec.gpus)
+        need = [used[self.host][n] + more[n] for n in (0, 1)]
+        short = [n for n in (0, 1) if limits[n] and need[n] > free[n] + EPS]
         can = tasks_within(_within(team, own), *used[self.host], spec)
+        could = tasks_within(_within(team, (free[0], free[1])), *used[self.host], spec)
+        new = dict(shares)
         if not short or (spec.kind != "gang" and could > can):
-            new[self.host] = tuple(
-                max(own[n], min(free[n], need[n] + max(free[n] - need[n], 0.0) / 2)) if free[n] > own[n] else own[n]
-                for n in (0, 1)
-            )  # type: ignore[assignment]
-        else:
-            alive = set(live)
-            slack = [
-                sum(max(c[n] - used[h][n], 0.0) for h, c in shares.items() if h != self.host) for n in (0, 1)
-            ]
+            new[self.host] = self._raised(own, free, need, wants)
+        if short:
+            gives = {host: self._gives(team, host, shares, used, wants, False) for host in others if host in shares}
+            if not self._helps(team, spec, count, can, free, gives, used):
+                fair = self._fair(team, used, wants)
+                if urgent or spec.kind == "gang" or any(own[n] < FAIR * fair[n] for n in short):
+                    for host in gives:
+                        first = wants.get(host, NOTHING).gang
+                        if first is None or rank < first:
+                            gives[host] = self._gives(team, host, shares, used, wants, True)
             # Nothing is moved that would not make room for what is wanted, be it for one task of an array.
-            most = _within(team, (free[0] + slack[0], free[1] + slack[1]))
-            if tasks_within(most, *used[self.host], spec) < (count if spec.kind == "gang" else can + 1):
-                return None
-            for host, share in shares.items():
-                if host != self.host:
-                    # All of it where half would not do.
-                    part = 1.0 if host not in alive or any(need[n] - free[n] > slack[n] / 2 for n in short) else 0.5
-                    new[host] = tuple(
-                        share[n] - part * max(share[n] - used[host][n], 0.0) if n in short else share[n]
-                        for n in (0, 1)
-                    )  # type: ignore[assignment]
+            if self._helps(team, spec, count, can, free, gives, used):
+                for host, give in gives.items():
+                    new[host] = tuple(shares[host][n] - (give[n] if n in short else 0.0) for n in (0, 1))  # type: ignore[assignment]
         if new == shares:
             return None
         key = TEAM + name
         return Txn().guard(key, self.picture.version(key)).put(key, new)
 
+    def _raised(self, own: Share, free: list[float], need: list[float], wants: Mapping[str, Want]) -> Share:
+        """The own share with what is needed now, and its part, by what waits, of what is in nobody's share."""
+        raised = []
+        for n in (0, 1):
+            extra = free[n] - own[n]
+            mine = max(_amount(wants.get(self.host, NOTHING), n), need[n] - own[n], EPS)
+            rest = sum(_amount(want, n) for host, want in wants.items() if host != self.host)
+            part = extra * mine / (mine + rest)
+            raised.append(own[n] + min(extra, max(part, need[n] - own[n])) if extra > 0 else own[n])
+        return raised[0], raised[1]
+
+    def _gives(
+        self, team: Team, host: str, shares: Mapping[str, Share], used: Mapping[str, Share],
+        wants: Mapping[str, Want], pressed: bool,
+    ) -> Share:  # fmt: skip
+        """What another controller is to give up of its share."""
+        share = shares[host]
+        if host not in wants:
+            return share
+        spare = []
+        for n in (0, 1):
+            unused = max(share[n] - used[host][n], 0.0)
+            spare.append(unused if pressed else max(unused - _amount(wants[host], n), 0.0))
+        return spare[0], spare[1]
+
+    def _helps(
+        self, team: Team, spec: JobSpec, count: int, can: int, free: list[float], gives: Mapping[str, Share],
+        used: Mapping[str, Share],
+    ) -> bool:  # fmt: skip
+        """Whether there is room for what is wanted, or for one task more of an array, with what is given up."""
+        most = list(free)
+        for host, give in gives.items():
+            for n in (0, 1):
+                # A share that is lowered below what is used frees no more than what is not.
+                most[n] += min(give[n], max(self._shares(team.name)[host][n] - used[host][n], 0.0))
+        within = tasks_within(_within(team, (most[0], most[1])), *used[self.host], spec)
+        return within >= (count if spec.kind == "gang" else can + 1)
+
+    def _fair(self, team: Team, used: Mapping[str, Share], wants: Mapping[str, Want]) -> Share:
+        """This controller's part of the limit, by what it uses and what waits with it."""
+        fair = []
+        for n, limit in enumerate((team.cpus_max, team.gpus_max)):
+            mine = used[self.host][n] + _amount(wants.get(self.host, NOTHING), n)
+            total = sum(share[n] for share in used.values()) + sum(_amount(want, n) for want in wants.values())
+            fair.append(limit * mine / total if total > 0 else 0.0)
+        return fair[0], fair[1]
+
+
+def _amount(want: Want, n: int) -> float:
+    return want.gpus if n else want.cpus
+
 
 def _within(team: Team, share: Share) -> Team:
     """The team as one controller sees it: its share is the limit.  A share of nothing is not 'no limit'."""
