--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -179,7 +179,7 @@
                     if plan.keep_soon(job, need, within_s):
                         self.counts["urgent jobs wait for stops"] += 1
                         break
-                    if not mine:
+                    if not mine or not self._share_allows(job, need, batch):
                         continue
                     victims = self._victims(job, plan, need, inside, within_s)
                     if victims:
@@ -241,6 +241,16 @@
                 plan.give_back(job, room, n)
         return kept
 
+    def _share_allows(self, job: Job, count: int, batch: Batch) -> bool:
+        """Whether so many tasks are within this controller's share: room is not made before it can be used."""
+        spec = job.spec
+        if not self.grants.limited(spec.team):
+            return True
+        if self.grants.allowed(spec.team, spec, *batch.used.get(spec.team, (0.0, 0.0))) >= count:
+            return True
+        self._short.setdefault(spec.team, (job, count))
+        return False
+
     def _granted(self, job: Job, choices: list[Choice], batch: Batch) -> list[Choice]:
         """The choices that this controller's share of the team's limit allows; note what more is wanted."""
         spec, grants = job.spec, self.grants
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -28,6 +28,7 @@
 from ashtray.runs import decode_runs, encode_runs
 from ashtray.store.client import Limits, Txn
 from ashtray.teams.guarantees import Excess
+from tests.model import SECOND, Model, submission
 from tests.standins.state import State
 
 TEAMS = {team.name: team for team in (Team("a", cpus=10.0), Team("b", cpus=4.0), Team("c"))}
@@ -156,6 +157,25 @@
     assert stopped(world.picture(), "c") == 3.0
 
 
+def test_nothing_is_stopped_for_a_job_that_waits_for_its_teams_limit() -> None:
+    # Found on a day with a binding limit: urgent gangs stopped hundreds of tasks for room that they could not use.
+    model = Model(31)
+    model.cloud.capacity = 8
+    model._run_us = lambda key: 900 * SECOND  # type: ignore[method-assign]
+    model.checks()
+    model.run(3)
+    model.submit(submission("job-1", pieces=12, shape="service", urgency="urgent", loaners=False))
+    model.run(20)
+    model.submit(submission("job-2", crew="free", urgency="idle", pieces=16))
+    model.run(30)
+    before = {task: dict(machines) for task, machines in model.on.items()}
+    assert sum(job == "job-1" for job, _ in before) == 12
+    assert sum(job == "job-2" for job, _ in before) == 4
+    model.submit(submission("job-3", shape="gang", urgency="urgent", pieces=2))
+    model.run(20)
+    assert {task: dict(machines) for task, machines in model.on.items()} == before
+
+
 USES = st.lists(st.tuples(st.sampled_from("abc"), st.integers(1, 4), st.integers(1, 2)), min_size=1, max_size=6)
 ASKS = st.lists(st.tuples(st.sampled_from("abc"), st.integers(1, 3), st.booleans()), min_size=1, max_size=8)
 
