--- a/ashtray/placement/explain.py
+++ b/ashtray/placement/explain.py
@@ -5,12 +5,15 @@
 from collections import Counter
 from typing import Any
 
+from ashtray.config.settings import Team
 from ashtray.estimates.learned import Estimate
-from ashtray.jobs.model import Job
+from ashtray.jobs.model import Job, JobSpec
 from ashtray.kernel import SECOND_US
 from ashtray.placement.order import Standing
+from ashtray.placement.picture import EPS
 from ashtray.placement.plan import Plan, back_off_us
 from ashtray.placement.rules import PREFERENCES, VALIDATORS, Room
+from ashtray.teams.guarantees import leaving
 from ashtray.teams.limits import tasks_within
 
 
@@ -51,7 +54,9 @@
     left = [n for n in range(spec.tasks) if n not in placed and n not in finished]
     if left and not (spec.kind == "gang" and placed):
         answer["waiting"] = _waits(plan, job, len(left), wall_us, list(rooms.values()))
-        if standing is not None and standing.aged:
+        if standing is not None and standing.by_room:
+            answer["waiting"].insert(1, "no time is stated for it: jobs of its team that need less room go first")
+        elif standing is not None and standing.aged:
             answer["waiting"].insert(1, "it has waited so long that it goes before the other jobs of its team")
         elif standing is not None and standing.missed:
             missed = f"it can no longer make {standing.missed} of {standing.stated} times stated for its class"
@@ -67,8 +72,11 @@
         reasons.append(f"its tasks failed {job.record.errors} times: the next try is in {pause_us // SECOND_US} s")
     team = plan.teams.get(spec.team)
     need = left if spec.kind == "gang" else 1
-    if team is not None and tasks_within(team, *plan.usage[team.name], spec) < need:
-        reasons.append(f"team {team.name} is at its limit")
+    if team is not None:
+        if tasks_within(team, *plan.usage[team.name], spec) < need:
+            reasons.append(f"team {team.name} is at its limit")
+            reasons += _limits(plan, team, spec)
+        reasons += _guarantees(plan, team)
     ask = plan.ask(job)
     blocked: Counter[str] = Counter()
     for room in rooms:
@@ -78,3 +86,31 @@
     if not rooms:
         reasons.append("no machines are up")
     return reasons
+
+
+def _limits(plan: Plan, team: Team, spec: JobSpec) -> list[str]:
+    """How much of a limit is in use, and where the rest of it lies."""
+    shares = plan.picture.shares.get(team.name, {})
+    reasons = []
+    parts = ((0, "CPUs", team.cpus_max, spec.cpus), (1, "GPUs", team.gpus_max, spec.gpus))
+    for n, what, limit, need in parts:
+        if limit and need:
+            free = {host: share[n] - plan.picture.team_usage(team.name, host)[n] for host, share in shares.items()}
+            promised = ", ".join(f"{left:g} with {host}" for host, left in sorted(free.items()) if left > EPS)
+            used = plan.picture.team_usage(team.name)[n]
+            reasons.append(f"limit: {used:g} of {limit:g} {what} in use" + (f", {promised}" if promised else ""))
+    return reasons
+
+
+def _guarantees(plan: Plan, team: Team) -> list[str]:
+    """What a team has of its guarantee, while work of others is stopped for it."""
+    claim = plan.picture.claims
+    going = {name: amounts for name, amounts in leaving(plan.picture).items() if name != team.name and name in claim}
+    used = plan.picture.team_usage(team.name)
+    reasons = []
+    for n, what, amount in ((0, "CPUs", team.cpus), (1, "GPUs", team.gpus)):
+        if amount and used[n] + EPS < amount:
+            gives = ((name, given[n]) for name, given in sorted(going.items()) if given[n])
+            room = ", ".join(f"{given:g} come from team {name}" for name, given in gives)
+            reasons.append(f"guarantee: {used[n]:g} of {amount:g} {what} in use" + (f", {room}" if room else ""))
+    return reasons
--- a/ashtray/placement/order.py
+++ b/ashtray/placement/order.py
@@ -36,7 +36,7 @@
 """A job without stated times that has waited so many times as long as a task of it runs goes first, by age."""
 Amounts = tuple[float, float, float]
 """CPUs, GPUs, GB of memory."""
-Level = tuple[int, bool, str, bool, bool]
+Level = tuple[int, bool, str, bool, bool, bool]
 """Jobs that may change places: of one priority and team, and alike in what else goes before age."""
 
 
@@ -50,6 +50,8 @@
     """How many there are."""
     aged: bool
     """It has waited so long that it goes before all others of its team and priority."""
+    by_room: bool = False
+    """No time is stated for it: it is served by the room that it still needs."""
 
     @property
     def band(self) -> int:
@@ -84,7 +86,9 @@
         # a time of its own class, it would hold up the end of its pipeline.
         in_time = job.latest_us is not None and wall_us <= job.latest_us
         if in_time or (not waits and not done):
-            return Standing(0, len(waits) + len(done), False)
+            by_room = not self._pace.timed(job)
+            aged = by_room and wall_us - job.ready_us > PATIENT * self._pace.run_us(job)
+            return Standing(0, len(waits) + len(done), aged, by_room and not aged)
         age_us = wall_us - job.ready_us
         least_us = LAUNCH_US + fetch_us(job, picture.types.values())
         run_us = self._pace.run_us(job) if done else 0
@@ -100,20 +104,17 @@
         They change places with one another only: whose turn it is between teams and priorities is not judged here,
         nor between jobs with stated times and without.
         """
-        of_level: dict[Level, list[tuple[tuple[float, ...], Job]]] = {}
+        of_level: dict[Level, list[tuple[tuple[int, float], Job]]] = {}
         levels: list[Level] = []
         changes = False
         largest = largest_of(picture.types.values())
         for job in jobs:
             standing = self.standing(job, picture, wall_us)
-            by_room = standing.stated == 0 and not self._pace.timed(job)
-            rank: tuple[float, ...] = (standing.band,)
-            if by_room:
-                patience_us = PATIENT * self._pace.run_us(job)
-                aged = wall_us - job.ready_us > patience_us
-                rank = (-1.0, 0.0) if aged else (0.0, self.room_left(job, picture, largest))
+            rank = (standing.band, self.room_left(job, picture, largest) if standing.by_room else 0.0)
             changes = changes or any(rank)
-            level = (job.priority, job.suspect, job.spec.team, self._guaranteed and job.id in inside, by_room)
+            within = self._guaranteed and job.id in inside
+            stated = standing.stated > 0, self._pace.timed(job)
+            level = (job.priority, job.suspect, job.spec.team, within, *stated)
             levels.append(level)
             of_level.setdefault(level, []).append((rank, job))
         if not changes:
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -16,7 +16,7 @@
 from ashtray.placement.preemption import Right, Victims, choose_victims, stop_for
 from ashtray.runs import encode_runs
 from ashtray.store.client import Limits, Txn, Urgency
-from ashtray.teams.grants import Grants, rank_of
+from ashtray.teams.grants import Grants
 from ashtray.workers.desk import Desk
 from ashtray.workers.folding import Fold
 
@@ -71,8 +71,10 @@
         """The last commit, and the teams with a limit that it placed for."""
         self._folds: set[str] = set()
         """The machines whose reports went with it."""
-        self._short: dict[str, tuple[Job, int]] = {}
-        """For teams the first job that their share does not allow, and how many of its tasks have room."""
+        self._short: dict[str, tuple[Job, int, int]] = {}
+        """For teams the first job that their share does not allow, how many of its tasks, and its turn."""
+        self._queue: list[Job] = []
+        """As it was last served."""
         self._reshared: dict[str, tuple[int, int]] = {}
         """When a team's shares were last changed here, and how long to wait before they are again."""
 
@@ -112,6 +114,7 @@
         plan.due = self.desk.due()
         plan.sparing = base.store.changes.scarce()
         jobs, inside = self.planner.queue()
+        self._queue = list(jobs)
         while jobs and not self.presence.mine(jobs[-1]):
             jobs.pop()
         self._partial_us = {j: at for j, at in self._partial_us.items() if j in picture.jobs}
@@ -144,14 +147,17 @@
         batch = Batch(base.picture, base.limits)
         freed = {id(room) for room in plan.freed}
         ripe: dict[str, int] = {}
-        for job in jobs:
+        for turn, job in enumerate(jobs):
             if base.kernel.now_us - began_us > STALE_US:
                 self._again()
                 break
-            tasks = plan.wanted(job, base.kernel.wall_us)
+            mine = self.presence.mine(job)
+            # What a share allows is this controller's to use, whoever comes first in the queue elsewhere: counted on
+            # the plan, it stood idle until it had been moved to them.
+            shared = mine and self.grants.limited(job.spec.team)
+            tasks = plan.wanted(job, base.kernel.wall_us, shared)
             if not tasks:
                 continue
-            mine = self.presence.mine(job)
             urgent = job.priority <= 1 and not job.suspect
             if plan.sparing and not mine and not urgent:
                 # It waits for its controller's changes rather than for room: found by a profile, planning for the
@@ -159,13 +165,15 @@
                 continue
             widen = self.widen() if mine else 0.0
             need = len(tasks) if job.spec.kind == "gang" else 1
+            if shared and not self._share_allows(job, need, batch, turn):
+                continue
             choices: list[Choice] = []
             # A class with an aim on waiting first looks where its image is there in time.
             aim_s = self.pace.urgent.get(job.spec.job_class)
             for within_s in (None,) if aim_s is None else (0.8 * aim_s, None):
                 # Room that only this controller knows of yet is for its own jobs, or for urgent ones: the others
                 # could not be placed there, and it would stand empty until a fold shows it.
-                choices = plan.place(job, len(tasks), widen, within_s, freed=mine)
+                choices = plan.place(job, len(tasks), widen, within_s, freed=mine, shared=shared)
                 if not choices and not mine and urgent and plan.freed:
                     # Only where there is no other: under scarce changes each such fold is a placement less.
                     choices = plan.place(job, len(tasks), widen, within_s, freed=True)
@@ -179,7 +187,7 @@
                     if plan.keep_soon(job, need, within_s):
                         self.counts["urgent jobs wait for stops"] += 1
                         break
-                    if not mine or not self._share_allows(job, need, batch):
+                    if not mine:
                         continue
                     victims = self._victims(job, plan, need, inside, within_s)
                     if victims:
@@ -208,7 +216,7 @@
                         continue
                 self._partial_us[job.id] = base.kernel.now_us
             if self.grants.limited(job.spec.team):
-                choices = self._granted(job, choices, batch)
+                choices = self._granted(plan, job, choices, batch, turn)
                 if not choices:
                     continue
             for item in portions(job, tasks, choices, base.picture, base.limits):
@@ -241,39 +249,43 @@
                 plan.give_back(job, room, n)
         return kept
 
-    def _share_allows(self, job: Job, count: int, batch: Batch) -> bool:
-        """Whether so many tasks are within this controller's share: room is not made before it can be used."""
-        spec = job.spec
-        if not self.grants.limited(spec.team):
-            return True
-        if self.grants.allowed(spec.team, spec, *batch.used.get(spec.team, (0.0, 0.0))) >= count:
+    def _allowed(self, job: Job, batch: Batch) -> int:
+        """How many tasks this controller's share of the team's limit allows, besides those of the batch."""
+        return self.grants.allowed(job.spec.team, job.spec, *batch.used.get(job.spec.team, (0.0, 0.0)))
+
+    def _share_allows(self, job: Job, count: int, batch: Batch, turn: int) -> bool:
+        """Whether so many tasks are within this controller's share; else note that more of it is wanted.
+
+        Before room is looked for, or made: found on a day with a binding limit, urgent gangs stopped hundreds of
+        tasks for room that they could not use.
+        """
+        if self._allowed(job, batch) >= count:
             return True
-        self._short.setdefault(spec.team, (job, count))
+        self._short.setdefault(job.spec.team, (job, count, turn))
         return False
 
-    def _granted(self, job: Job, choices: list[Choice], batch: Batch) -> list[Choice]:
+    def _granted(self, plan: Plan, job: Job, choices: list[Choice], batch: Batch, turn: int) -> list[Choice]:
         """The choices that this controller's share of the team's limit allows; note what more is wanted."""
-        spec, grants = job.spec, self.grants
         count = sum(n for _, n in choices)
-        allowed = grants.allowed(spec.team, spec, *batch.used.get(spec.team, (0.0, 0.0)))
+        allowed = self._allowed(job, batch)
         if allowed >= count:
             return choices
-        if spec.team not in self._short:
-            self._short[spec.team] = (job, count)
-        if spec.kind == "gang" or allowed <= 0:
-            return []
+        self._short.setdefault(job.spec.team, (job, count, turn))
         cut: list[Choice] = []
         for room, n in choices:
-            if allowed > 0:
-                cut.append((room, min(n, allowed)))
-                allowed -= n
+            kept = 0 if job.spec.kind == "gang" else min(n, allowed)
+            if kept:
+                cut.append((room, kept))
+            if n > kept:
+                plan.give_back(job, room, n - kept)
+            allowed -= kept
         return cut
 
     def _reshare(self) -> Fiber[None]:
         """See to the shares of teams whose jobs could not be placed for want of one."""
         base = self.base
         short, self._short = self._short, {}
-        for team, (job, count) in short.items():
+        for team, (job, count, turn) in short.items():
             if not self.grants.ready(team):
                 # After a doubt: fenced at the beginning of the next round.
                 self._again()
@@ -281,7 +293,7 @@
             at_us, pause_us = self._reshared.get(team, (0, 0))
             if base.kernel.now_us < at_us + pause_us:
                 continue
-            build = partial(self._shares_for, team, job, count)
+            build = partial(self._shares_for, team, job, count, turn)
             good = yield from base.follower.commit(build, 1, Urgency.PLACE, "share")
             # While it does not help it is tried ever more seldom: the limit itself may bind.
             pause_us = RESHARE_US if good else min(max(2 * pause_us, RESHARE_US), MAX_RESHARE_US)
@@ -289,9 +301,9 @@
             if good and (yield from base.follower.barrier()):
                 self._again()
 
-    def _shares_for(self, team: str, job: Job, count: int) -> Txn | None:
-        wants = self.grants.wants(team, self._owner, self.presence.able())
-        return self.grants.reshare(team, job.spec, count, wants, rank_of(job))
+    def _shares_for(self, team: str, job: Job, count: int, turn: int) -> Txn | None:
+        wants = self.grants.wants(team, self._queue, self._owner, self.presence.able())
+        return self.grants.reshare(team, job.spec, count, wants, turn, job.priority <= 1)
 
     def _owner(self, job: Job) -> str:
         return self.presence.owner_of(job.id, job.record.owner)
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -176,8 +176,11 @@
         )  # fmt: skip
         return c, g, m
 
-    def wanted(self, job: Job, wall_us: int) -> list[int]:
-        """The tasks that are to be given a place now, lowest first."""
+    def wanted(self, job: Job, wall_us: int, shared: bool = False) -> list[int]:
+        """The tasks that are to be given a place now, lowest first.
+
+        `shared`: the team's limit is not looked at, for the caller goes by its own share of it.
+        """
         if job.record.errors and wall_us - job.record.error_us < back_off_us(job):
             return []
         left = self.picture.waiting().get(job.id, [])
@@ -185,7 +188,7 @@
             # One task shows whether it works by now.
             left = [] if self.picture.placed(job.id) else left[:1]
         team = self.teams.get(job.spec.team)
-        if team is not None and job.spec.kind != "gang":
+        if team is not None and job.spec.kind != "gang" and not shared:
             left = left[: tasks_within(team, *self.usage[team.name], job.spec)]
         return left
 
@@ -217,15 +220,16 @@
         return sorted({room.machine.zone for room in self.rooms})
 
     def place(
-        self, job: Job, count: int, widen: float, image_within_s: float | None = None, freed: bool = False
-    ) -> list[Choice]:
+        self, job: Job, count: int, widen: float, image_within_s: float | None = None, freed: bool = False,
+        shared: bool = False,
+    ) -> list[Choice]:  # fmt: skip
         """Choose room for tasks of a job and take it; for a gang all of it or none.
 
-        `freed`: also the room that only this controller knows of.
+        `freed`: also the room that only this controller knows of.  `shared`: see `wanted`.
         """
         spec = job.spec
         gang = spec.kind == "gang"
-        if gang and not self._team_allows(job, count):
+        if gang and not shared and not self._team_allows(job, count):
             return []
         wish = (*demand(spec), image_within_s and spec.image, freed, self._spares_gpus(job))
         most = self._most.get(wish, count)
--- a/ashtray/teams/grants.py
+++ b/ashtray/teams/grants.py
@@ -22,8 +22,10 @@
 
 Share = tuple[float, float]
 """CPUs and GPUs."""
-Rank = tuple[int, int, str]
-"""A job's priority, since when it is ready, and its id: an order that all controllers agree on."""
+LAST = 1 << 30
+"""The turn of what stands nowhere in the queue."""
+BINDS = 0.9
+"""From this part of it on, a limit counts as used up: what is left is on its way from one task to the next."""
 FAIR = 0.5
 """One with less than this of its part by what waits may ask others for what they would use themselves."""
 
@@ -33,12 +35,8 @@
 
     cpus: float = 0.0
     gpus: float = 0.0
-    gang: Rank | None = None
-    """Its first gang that waits: what that collects nobody behind it may ask for."""
-
-
-def rank_of(job: Job) -> Rank:
-    return job.priority, job.ready_us, job.id
+    gang: int = LAST
+    """The turn of its first gang that waits: what that collects nobody behind it may ask for."""
 
 
 NOTHING = Want()
@@ -129,27 +127,26 @@
         own = _within(self.teams[name], share)
         return tasks_within(own, used[0] + cpus, used[1] + gpus, spec)
 
-    def wants(self, name: str, owner: Callable[[Job], str], able: Iterable[str]) -> dict[str, Want]:
+    def wants(
+        self, name: str, queue: Iterable[Job], owner: Callable[[Job], str], able: Iterable[str]
+    ) -> dict[str, Want]:  # fmt: skip
         """What the waiting tasks of a team need, by the controller that places them.
 
         One that is not in it places nothing any more: it is gone, or its jobs have moved away from it.
         """
         found = dict.fromkeys(able, NOTHING)
-        for job_id, tasks in self.picture.waiting().items():
-            job = self.picture.jobs[job_id]
+        waiting = self.picture.waiting()
+        for turn, job in enumerate(queue):
             if job.spec.team == name:
-                host = owner(job)
-                want, rank = found.get(host, NOTHING), rank_of(job)
-                gang = want.gang
-                if job.spec.kind == "gang" and not job.suspect and (gang is None or rank < gang):
-                    gang = rank
-                found[host] = Want(
-                    want.cpus + len(tasks) * job.spec.cpus, want.gpus + len(tasks) * job.spec.gpus, gang
-                )
+                host, number = owner(job), len(waiting.get(job.id, ()))
+                want = found.get(host, NOTHING)
+                first = min(want.gang, turn) if job.spec.kind == "gang" and not job.suspect else want.gang
+                found[host] = Want(want.cpus + number * job.spec.cpus, want.gpus + number * job.spec.gpus, first)
         return found
 
     def reshare(
-        self, name: str, spec: JobSpec, count: int, wants: Mapping[str, Want], rank: Rank = (2, 0, "")
+        self, name: str, spec: JobSpec, count: int, wants: Mapping[str, Want], turn: int = LAST,
+        urgent: bool = False,
     ) -> Txn | None:  # fmt: skip
         """Take what is in nobody's share for so many more tasks, and ask others to give up what they cannot use.
 
@@ -158,17 +155,17 @@
         and that of a controller that places nothing any more to nothing: what its tasks still use counts as long as
         they do, and what they leave is free at once.
 
-        One that has tasks waiting will use what it has, as its tasks end.  It is asked only for what is urgent, for
-        a gang, or where the asker has less than `FAIR` of its part by what waits: moved to and fro between
-        controllers that all have use for it, a limit lay idle on the way.  And one whose own gang goes before the
-        asker's job (`rank`) is not asked: the first gang of all collects until it fits, and then the next one.
+        One that has tasks waiting will use what it has, as its tasks end.  Where the limit binds, it is asked only
+        for what is urgent, for a gang, or where the asker has less than `FAIR` of its part by what waits: moved to
+        and fro between controllers that all have use for it, what is left costs changes and serves nobody.  And one
+        whose own gang has an earlier turn than the asker's job is not asked: the first gang of all collects until it
+        fits, and then the next one.
         """
         key = TEAM + name
         if self._read < self.picture.version(key):
             # This controller's own last change is in its picture, and what others placed before it may not be: on
             # that, what they use already would be taken for free.  Point 8.
             return None
-        urgent = rank[0] <= 1
         team = self.teams[name]
         limits = (team.cpus_max, team.gpus_max)
         shares = {host: (float(c), float(g)) for host, (c, g) in self._shares(name).items()}
@@ -190,10 +187,11 @@
             gives = {host: self._gives(team, host, shares, used, wants, False) for host in others if host in shares}
             if not self._helps(team, spec, count, can, free, gives, used):
                 fair = self._fair(team, used, wants)
-                if urgent or spec.kind == "gang" or any(own[n] < FAIR * fair[n] for n in short):
+                whole = [sum(share[n] for share in used.values()) for n in (0, 1)]
+                loose = all(whole[n] + more[n] < BINDS * limits[n] for n in short)
+                if loose or urgent or spec.kind == "gang" or any(own[n] < FAIR * fair[n] for n in short):
                     for host in gives:
-                        first = wants.get(host, NOTHING).gang
-                        if first is None or rank < first:
+                        if turn <= wants.get(host, NOTHING).gang:
                             gives[host] = self._gives(team, host, shares, used, wants, True)
             # Nothing is moved that would not make room for what is wanted, be it for one task of an array.
             if self._helps(team, spec, count, can, free, gives, used):
--- a/tests/bite.py
+++ b/tests/bite.py
@@ -74,7 +74,7 @@
     "bands-across-teams": (
         ORDER, "level = (job.priority, job.suspect, job.spec.team, ", "level = (job.priority, job.suspect, \"\", "),
     "least-room-never-ages": (
-        ORDER, "aged = wall_us - job.ready_us > patience_us", "aged = False"),
+        ORDER, "aged = by_room and wall_us - job.ready_us > PATIENT * self._pace.run_us(job)", "aged = False"),
     "claims-not-guarded": (
         "ashtray/teams/guarantees.py",
         "txn.guard(CLAIM + team, picture.version(CLAIM + team)).put(CLAIM + team, value)",
@@ -85,7 +85,7 @@
     "stopping-counts-as-used": (
         "ashtray/teams/guarantees.py", "if hold.record.stop_us >= 0:", "if False:"),
     "stopped-at-the-limit": (
-        PLACER, "if not mine or not self._share_allows(job, need, batch):", "if not mine:"),
+        PLACER, "if shared and not self._share_allows(job, need, batch, turn):", "if False:"),
     "excess-of-the-plan": (
         "ashtray/placement/preemption.py", "    if not excess.allows(taken):\n        return None\n", ""),
     "rented-without-a-record": (
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -10,7 +10,7 @@
 from ashtray.jobs.model import JobSpec
 from ashtray.placement.picture import GROUP, TEAM, HoldRecord, MachineRecord, Picture
 from ashtray.store.client import Txn
-from ashtray.teams.grants import Grants, Want
+from ashtray.teams.grants import LAST, Grants, Want
 from tests.standins.state import State
 
 HOSTS = ("h0", "h1", "h2")
@@ -118,7 +118,7 @@
         elif op == "share":
             # Who has gone, or is taken to have, gives up all; who has tasks waiting gives up nothing unasked.
             wants = dict.fromkeys(HOSTS[slot % 2:], Want(2.0 * count * (slot == 1)))
-            host.send(host.grants.reshare("crew", SPEC, count, wants, (slot, n, "job-1")))
+            host.send(host.grants.reshare("crew", SPEC, count, wants, 3 * slot + n, slot < 2))
         elif op == "free":
             host.free(slot)
         elif op == "restart":
@@ -183,6 +183,14 @@
 
 def test_what_others_have_use_for_is_not_moved_to_and_fro() -> None:
     state, hosts = settled()
+    for host in hosts:
+        host.sync()
+        host.send(host.placement(0, 4))
+    # A task of each has ended.
+    for host in hosts:
+        host.sync()
+        host.free(0)
+        host.send(host.placement(0, 3))
     before = state.revision
     wants = dict.fromkeys(HOSTS, Want(50.0))
     for _ in range(5):
@@ -191,18 +199,18 @@
             host.send(host.grants.reshare("crew", SPEC, 10, wants))
     assert state.revision == before
     # What is urgent asks for what is not in use all the same.
-    assert hosts[0].send(hosts[0].grants.reshare("crew", SPEC, 10, wants, (1, 0, "job-1")))
+    assert hosts[0].send(hosts[0].grants.reshare("crew", SPEC, 10, wants, 0, True))
 
 
 def test_two_gangs_that_collect_do_not_take_from_each_other() -> None:
     # Each needs the whole limit: the one that goes first in the queue gets it, whoever asks more often.
     state, hosts = settled()
-    ranks = {"h0": (2, 5, "job-1"), "h1": (2, 9, "job-2")}
-    wants = {host: Want(24.0, 0.0, ranks.get(host)) for host in HOSTS}
+    turns = {"h0": 5, "h1": 9}
+    wants = {host: Want(24.0, 0.0, turns.get(host, LAST)) for host in HOSTS}
     for n in range(12):
         host = hosts[1] if n % 3 else hosts[0]
         host.sync()
-        host.send(host.grants.reshare("crew", GANG, GANG.tasks, wants, ranks[host.name]))
+        host.send(host.grants.reshare("crew", GANG, GANG.tasks, wants, turns[host.name]))
         if hosts[0].grants.allowed("crew", GANG) >= GANG.tasks:
             break
     hosts[0].sync()
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -118,6 +118,15 @@
     assert [job.id for job in found] == ["job-1", "job-2", "job-0"]
 
 
+def test_an_array_with_an_aim_on_being_done_alone_keeps_its_turn_too():
+    # It has missed nothing that it could be put back for, and must not go before all that have.
+    aims = [*AIMS, Objective("finished", "models", 180.0, 0.95)]
+    picture = picture_of([("pages", 90.0, 1, "studio"), ("models", 50.0, 1, "studio"), ("pages", 40.0, 1, "studio")])
+    picture.jobs["job-1"].spec.kind = "array"
+    found, _ = queue(picture, {}, StatedTimes(aims, Pace(aims, 6.0)), NOW_US)
+    assert [job.id for job in found] == ["job-0", "job-1", "job-2"]
+
+
 def test_a_stage_whose_end_can_still_be_in_time_is_not_put_back():
     picture = picture_of([("pages", 100.0, 1, "studio"), ("pages", 20.0, 1, "studio"), ("pages", 90.0, 1, "studio")])
     picture.jobs["job-0"].latest_us = NOW_US + SECOND_US
--- a/tests/test_shares_model.py
+++ b/tests/test_shares_model.py
@@ -113,7 +113,7 @@
             yield f"{n} fences", world._replace(version=version, views=known(view._replace(version=version)))
         wants = {host: Want(9.0 * want) for host, want in zip(hosts, world.wants, strict=True) if want >= 0}
         for urgent in (1, 2):
-            txn = grants.reshare("crew", SPEC, 2, wants, (urgent, 0, ""))
+            txn = grants.reshare("crew", SPEC, 2, wants, 0, urgent == 1)
             if txn is not None and view.version == world.version:
                 shares = tuple(txn.puts[KEY][host][0] for host in hosts)
                 version = world.version + 1
--- a/tools/regress.py
+++ b/tools/regress.py
@@ -5,7 +5,8 @@
 `--sites` are always scored; `--wide` too where the change since `--base` (default: HEAD~1) touches storage,
 membership, timers or what machines say to each other.  The bests are in `docs/figures.toml`.  `--full` plays all
 standard days instead of the two roughest; `--keep` writes better figures down; `--entries N` compares what the last N
-entries of the journal say without playing anything.
+entries of the journal say without playing anything; `--served REPORT...` adds what `tools/served.py` says of days
+that were run one by one, for a score does not tell of classes.
 
 Exit codes: 0 nothing fell, 1 a day fell by more than `--noise`, broke a rule or failed, 2 the command line or a file
 cannot be used.
@@ -92,6 +93,7 @@
     parser.add_argument("--full", action="store_true", help="all standard days")
     parser.add_argument("--keep", action="store_true", help="write better figures to docs/figures.toml")
     parser.add_argument("--entries", type=int, metavar="N", help="compare the journal's last N entries; play nothing")
+    parser.add_argument("--served", nargs="*", default=[], help="reports of days: no class of jobs may be under half")
     args = parser.parse_args()
     if args.entries is None:
         if args.bench is None or not args.sites:
@@ -114,6 +116,9 @@
     bad = compare(found, table, args.noise)
     if args.keep:
         save_table(table)
+    if args.served:
+        served = [sys.executable, str(ROOT / "tools" / "served.py"), *args.served]
+        bad += subprocess.run(served, cwd=ROOT).returncode != 0
     return 1 if bad else 0
 
 
