--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -314,8 +314,7 @@
             owner = self.presence.owner_of(job_id, job.record.owner)
             standing = self.planner.times.standing(job, base.picture, self.kernel.wall_us)
             run = self.estimates.estimate(job)
-            served = self.planner.floor.shares.get((job.spec.team, job.spec.job_class))
-            body = explain(plan, job, self.kernel.wall_us, owner, standing, run, served)
+            body = explain(plan, job, self.kernel.wall_us, owner, standing, run)
         self._answer(request_id, status, body)
 
     def abort(self, request_id: int, job_id: str, handed: bool = False) -> None:
