--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -18,6 +18,7 @@
 from ashtray.jobs.service import JobDesk
 from ashtray.kernel import SECOND_US, Fiber, Kernel, Output, Reply
 from ashtray.peers.presence import Peers, Presence, word_us
+from ashtray.placement.floor import Floor
 from ashtray.placement.order import StatedTimes
 from ashtray.placement.picture import Picture
 from ashtray.placement.placer import Placer
@@ -56,7 +57,7 @@
         )  # fmt: skip
         pace = Pace(settings.cluster.objectives, knobs.patience_s, lambda job_id: self.picture.jobs.get(job_id))
         times = StatedTimes(settings.cluster.objectives, pace)
-        planner = Planner(base, times)
+        planner = Planner(base, times, Floor(self.picture, pace))
         notice = Notice(hosts, word_us(len(hosts)))
         self.presence = Presence(base, self.grants, notice)
         self.peers = Peers(base, self.presence, notice, lambda: self.desk.heard_us(), lambda: self._duties_moved())
--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -314,7 +314,8 @@
             owner = self.presence.owner_of(job_id, job.record.owner)
             standing = self.planner.times.standing(job, base.picture, self.kernel.wall_us)
             run = self.estimates.estimate(job)
-            body = explain(plan, job, self.kernel.wall_us, owner, standing, run)
+            served = self.planner.floor.shares.get((job.spec.team, job.spec.job_class))
+            body = explain(plan, job, self.kernel.wall_us, owner, standing, run, served)
         self._answer(request_id, status, body)
 
     def abort(self, request_id: int, job_id: str, handed: bool = False) -> None:
--- a/ashtray/placement/explain.py
+++ b/ashtray/placement/explain.py
@@ -18,9 +18,13 @@
 
 
 def explain(
-    plan: Plan, job: Job, wall_us: int, owner: str, standing: Standing | None = None, run: Estimate | None = None
+    plan: Plan, job: Job, wall_us: int, owner: str, standing: Standing | None = None, run: Estimate | None = None,
+    served: float | None = None,
 ) -> dict[str, Any]:  # fmt: skip
-    """An answer for a person: plain reasons, and the scores of the rules where tasks have places."""
+    """An answer for a person: plain reasons, and the scores of the rules where tasks have places.
+
+    `served`: the share of its class that was served, if that is under the floor.
+    """
     spec = job.spec
     placed = plan.picture.placed(job.id)
     finished = plan.picture.finished(job)
@@ -54,6 +58,9 @@
     left = [n for n in range(spec.tasks) if n not in placed and n not in finished]
     if left and not (spec.kind == "gang" and placed):
         answer["waiting"] = _waits(plan, job, len(left), wall_us, list(rooms.values()))
+        if served is not None:
+            why = f"it may go before its turn: {served:.0%} of its class was served"
+            answer["waiting"].insert(1, f"{why}, so jobs that have missed all their times wait for it")
         if standing is not None and standing.by_room:
             answer["waiting"].insert(1, "no time is stated for it: jobs of its team that need less room go first")
         elif standing is not None and standing.aged:
--- /dev/null
+++ b/ashtray/placement/floor.py
@@ -0,0 +1,122 @@
+"""A floor under every class: who gets less than its part has a turn before what is too late anyway.
+
+Under pressure the queue serves what is urgent, and a class of low priority gets what is left: at times nothing.  The
+users count a day as lost on which less than half of any class is served.  So one strict rule stands above the queue's
+order: of a class of a team of which less than `SHARE` of what came was served, the first jobs, as many as would bring
+it back, go before jobs that have missed *all* the times stated for them, whatever the priorities.  They stay behind
+what can still make a time.  They get turns for room that is free or comes free, and for machines to be rented; they
+stop nothing that they might not stop otherwise, and are not stopped for what has missed all its times.
+
+*Came* and *served* are counted over the jobs that became ready since this process first read the picture: what was
+over before is not read at a start, and a count that began at nought for it would call every class unserved.  A job
+counts as having come once it has waited `GRACE` times as long as one of its tasks runs, and as served while all its
+tasks have a place or are done.  Cancelled jobs and such as fail wherever they are tried are owed nothing.  After a
+start of all controllers nobody is under the floor until such jobs are there: the rule rests until there is evidence.
+
+No record is kept and nothing is told to others: each controller counts what all of them see, a second or two apart.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+
+from ashtray.jobs.model import Job
+from ashtray.jobs.pace import Pace
+from ashtray.kernel import SECOND_US
+from ashtray.placement.picture import Picture
+
+SHARE = 0.6
+GRACE = 2
+LOOK_US = SECOND_US
+MOST = 20_000
+"""Jobs that are counted; the oldest give way."""
+Class = tuple[str, str]
+"""A team and a class of its jobs."""
+
+
+class Floor:
+    """What came and what was served, by team and class, since this process began to watch."""
+
+    def __init__(self, picture: Picture, pace: Pace) -> None:
+        self._picture = picture
+        self._pace = pace
+        self._loads = -1
+        self._since_us = 0
+        self._looked_us = -LOOK_US
+        self._live: dict[str, Class] = {}
+        """Jobs that are watched and not over yet."""
+        self._served: dict[str, Class] = {}
+        """Jobs all of whose tasks have a place or are done."""
+        self._due: dict[Class, int] = {}
+        self.shares: dict[Class, float] = {}
+        """What was served of those under the floor."""
+        self.too_late: set[str] = set()
+        """The jobs that have missed all the times stated for them, as the queue was last made."""
+
+    def due(self, wall_us: int) -> dict[Class, int]:
+        """For each class under the floor, how many jobs more would bring it back; the least served first."""
+        if self._loads != self._picture.loads:
+            # The picture was begun anew: what ended meanwhile was not seen.
+            self._loads, self._since_us = self._picture.loads, wall_us
+            self._live.clear()
+            self._served.clear()
+            self._looked_us = wall_us - LOOK_US
+        if wall_us - self._looked_us >= LOOK_US:
+            self._looked_us = wall_us
+            self._look(wall_us)
+        return self._due
+
+    def _look(self, wall_us: int) -> None:
+        picture = self._picture
+        waiting = picture.waiting()
+        for job_id, name in list(self._live.items()):
+            if job_id not in picture.jobs:
+                del self._live[job_id]
+                if picture.over.get(job_id, {}).get("status") == "done":
+                    self._served[job_id] = name
+                else:
+                    self._served.pop(job_id, None)
+        late: Counter[Class] = Counter()
+        for job in picture.jobs.values():
+            if job.ready_us < self._since_us or job.suspect or not picture.needs.ready(job):
+                continue
+            name = job.spec.team, job.spec.job_class
+            self._live[job.id] = name
+            if job.id not in waiting:
+                self._served[job.id] = name
+                continue
+            # What lost its places, or was stopped, waits anew.
+            self._served.pop(job.id, None)
+            if wall_us - job.ready_us > GRACE * self._pace.run_us(job):
+                late[name] += 1
+        while len(self._served) > MOST:
+            del self._served[next(iter(self._served))]
+        served = Counter(self._served.values())
+        self.shares = {name: served[name] / (served[name] + n) for name, n in late.items()}
+        self.shares = {name: share for name, share in self.shares.items() if share < SHARE}
+        lacking = sorted(self.shares, key=lambda name: (self.shares[name], name))
+        self._due = {name: math.ceil(SHARE * (served[name] + late[name])) - served[name] for name in lacking}
+
+    def lift(self, jobs: list[Job], too_late: set[str], wall_us: int) -> list[Job]:
+        """The queue with the jobs that are due before the first that is too late, those of the lowest share first.
+
+        A class whose jobs are too late may be under the floor as well: then it takes turns with the others.
+        """
+        due = self.due(wall_us)
+        self.too_late = too_late
+        first = next((n for n, job in enumerate(jobs) if job.id in too_late), None)
+        if not due or first is None:
+            return jobs
+        by_class: dict[Class, list[Job]] = {name: [] for name in due}
+        for job in jobs[first:]:
+            found = by_class.get((job.spec.team, job.spec.job_class))
+            if found is not None and not job.suspect:
+                found.append(job)
+        lifted = [job for name, found in by_class.items() for job in found[: due[name]]]
+        names = {job.id for job in lifted}
+        return [*jobs[:first], *lifted, *(job for job in jobs[first:] if job.id not in names)]
+
+    def spared(self, job: Job) -> frozenset[Class]:
+        """The classes whose tasks are not stopped for a job: those under the floor, for one that is too late."""
+        return frozenset(self.shares) if job.id in self.too_late else frozenset()
--- a/ashtray/placement/order.py
+++ b/ashtray/placement/order.py
@@ -98,29 +98,35 @@
         missed += sum(least_us + run_us <= within < age_us + least_us + run_us for within in done)
         return Standing(missed, len(waits) + len(done), age_us > AGED * max([*waits, *done]))
 
-    def arrange(self, jobs: list[Job], inside: set[str], picture: Picture, wall_us: int) -> list[Job]:
-        """A queue served by age, with the jobs of each team and priority in their bands, or by the room they need.
+    def arrange(
+        self, jobs: list[Job], inside: set[str], picture: Picture, wall_us: int
+    ) -> tuple[list[Job], set[str]]:  # fmt: skip
+        """A queue served by age, with the jobs of each team and priority in their bands, or by the room they need;
+        and which have missed all the times that are stated for them.
 
         They change places with one another only: whose turn it is between teams and priorities is not judged here,
         nor between jobs with stated times and without.
         """
         of_level: dict[Level, list[tuple[tuple[int, float], Job]]] = {}
         levels: list[Level] = []
+        too_late: set[str] = set()
         changes = False
         largest = largest_of(picture.types.values())
         for job in jobs:
             standing = self.standing(job, picture, wall_us)
             rank = (standing.band, self.room_left(job, picture, largest) if standing.by_room else 0.0)
             changes = changes or any(rank)
+            if standing.stated and standing.missed == standing.stated and not standing.aged:
+                too_late.add(job.id)
             within = self._guaranteed and job.id in inside
             stated = standing.stated > 0, self._pace.timed(job)
             level = (job.priority, job.suspect, job.spec.team, within, *stated)
             levels.append(level)
             of_level.setdefault(level, []).append((rank, job))
         if not changes:
-            return jobs
+            return jobs, too_late
         turns = {level: iter(sorted(alike, key=lambda entry: entry[0])) for level, alike in of_level.items()}
-        return [next(turns[level])[1] for level in levels]
+        return [next(turns[level])[1] for level in levels], too_late
 
     def room_left(self, job: Job, picture: Picture, largest: Amounts) -> float:
         """What a job's tasks without a place will take until they are done, in machine microseconds.
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -319,13 +319,14 @@
         """
         spec = job.spec
         # How a job that is spread may go on depends on where its own tasks are.
-        alike = (*demand(spec), job.priority, spec.team, job.id in inside, spec.spread and job.id)
+        spared = self.planner.floor.spared(job)
+        alike = (*demand(spec), job.priority, spec.team, job.id in inside, spec.spread and job.id, spared)
         # What is nowhere is not where the image is in time, either.
         for image in (None, spec.image) if within_s is not None else (None,):
             if plan.no_victims.get((alike, image), count + 1) <= count:
                 return {}
         self.counts["looks for work to stop"] += 1
-        right = Right(self.base.picture, inside, job, plan.excess())
+        right = Right(self.base.picture, inside, job, plan.excess(), spared)
         victims = choose_victims(plan, job, count, right, self.base.kernel.wall_us, within_s)
         if not victims:
             plan.no_victims[(alike, None if within_s is None else spec.image)] = count
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -13,6 +13,7 @@
 from ashtray.config.settings import Team
 from ashtray.jobs.model import PRIORITIES, Job, JobSpec
 from ashtray.kernel import SECOND_US
+from ashtray.placement.floor import Floor
 from ashtray.placement.order import StatedTimes
 from ashtray.placement.picture import EPS, Hold, Picture
 from ashtray.placement.rules import Ask, Room, rank
@@ -33,11 +34,13 @@
 
 
 def queue(
-    picture: Picture, teams: dict[str, Team], times: StatedTimes | None = None, wall_us: int = 0
+    picture: Picture, teams: dict[str, Team], times: StatedTimes | None = None, wall_us: int = 0,
+    floor: Floor | None = None,
 ) -> tuple[list[Job], set[str]]:  # fmt: skip
     """The jobs with tasks that wait, the first to be served first: priority, guarantee, deadline or age.
 
-    Under overload what can still make its next stated time goes first (`order.py`).
+    Under overload what can still make its next stated time goes first (`order.py`), and a class of which too little
+    was served goes before what is too late (`floor.py`).
 
     Also the names of all live jobs that are within their team's guarantee.
     """
@@ -59,7 +62,10 @@
         return priority, job.id not in inside, due, job.ready_us, job.id
 
     jobs = sorted((picture.jobs[job_id] for job_id in picture.waiting()), key=rank)
-    return jobs if times is None else times.arrange(jobs, inside, picture, wall_us), inside
+    if times is None:
+        return jobs, inside
+    jobs, too_late = times.arrange(jobs, inside, picture, wall_us)
+    return jobs if floor is None else floor.lift(jobs, too_late, wall_us), inside
 
 
 def back_off_us(job: Job) -> int:
@@ -85,9 +91,10 @@
 class Planner:
     """Makes queues and plans on the picture as it is when asked."""
 
-    def __init__(self, base: Base, times: StatedTimes) -> None:
+    def __init__(self, base: Base, times: StatedTimes, floor: Floor) -> None:
         self._base = base
         self.times = times
+        self.floor = floor
 
     def plan(self) -> Plan:
         base = self._base
@@ -95,7 +102,7 @@
 
     def queue(self) -> tuple[list[Job], set[str]]:
         """The jobs that wait, in their order, and those within their team's guarantee."""
-        return queue(self._base.picture, self._base.teams, self.times, self._base.kernel.wall_us)
+        return queue(self._base.picture, self._base.teams, self.times, self._base.kernel.wall_us, self.floor)
 
 
 class Plan:
--- a/ashtray/placement/preemption.py
+++ b/ashtray/placement/preemption.py
@@ -28,17 +28,24 @@
     one task would lose them all.
     """
 
-    def __init__(self, picture: Picture, inside: set[str], job: Job, excess: Excess) -> None:
+    def __init__(
+        self, picture: Picture, inside: set[str], job: Job, excess: Excess,
+        spared: frozenset[tuple[str, str]] = frozenset(),
+    ) -> None:  # fmt: skip
+        """`spared`: teams and classes whose tasks are not stopped for it (`floor.py`)."""
         self._picture = picture
         self._inside = inside
         self._job = job
         self._excess = excess
+        self._spared = spared
 
     def allowed(self, hold: Hold) -> bool:
         """Whether a hold's tasks may be stopped at all."""
         job, victim = self._job, self._picture.jobs.get(hold.job)
         if victim is None or hold.record.stop_us >= 0 or victim.spec.kind == "gang" or victim.id == job.id:
             return False
+        if (victim.spec.team, victim.spec.job_class) in self._spared:
+            return False
         if victim.priority > job.priority:
             return True
         if job.id not in self._inside or victim.id in self._inside or victim.spec.team == job.spec.team:
--- a/tests/bite.py
+++ b/tests/bite.py
@@ -16,11 +16,9 @@
 
 from tests import production
 
-TESTS = ["tests/test_safety.py", "tests/test_placement.py", "tests/test_grants.py",
-         "tests/test_shares_model.py", "tests/test_bad_nights.py",
-         "tests/test_order.py", "tests/test_estimates.py", "tests/test_recovery.py", "tests/test_pipelines.py",
-         "tests/test_limits.py", "tests/test_standby.py", "tests/test_guarantees.py", "tests/test_upgrade.py",
-         "tests/test_model.py"]
+TESTS = [f"tests/test_{name}.py" for name in (
+    "safety", "placement", "grants", "shares_model", "bad_nights", "order", "floor", "estimates", "recovery",
+    "pipelines", "limits", "standby", "guarantees", "upgrade", "model")]  # fmt: skip
 ROOT = Path(__file__).resolve().parent.parent
 FOLDING, DESK = "ashtray/workers/folding.py", "ashtray/workers/desk.py"
 RUNNER, PLACER = "ashtray/fleet/runner.py", "ashtray/placement/placer.py"
@@ -108,6 +106,15 @@
     "a-halt-is-silence": (
         "ashtray/standby/notice.py", "quiet_us = now_us - max(peer.word_us, awake_us)",
         "quiet_us = now_us - peer.word_us"),
+    "floor-counts-from-nought": (
+        "ashtray/placement/floor.py", "if job.ready_us < self._since_us or", "if"),
+    "floor-owes-all": (
+        "ashtray/placement/floor.py", "for job in found[: due[name]]]", "for job in found]"),
+    "floor-is-stopped": (
+        "ashtray/placement/floor.py", "return frozenset(self.shares) if job.id in self.too_late else frozenset()",
+        "return frozenset()"),
+    "floor-before-what-is-in-time": (
+        "ashtray/placement/floor.py", "if job.id in too_late), None)", "if True), None)"),
     "one-known-ends-all": (
         "ashtray/jobs/accepting.py", "if failed and not known:", "if False:"),
     "fold-counted-twice": (
