Lean tables keep little that is of no use; 32 machines a group

Cause: where tasks of a class differ in size each job adds an entry to a record's table, and up to twice as many as were in use were kept: records of 48 machines grew towards 30 KiB, and every controller reads each change of them.

Change: a quarter of what is in use and 16 at most; groups of up to 32 machines.

--- a/ashtray/placement/lean.py
+++ b/ashtray/placement/lean.py
@@ -15,8 +15,8 @@
 
 FORM = "form"
 SPOT, RETIRING = 1, 2
-SPARE = 24
-"""So many entries of the tables may be of no use any more, beside as many as are."""
+SPARE = 16
+"""So many entries of the tables may be of no use any more, beside a quarter of those that are."""
 
 
 def _number(value: float) -> float:
@@ -47,10 +47,12 @@
     for name, machine in machines.items():
         row = None if name in changed else kept.get(name)
         rows[name] = _row(machine, since, kinds, images) if row is None else row
-    used = sum(len(row[3]) + len(row[4]) for row in rows.values())
-    if before is not None and len(kinds) + len(images) > 2 * used + SPARE:
-        # Most of what the tables say is of tasks long gone.
-        return pack(value)
+    if before is not None:
+        used = len({hold[3] for row in rows.values() for hold in row[4]})
+        used += len({n for row in rows.values() for n in row[3]})
+        if len(kinds) + len(images) > used + used // 4 + SPARE:
+            # Too much of what the tables say is of tasks long gone: it takes room in the record, and time of all.
+            return pack(value)
     packed = {
         FORM: 2, "type": value["type"], "zone": value["zone"], "since": since,
         "kinds": [list(kind) for kind in kinds], "images": [list(image) for image in images], "machines": rows,
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -37,11 +37,10 @@
 CPUS_PER_HOLD = 16
 MAX_FAILED = 6
 """So many jobs that failed on a machine, and machines that a job failed on, are remembered."""
-MOST_MACHINES = 48
-"""In a group, however much a value holds: all controllers write the same records, and all its workers report to one.
-
-Found on simulated days of 550 and 830 machines: with 20 to 40 machines a group a third more changes a placement, with
-120 as many conflicts as were saved.
+MOST_MACHINES = 32
+"""In a group, however much a value holds: all controllers write the same records, each change of one is read by all
+of them, and all its workers report to one.  Tried on simulated days of 830 machines: 48 and 120 spared changes, but
+reading a record of 48 takes 1.0 ms of processor time, and with 120 conflicts took what was spared.
 """
 GROUP_SHARE = 0.7
 """Of a value, what a group's machines may be expected to take: estimates of their records' sizes."""
