Planning spends less processor time: rounds, forecasts and the floor's count come a little seldomer

Cause: nine tenths of a controller's processor time goes into planning (a profile of five cores with 600 machines in the model: rounds of the queue 60%, forecasts 30%, reports 7%).

Change: a third more pause for each room and job looked at, forecasts for each machine 3.5 ms apart instead of 2.5, the floor counts every 2 s, the interpreter looks for circles among objects after 10,000 instead of 700.

--- a/ashtray/daemon/server.py
+++ b/ashtray/daemon/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import errno
+import gc
 import hmac
 import logging
 import random
@@ -31,6 +32,7 @@
 ADDRESS_S = 10.0
 """How long an address that is in use is waited for: the process before this one may not be quite gone yet."""
 ADDRESS_AGAIN_S = 0.05
+GC_THRESHOLDS = (10_000, 20, 20)
 _HEADERS = {"Content-Type": "application/msgpack"}
 
 
@@ -191,4 +193,8 @@
 
 
 def run(settings: Settings, knobs: Knobs, token: str | None = None) -> Any:
+    # Records are decoded into thousands of small objects, which nearly all live on or go by themselves: looking for
+    # circles among them after each 700 took a tenth of the time of reading a record.
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
     return uvloop.run(_main(settings, knobs, token))
--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -36,7 +36,7 @@
 CLOUD_US = 5 * SECOND_US
 LIST_US = 2 * SECOND_US
 ROUND_US = SECOND_US // 2
-RENT_US = 2_500
+RENT_US = 3_500
 """The pause between two forecasts, for each machine that they go through."""
 TYPES_US = 60 * SECOND_US
 DEARER = 0.2
--- a/ashtray/placement/floor.py
+++ b/ashtray/placement/floor.py
@@ -28,7 +28,7 @@
 
 SHARE = 0.6
 GRACE = 2
-LOOK_US = SECOND_US
+LOOK_US = 2 * SECOND_US
 MOST = 20_000
 """Jobs that are counted; the oldest give way."""
 Class = tuple[str, str]
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -41,7 +41,7 @@
 STALE_US = SECOND_US
 """A plan is followed no longer: jobs that came in meanwhile may go first."""
 JOB_VISITS = 30
-VISIT_US = 20
+VISIT_US = 26
 """For each room looked at a round pauses as long again, so that a long queue leaves time for the rest."""
 
 
