--- /dev/null
+++ b/tests/test_tools.py
@@ -0,0 +1,146 @@
+"""What the tools make of logs and reports: a figure that is read wrongly is worse than none."""
+
+import importlib.util
+import json
+import sys
+from pathlib import Path
+
+import pytest
+
+TOOLS = Path(__file__).resolve().parent.parent / "tools"
+SITE = """name = "a-fleet"
+[nodes]
+count = 5
+zones = ["z"]
+restart_delay_s = 6.0
+memory_mb = 201.0
+max_connections = 1538
+[state]
+write_rps = 30.0
+[[machine_types]]
+name = "foundry"
+gpus = 8.0
+[[capacity]]
+type = "foundry"
+zone = "z"
+count = 154
+spot = 110
+[[teams]]
+name = "reader-app"
+gpus = 800.0
+cpus_max = 35000.0
+[[jobs]]
+priority = "high"
+name = "render"
+arrivals = { rate = 1.1, swing = 0.5 }
+initial = 108
+[[jobs]]
+priority = "low"
+gpus = 1.0
+name = "panel"
+arrivals = { rate = 0.8 }
+initial = 27
+teams = ["reader-app"]
+[[day]]
+name = "zone"
+faults = [
+  { at_s = 150.0, kind = "machine_cut", count = 110, for_s = 43.0 },
+  { at_s = 154.0, kind = "node_crash", count = 1 },
+]
+"""
+LOG = """   10.0 berth-0 INFO job-1 accepted (gang of 3, render, studio)
+   11.0 berth-0 INFO job-2 accepted (array of 30, panel, reader-app)
+   12.0 berth-1 INFO job-3 accepted (array of 10, panel, reader-app)
+  186.9 berth-0 INFO listening on 10.0.0.1:8080
+  187.0 berth-0 INFO signed in as berth-0
+  187.5 berth-0 INFO job-2 attempt 1: 1 on vm-1
+  188.0 berth-1 INFO listening on 10.0.0.2:8080
+  188.2 berth-1 INFO signed in as berth-1
+  189.0 berth-1 INFO runs the fleet
+  190.0 berth-1 INFO the fleet was taken over: term 0.00 s
+  191.0 berth-1 INFO first decision of the fleet: 4 machines are wanted
+  200.0 berth-0 INFO job-1 is done
+  201.0 berth-1 INFO job-3 is done
+loss               832   0.31  1/8  price: 6.3
+  at 186.0 s: berth-0 crashes
+  at 186.5 s: berth-1 crashes
+to play it took 44 s for the world, 300.5 s in the processes' own code and 5.5 s in the kernel, in 9 turns
+"""
+REPORT = {
+    "scenario": "loss", "seed": 105, "machines": 832, "wall_s": 400.0, "rules_broken": {"by_kind": {}},
+    "classes": {"render": {"jobs": 1, "started": 1, "done": 1, "tasks": 3},
+                "panel": {"jobs": 4, "started": 3, "done": 1, "tasks": 80}},
+    "teams": {"studio": {"jobs": 1, "started": 1}, "reader-app": {"jobs": 4, "started": 3}},
+    "node_stats": [{"memory_peak_mb": 44.0, "connections_peak": 300, "panics": 0},
+                   {"memory_peak_mb": 40.0, "connections_peak": 475, "panics": 0}],
+    "users": {"submitted": 5, "accepted": 4},
+}  # fmt: skip
+
+
+def load(name: str):
+    spec = importlib.util.spec_from_file_location(f"tools_{name}", TOOLS / f"{name}.py")
+    module = importlib.util.module_from_spec(spec)
+    sys.modules[spec.name] = module
+    spec.loader.exec_module(module)
+    return module
+
+
+def test_a_copy_of_a_site_has_half_as_many_machines_again_and_work_for_them() -> None:
+    accept = load("accept")
+    row = accept.Row("a", "loss", size=1.5, back_s=0.05, limits=2.0, changes=0.5, work=2.0)
+    text = accept.site_text(SITE, row)
+    for line in ("count = 231", "spot = 165", "gpus = 2400.0", "cpus_max = 105000.0", "initial = 324", "rate = 3.30000",
+                 "rate = 2.40000", "restart_delay_s = 0.05", "write_rps = 15.0", 'kind = "machine_cut", count = 165',
+                 'kind = "node_crash", count = 1 ', "count = 5"):  # fmt: skip
+        assert line in text, line
+    assert accept.site_text(SITE, accept.Row("a", "loss")) == accept.site_text(SITE, accept.Row("b", "busy"))
+
+
+def test_a_day_of_our_own_is_played_with_the_names_of_its_site(tmp_path: Path) -> None:
+    accept = load("accept")
+    (tmp_path / "wire.json").write_text("{}")
+    site = tmp_path / "a-fleet.toml"
+    site.write_text(SITE)
+    for row in accept.rows_of(accept.MATRIX, ["short", "standard", "returns", "hard"], []):
+        _, day = accept.make(site, row, tmp_path / "out")
+        if row.day.endswith(".toml"):
+            assert "@" not in Path(day).read_text(), row.name
+    assert 'class = "panel"' in (tmp_path / "out" / "fourfold.toml").read_text()
+    assert "count = 278" in (tmp_path / "out" / "dead.toml").read_text()
+
+
+def test_a_class_under_half_fails_a_day_and_the_least_is_marked(tmp_path: Path) -> None:
+    accept = load("accept")
+    report, log = tmp_path / "report.json", tmp_path / "report.log"
+    report.write_text(json.dumps(REPORT))
+    log.write_text(LOG)
+    day = accept.read("a day", report, log, {"nodes": {"memory_mb": 201.0, "max_connections": 1538}})
+    assert (day.figure, day.played_s, day.memory, day.connections) == (0.31, 350.0, "44 of 201", "475 of 1538")
+    panel = next(part for part in day.parts if part.name == "panel")
+    assert (panel.share(), panel.tasks_done) == (0.25, 10)
+    assert day.failed(0.5) == ["panel 0.25"] and not day.failed(0.25)
+    text = accept.table([day], 0.5, 0.6)
+    assert "**panel 1 of 4: 0.25" in text and "FAILS" in text
+    broken = {**REPORT, "rules_broken": {"by_kind": {"ran_twice": 2}}}
+    report.write_text(json.dumps(broken))
+    assert "ran_twice 2" in accept.read("a day", report, log, None).failed(0.0)
+
+
+def test_the_stages_of_a_start_are_read_from_the_log() -> None:
+    takeover = load("takeover")
+    lines, falls = takeover.read(LOG)
+    found, full = takeover.starts(lines, falls)
+    assert [(one.host, one.together) for one in found] == [("berth-0", 2), ("berth-1", 2)]
+    assert found[0].listens == pytest.approx(0.9) and found[0].placed == pytest.approx(1.5)
+    assert found[1].signed_in == pytest.approx(1.7) and found[1].placed is None
+    assert len(full) == 1 and full[0].taken_over == pytest.approx(4.0) and full[0].decided == pytest.approx(5.0)
+
+
+def test_bounds_on_the_least_share_of_two_classes() -> None:
+    bounds = load("bounds")
+    # Room for half of each where sizes are alike; the smallest jobs first take less than their part of the room.
+    half = bounds.floor(10.0, 100.0, 250.0, 10.0, 100.0, 250.0, 50.0, 10.0, 10.0, 1.0, 1.0)
+    assert half == pytest.approx(0.5)
+    more = bounds.floor(10.0, 100.0, 250.0, 10.0, 100.0, 250.0, 50.0, 10.0, 10.0, 30.0, 90.0)
+    assert half < more < 1.0
+    assert bounds.floor(1.0, 1.0, 250.0, 1.0, 1.0, 250.0, 0.0, 10.0, 10.0, 1.0, 1.0) == pytest.approx(1.0)
--- a/tools/takeover.py
+++ b/tools/takeover.py
@@ -1,6 +1,7 @@
 """How long duties lie idle after a controller falls, read from the log lines of a run.
 
     python tools/takeover.py LOG [LOG ...] [--json] [--falls crash freeze cut]
+    python tools/takeover.py LOG [LOG ...] --starts [--json]
 
 A LOG is what the bench prints of a day at info or debug, or log files of real controllers put together: lines of
 `SECONDS HOST LEVEL TEXT`, and for the falls `at SECONDS s: HOST crashes`.  For each fall the table has
@@ -13,8 +14,13 @@
   inherits  jobs that it had accepted and not placed: how many, and the median and longest time to their first place
   anybody   until anybody placed anything
 
-all in seconds from the fall.  The last lines have medians and the worst.  Exit codes: 0 done, 2 a file cannot be
-read, or none holds a fall.
+all in seconds from the fall.  The last lines have medians and the worst.
+
+With `--starts` the table has one row for each process that began after a crash: seconds from that crash until it
+listens, has signed in, made its first placement and accepted its first job, and how many ended with it; and for each
+fall of several the seconds until anybody placed something, and until the fleet was run, taken over and decided on.
+
+Exit codes: 0 done, 2 a file cannot be read, or none holds a fall.
 """
 
 from __future__ import annotations
@@ -102,6 +108,96 @@
                 fall.inherits.append(since)
 
 
+@dataclass
+class Start:
+    """A process that began after its predecessor's end; times in seconds from that end."""
+
+    at_s: float
+    host: str
+    together: int
+    """How many ended within a second of it."""
+    listens: float | None = None
+    signed_in: float | None = None
+    placed: float | None = None
+    accepted: float | None = None
+
+
+@dataclass
+class FullStart:
+    """What the controllers as a whole did after several had ended at one time."""
+
+    at_s: float
+    hosts: int
+    placed: float | None = None
+    runs: float | None = None
+    taken_over: float | None = None
+    decided: float | None = None
+
+
+def starts(lines: list[tuple[float, str, str]], falls: list[Fall]) -> tuple[list[Start], list[FullStart]]:
+    """The stages of each start, and of those of several that ended within a second."""
+    crashes = sorted((fall for fall in falls if fall.kind == "crash"), key=lambda fall: fall.at_s)
+    found, full = [], []
+    for n, crash in enumerate(crashes):
+        together = sum(abs(other.at_s - crash.at_s) <= 1.0 for other in crashes)
+        again_s = min((c.at_s for c in crashes[n + 1 :] if c.host == crash.host), default=float("inf"))
+        start = Start(crash.at_s, crash.host, together)
+        for at_s, host, text in lines:
+            since = at_s - crash.at_s
+            if host != crash.host or since <= 0:
+                continue
+            if since > WITHIN_S or at_s >= again_s:
+                break
+            if text.startswith("listening on") and start.listens is None:
+                start.listens = since
+            elif text.startswith("signed in") and start.signed_in is None:
+                start.signed_in = since
+            elif PLACED.match(text) and start.placed is None:
+                start.placed = since
+            elif ACCEPTED.match(text) and start.accepted is None:
+                start.accepted = since
+        found.append(start)
+        if together > 1 and not any(abs(one.at_s - crash.at_s) <= 1.0 for one in full):
+            full.append(_full(lines, crash.at_s, together))
+    return found, full
+
+
+def _full(lines: list[tuple[float, str, str]], began_s: float, hosts: int) -> FullStart:
+    one = FullStart(began_s, hosts)
+    for at_s, _, text in lines:
+        since = at_s - began_s
+        if since <= 0:
+            continue
+        if since > WITHIN_S:
+            break
+        if PLACED.match(text) and one.placed is None:
+            one.placed = since
+        elif text.startswith("runs the fleet") and one.runs is None:
+            one.runs = since
+        elif text.startswith("the fleet was taken over") and one.taken_over is None:
+            one.taken_over = since
+        elif text.startswith("first decision of the fleet") and one.decided is None:
+            one.decided = since
+    return one
+
+
+def show_starts(found: list[Start], full: list[FullStart]) -> None:
+    row = "{:>8} {:9} {:>8}" + " {:>9}" * 4
+    print(row.format("end", "host", "together", "listens", "signed in", "places", "accepts"))
+    for one in found:
+        stages = map(shown, (one.listens, one.signed_in, one.placed, one.accepted))
+        print(row.format(f"{one.at_s:.1f}", one.host, one.together, *stages))
+    for name in ("listens", "signed_in", "placed", "accepted"):
+        values = [value for one in found if (value := getattr(one, name)) is not None]
+        if values:
+            print(f"{name}: {len(values)} starts, median {median(values):.1f} s, worst {max(values):.1f} s")
+    for all_of in full:
+        stages = zip(("anybody places", "runs", "taken over", "decides"),
+                     (all_of.placed, all_of.runs, all_of.taken_over, all_of.decided), strict=True)  # fmt: skip
+        said = ", ".join(f"{name} {shown(value)}" for name, value in stages)
+        print(f"{all_of.hosts} ended at {all_of.at_s:.1f} s: {said}")
+
+
 def shown(value: float | None) -> str:
     return "-" if value is None else f"{value:.1f}"
 
@@ -110,15 +206,21 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("logs", nargs="+", type=Path, metavar="LOG")
     parser.add_argument("--json", action="store_true", help="one object for each fall, for programs")
+    parser.add_argument("--starts", action="store_true", help="the stages of each start instead")
     parser.add_argument("--falls", nargs="*", choices=sorted(set(KINDS.values())), help="only these kinds")
     args = parser.parse_args()
     found: list[Fall] = []
+    began: list[Start] = []
+    full: list[FullStart] = []
     for path in args.logs:
         try:
             lines, falls = read(path.read_text(encoding="utf-8", errors="replace"))
         except OSError as error:
             print(f"{path}: {error.strerror}", file=sys.stderr)
             return 2
+        if args.starts:
+            some, more = starts(lines, falls)
+            began, full = began + some, full + more
         for fall in falls:
             if not args.falls or fall.kind in args.falls:
                 measure(lines, fall)
@@ -126,6 +228,12 @@
     if not found:
         print("no fall is in these logs", file=sys.stderr)
         return 2
+    if args.starts:
+        if args.json:
+            print(json.dumps({"starts": list(map(asdict, began)), "full": list(map(asdict, full))}))
+        else:
+            show_starts(began, full)
+        return 0
     if args.json:
         print(json.dumps([asdict(fall) for fall in found]))
         return 0
