--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -202,3 +202,13 @@
         used = {hold[3] for row in sent["machines"].values() for hold in row[4]}
         shown = {n for row in sent["machines"].values() for n in row[3]}
         assert len(sent["kinds"]) + len(sent["images"]) <= 1.25 * (len(used) + len(shown)) + lean.SPARE
+
+
+def test_a_row_that_looks_the_same_is_read_anew_when_what_it_points_into_is_not() -> None:
+    picture, key = Picture(), GROUP + "g"
+    for version, image in enumerate(("img-a", "img-b"), 1):
+        record = GroupRecord("big", "a", {"vm-0": MachineRecord("10.0.0.9:1", images=[(image, 1.0)])})
+        packed = lean.pack(msgspec.to_builtins(record))
+        assert packed["machines"]["vm-0"][3] == [0]
+        picture.put(key, packed, version)
+        assert picture.machines["vm-0"].images == {image}
