--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -111,9 +111,6 @@
         self.hold_until_us = max(self.hold_until_us, self.kernel.now_us + pause_us)
         self._overdraft(Urgency.KEEP_ALIVE)
         self._eager /= 4
-        # The service's own second's worth is used up: what this bucket holds is not there.
-        self.bucket.refill(self.kernel.now_us)
-        self.bucket.level = min(self.bucket.level, 0.0)
 
     def admit(self, urgency: Urgency, amount: float) -> Fiber[None]:
         self.bucket.refill(self.kernel.now_us)
