--- a/ashtray/cli.py
+++ b/ashtray/cli.py
@@ -115,12 +115,16 @@
         counts = f", {answer['done']} done, {answer['running']} placed" if "done" in answer else ""
         needs = f"; waits on {', '.join(answer['waits_on'])}" if answer.get("waits_on") else ""
         return f"{answer['name_id']}: {answer['status']}{counts}{needs}"
-    lines = [f"{answer['name_id']}: {answer['tasks']} tasks, {answer['done']} done, {answer['placed']} placed; "
-             f"{answer['placed_by']} places it"]  # fmt: skip
+    lines = [
+        f"{answer['name_id']}: {answer['tasks']} tasks, {answer['done']} done, {answer['placed']} placed; "
+        f"{answer['placed_by']} places it"
+    ]
     if "takes" in answer:
         takes = answer["takes"]
-        lines.append(f"  a task runs {takes['median_s']:.0f} s, 80% between {takes['p10_s']:.0f} and "
-                     f"{takes['p90_s']:.0f} s, from {takes['seen']:g} seen")  # fmt: skip
+        lines.append(
+            f"  a task runs {takes['median_s']:.0f} s, 80% between {takes['p10_s']:.0f} and "
+            f"{takes['p90_s']:.0f} s, from {takes['seen']:g} seen"
+        )
     lines += [f"  waits: {reason}" for reason in answer["waiting"]]
     for place in answer["places"]:
         rules = ", ".join(f"{name} {score:g}" for name, score in place.get("rules", {}).items())
@@ -137,8 +141,10 @@
     for row in rows:
         name = row["level"] or "(all)"
         says = "say much" if row["slope"] > -0.35 else "say some" if row["slope"] > -0.75 else "say little"
-        lines.append(f"{name[:42]:42} {row['seen']:6.1f} {row['ratio']:10.2f}x {says:>9} "
-                     f"{row['low']:7.2f}..{row['high']:.2f}x {row['eras']:5}")  # fmt: skip
+        lines.append(
+            f"{name[:42]:42} {row['seen']:6.1f} {row['ratio']:10.2f}x {says:>9} "
+            f"{row['low']:7.2f}..{row['high']:.2f}x {row['eras']:5}"
+        )
     return "\n".join(lines)
 
 
@@ -191,9 +197,11 @@
 
 def parser() -> argparse.ArgumentParser:
     top = argparse.ArgumentParser(
-        prog="ashtray", description="A cluster scheduler: run a controller, check its settings, or use the service.",
-        epilog=EXIT_CODES, formatter_class=argparse.RawDescriptionHelpFormatter,
-    )  # fmt: skip
+        prog="ashtray",
+        description="A cluster scheduler: run a controller, check its settings, or use the service.",
+        epilog=EXIT_CODES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
     top.add_argument("--version", action="version", version=f"ashtray {__version__}")
     commands = top.add_subparsers(dest="command", required=True, metavar="COMMAND")
 
@@ -211,8 +219,12 @@
     check.set_defaults(call=_check)
 
     user = argparse.ArgumentParser(add_help=False)
-    user.add_argument("--server", default=os.environ.get("ASHTRAY_SERVER", "127.0.0.1:8080"), metavar="HOST:PORT",
-                      help="a controller or its load balancer (default: $ASHTRAY_SERVER, %(default)s)")  # fmt: skip
+    user.add_argument(
+        "--server",
+        default=os.environ.get("ASHTRAY_SERVER", "127.0.0.1:8080"),
+        metavar="HOST:PORT",
+        help="a controller or its load balancer (default: $ASHTRAY_SERVER, %(default)s)",
+    )
     user.add_argument("--timeout", type=float, default=60.0, metavar="S", help="how long to try (default: 60)")
     user.add_argument("--json", action="store_true", help="print the answer as JSON")
     submit = commands.add_parser(
@@ -220,9 +232,11 @@
     )
     submit.add_argument("file", metavar="FILE", help="the job, as the protocol's map in JSON; - reads standard input")
     submit.add_argument(
-        "--waits-on", action="append", metavar="JOB",
+        "--waits-on",
+        action="append",
+        metavar="JOB",
         help="a job that must be done before this one starts; may be given several times, beside those in the file",
-    )  # fmt: skip
+    )
     submit.set_defaults(call=_submit)
     for name, call, what in (
         ("status", _status, "Tell a job's state."),
@@ -233,12 +247,15 @@
         command.add_argument("job", metavar="JOB", help="the job's id, such as job-000412")
         command.set_defaults(call=call)
     estimates = commands.add_parser(
-        "estimates", parents=[user], help="show or forget learnt run times",
+        "estimates",
+        parents=[user],
+        help="show or forget learnt run times",
         description="Show what was learnt of run times, by class; forget a class, say after it has changed.",
-    )  # fmt: skip
+    )
     estimates.add_argument("what", nargs="*", metavar="CLASS | forget CLASS", help="a class, or forget and a class")
-    estimates.add_argument("--token-file", metavar="FILE",
-                           help="the operators' bearer token (default: $ASHTRAY_TOKEN_FILE)")  # fmt: skip
+    estimates.add_argument(
+        "--token-file", metavar="FILE", help="the operators' bearer token (default: $ASHTRAY_TOKEN_FILE)"
+    )
     estimates.set_defaults(call=_estimates)
     return top
 
--- a/ashtray/config/operators.py
+++ b/ashtray/config/operators.py
@@ -1,8 +1,8 @@
 """The operators' own settings: an S-expression file, every setting optional, checked, with a documented default.
 
-    (ashtray
-      (group-size 4)        ; comments run to the end of the line
-      (rules trust changes image scarce spot few-groups packing))
+(ashtray
+  (group-size 4)        ; comments run to the end of the line
+  (rules trust changes image scarce spot few-groups packing))
 """
 
 from __future__ import annotations
@@ -108,7 +108,9 @@
         "keep_estimates", "whether learnt run times are kept in the state service", _yes_or_no, "yes or no"
     ),
     "operators-token": Setting(
-        "token_file", "file with the bearer token of the operators' own paths (left out: they are off)", _text,
+        "token_file",
+        "file with the bearer token of the operators' own paths (left out: they are off)",
+        _text,
         'a path in quotes, such as "/etc/ashtray/token"',
     ),
     "patience": _setting("patience_s", "seconds of waiting worth the cheapest price once more", float, 0.0, 3600.0),
--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -54,9 +54,7 @@
             self.kernel, settings.services.state, settings.cluster.state, nodes=max(settings.cluster.nodes, 1)
         )
         self.follower = Follower(self.kernel, self.store, ROOT, NOW, self.picture, self._changed)
-        base = Base(
-            settings, knobs, self.teams, self.kernel, self.limits, self.picture, self.store, self.follower
-        )  # fmt: skip
+        base = Base(settings, knobs, self.teams, self.kernel, self.limits, self.picture, self.store, self.follower)
         pace = Pace(settings.cluster.objectives, knobs.patience_s, lambda job_id: self.picture.jobs.get(job_id))
         times = StatedTimes(settings.cluster.objectives, pace)
         planner = Planner(base, times, Floor(self.picture, pace))
--- a/ashtray/daemon/server.py
+++ b/ashtray/daemon/server.py
@@ -87,9 +87,11 @@
         # Half of the sockets are for those who call, a quarter for calls: the rest is a reserve.
         connector = aiohttp.TCPConnector(limit=max(sockets // 4, 8), keepalive_timeout=30, use_dns_cache=False)
         self.client = aiohttp.ClientSession(
-            connector=connector, auto_decompress=False, skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            connector=connector,
+            auto_decompress=False,
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             cookie_jar=aiohttp.DummyCookieJar(),
-        )  # fmt: skip
+        )
 
     def now(self) -> tuple[int, int]:
         # Not the loop's time, which is taken once a turn: after a halt in the middle of one, inputs would carry a
@@ -158,9 +160,12 @@
         self._spent_s = 0.0
 
     def _input(
-        self, rank: Rank, take: Callable[[], list[Output]], refuse: Callable[[], list[Output]] | None = None,
+        self,
+        rank: Rank,
+        take: Callable[[], list[Output]],
+        refuse: Callable[[], list[Output]] | None = None,
         patience_us: int = FOR_EVER_US,
-    ) -> None:  # fmt: skip
+    ) -> None:
         """Hand an input to the core: now, or where the process is behind in its turn."""
         if self._keeps_up():
             self._take(take)
@@ -183,9 +188,10 @@
         behind_us = self._inbox.behind_us(now_us)
         if behind_us > BEHIND_US and now_us > self._told_us + TELL_US:
             log.info(
-                "behind by %.1f s: reports are taken first, %d requests were refused", behind_us / 1e6,
+                "behind by %.1f s: reports are taken first, %d requests were refused",
+                behind_us / 1e6,
                 self._inbox.refused,
-            )  # fmt: skip
+            )
             self._told_us, self._inbox.refused = now_us, 0
         self.core.kernel.behind_us = behind_us
         try:
@@ -206,9 +212,13 @@
         url = URL(f"http://{call.address}{call.path}", encoded=True)
         try:
             async with self.client.request(
-                call.method, url, data=data, headers=_HEADERS if data else None, timeout=timeout,
+                call.method,
+                url,
+                data=data,
+                headers=_HEADERS if data else None,
+                timeout=timeout,
                 allow_redirects=False,
-            ) as response:  # fmt: skip
+            ) as response:
                 raw = await response.read()
                 return Reply(response.status, msgspec.msgpack.decode(raw) if raw else None)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
@@ -239,9 +249,11 @@
         self._answers[request_id] = future
         rank, patience_us = rank_of(request.path)
         self._input(
-            rank, lambda: take(*self.now(), request_id, request.method, request.path, body, readable),
-            lambda: [Answer(request_id, 503, {"error": "behind"}, 1)], patience_us,
-        )  # fmt: skip
+            rank,
+            lambda: take(*self.now(), request_id, request.method, request.path, body, readable),
+            lambda: [Answer(request_id, 503, {"error": "behind"}, 1)],
+            patience_us,
+        )
         try:
             return self._response(await future)
         finally:
@@ -251,9 +263,7 @@
         headers = dict(_HEADERS)
         if answer.retry_after_s is not None:
             headers["Retry-After"] = str(answer.retry_after_s)
-        response = web.Response(
-            status=answer.status, body=msgspec.msgpack.encode(answer.body), headers=headers
-        )
+        response = web.Response(status=answer.status, body=msgspec.msgpack.encode(answer.body), headers=headers)
         if close:
             response.force_close()
         return response
--- a/ashtray/estimates/keeping.py
+++ b/ashtray/estimates/keeping.py
@@ -79,7 +79,7 @@
 
 def folded(
     record: Record | None, host: str, fold: tuple[int, int], rows: dict[str, array[float]], most_bytes: int
-) -> Record:  # fmt: skip
+) -> Record:
     """A record with one controller's fold added; of too many levels those with the least data give way."""
     old = record or Record(FORM, {}, {})
     found = {key: unpack(text) for key, text in old.rows.items()}
--- a/ashtray/estimates/operators.py
+++ b/ashtray/estimates/operators.py
@@ -49,11 +49,16 @@
                 belief = believe(above, belief)
         curve = Curve(row if row[N] >= 8 else None, belief.var)
         middle = belief.at(row[MX])
-        found.append({
-            "level": key, "seen": round(row[N], 1), "ratio": round(math.exp(middle + curve.quantile(0.5)), 3),
-            "low": round(math.exp(middle + curve.quantile(0.1)), 3),
-            "high": round(math.exp(middle + curve.quantile(0.9)), 3),
-            "slope": round(belief.slope, 2), "eras": int(row[ERA]),
-        })  # fmt: skip
+        found.append(
+            {
+                "level": key,
+                "seen": round(row[N], 1),
+                "ratio": round(math.exp(middle + curve.quantile(0.5)), 3),
+                "low": round(math.exp(middle + curve.quantile(0.1)), 3),
+                "high": round(math.exp(middle + curve.quantile(0.9)), 3),
+                "slope": round(belief.slope, 2),
+                "eras": int(row[ERA]),
+            }
+        )
     found.sort(key=lambda entry: (-entry["seen"], entry["level"]))
     return found[:MOST_ROWS]
--- a/ashtray/estimates/watch.py
+++ b/ashtray/estimates/watch.py
@@ -42,9 +42,13 @@
         """For each class, from a task's place to its start: the order, its image, its gang."""
 
     def report(
-        self, machine: str, began: dict[Key, int], old: Mapping[Key, Seen] | None, new: Mapping[Key, Seen],
+        self,
+        machine: str,
+        began: dict[Key, int],
+        old: Mapping[Key, Seen] | None,
+        new: Mapping[Key, Seen],
         now_us: int,
-    ) -> list[Key]:  # fmt: skip
+    ) -> list[Key]:
         """Compare two reports of one worker; returns what has begun to run.
 
         `began` is what is known of its running tasks, kept by the caller.
--- a/ashtray/fleet/forecast.py
+++ b/ashtray/fleet/forecast.py
@@ -157,9 +157,11 @@
         self._heap(ask)
         for (_, types, zone, spot), heap in self._heaps.items():
             machine = future.room.machine
-            if (not types or machine.type in types) and zone in (None, machine.zone) and (
-                spot or not machine.record.spot
-            ):  # fmt: skip
+            if (
+                (not types or machine.type in types)
+                and zone in (None, machine.zone)
+                and (spot or not machine.record.spot)
+            ):
                 heapq.heappush(heap, (future.from_us, n))
 
 
--- a/ashtray/fleet/messages.py
+++ b/ashtray/fleet/messages.py
@@ -42,9 +42,17 @@
     hulls = msgspec.convert(body["hulls"], list[Hull])
     return {
         h.name: MachineType(
-            h.name, h.cpus, h.cards, h.memory_gb, h.local_gb, h.pull_gb_per_s, h.rate, h.spot_price,
-            int(h.ready_s * SECOND_US), tuple(h.yards),
-        )  # fmt: skip
+            h.name,
+            h.cpus,
+            h.cards,
+            h.memory_gb,
+            h.local_gb,
+            h.pull_gb_per_s,
+            h.rate,
+            h.spot_price,
+            int(h.ready_s * SECOND_US),
+            tuple(h.yards),
+        )
         for h in hulls
     }
 
--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -114,7 +114,7 @@
 
     def _cloud(
         self, method: str, path: str, body: Any = None, still: Callable[[], bool] = lambda: True
-    ) -> Fiber[Reply]:  # fmt: skip
+    ) -> Fiber[Reply]:
         """One request; `still` is asked last before it goes out, after the wait for its turn."""
         while True:
             self.bucket.refill(self.kernel.now_us)
--- a/ashtray/inbox.py
+++ b/ashtray/inbox.py
@@ -84,9 +84,13 @@
         return max((now_us - queue[0].came_us for queue in self._waiting.values() if queue), default=0)
 
     def put(
-        self, now_us: int, rank: Rank, take: Callable[[], list[Output]],
-        refuse: Callable[[], list[Output]] | None = None, patience_us: int = FOR_EVER_US,
-    ) -> list[Output]:  # fmt: skip
+        self,
+        now_us: int,
+        rank: Rank,
+        take: Callable[[], list[Output]],
+        refuse: Callable[[], list[Output]] | None = None,
+        patience_us: int = FOR_EVER_US,
+    ) -> list[Output]:
         """Let an input wait; the outputs are those of one that is refused at once."""
         queue = self._waiting[rank]
         if rank == Rank.USERS and refuse is not None and len(queue) >= MOST_WAITING:
--- a/ashtray/jobs/accepting.py
+++ b/ashtray/jobs/accepting.py
@@ -35,7 +35,7 @@
 
     def __init__(
         self, kernel: Kernel, store: StoreClient, limits: Limits, known: Callable[[str], bool] = lambda job_id: False
-    ) -> None:  # fmt: skip
+    ) -> None:
         """`known` tells whether a job is known by now: one that is known costs no change."""
         self._kernel = kernel
         self._store = store
--- a/ashtray/jobs/model.py
+++ b/ashtray/jobs/model.py
@@ -105,10 +105,16 @@
         return self.record.portion if self.record.attempt > self.record.broken else 0
 
     def value(
-        self, *, finished: set[int] | None = None, attempt: int | None = None, broken: int | None = None,
-        errors: int | None = None, error_us: int | None = None, portion: int | None = None,
+        self,
+        *,
+        finished: set[int] | None = None,
+        attempt: int | None = None,
+        broken: int | None = None,
+        errors: int | None = None,
+        error_us: int | None = None,
+        portion: int | None = None,
         failed_on: list[str] | None = None,
-    ) -> Any:  # fmt: skip
+    ) -> Any:
         """The record with some fields replaced, ready to be written."""
         old = self.record
         runs = old.finished if finished is None else encode_runs(finished)
--- a/ashtray/jobs/pace.py
+++ b/ashtray/jobs/pace.py
@@ -22,7 +22,7 @@
 
     def __init__(
         self, objectives: list[Objective], patience_s: float, job_of: Callable[[str], Job | None] = lambda _: None
-    ) -> None:  # fmt: skip
+    ) -> None:
         self.estimates = Estimates()
         self.watch = Watch(self.estimates, job_of)
         self._patience_s = patience_s
--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -34,9 +34,14 @@
 
 class JobDesk:
     def __init__(
-        self, base: Base, presence: Presence, peers: Peers, planner: Planner, estimates: Estimates,
+        self,
+        base: Base,
+        presence: Presence,
+        peers: Peers,
+        planner: Planner,
+        estimates: Estimates,
         placed_anew: Callable[[], None],
-    ) -> None:  # fmt: skip
+    ) -> None:
         """`placed_anew` is told when there may be something new to place."""
         self.base = base
         self.kernel = base.kernel
@@ -76,9 +81,7 @@
         request = {"method": method, "path": path, "body": body}
         self._handed_on += 1
         for peer in peers:
-            reply: Reply = yield Call(
-                self.peers.peers[peer].address, "POST", "/peer/request", request, HAND_ON_US
-            )  # fmt: skip
+            reply: Reply = yield Call(self.peers.peers[peer].address, "POST", "/peer/request", request, HAND_ON_US)
             if reply.status in (200, 201, 400, 404, 422):
                 self.kernel.answer(request_id, reply.status, reply.body)
                 break
@@ -367,5 +370,3 @@
         if status == 200:
             body = state_body(job_id, body["status"])
         self._answer(request_id, status, body)
-
-
--- a/ashtray/lab/replay.py
+++ b/ashtray/lab/replay.py
@@ -93,8 +93,19 @@
 
 
 def job_of(run: Run) -> Job:
-    spec = JobSpec(run.job_class, run.team, "array", 2, 1, 2.0, 0.0, 1.0, run.image, 1.0,
-                   estimate_us=int(run.expect_s * SECOND_US))  # fmt: skip
+    spec = JobSpec(
+        run.job_class,
+        run.team,
+        "array",
+        2,
+        1,
+        2.0,
+        0.0,
+        1.0,
+        run.image,
+        1.0,
+        estimate_us=int(run.expect_s * SECOND_US),
+    )
     job = Job.__new__(Job)
     job.id, job.spec, job.record, job.priority = run.job, spec, JobRecord(spec, "", 0), 2
     return job
@@ -137,10 +148,13 @@
             for look, judged in judge(traces.make(kind, seed, n), make()).items():
                 by_look.setdefault(look, []).append(judged)
         rows[name] = {
-            str(look): (statistics.median(e for e, _ in all_), max(e for e, _ in all_),
-                        statistics.median(w for _, w in all_))
+            str(look): (
+                statistics.median(e for e, _ in all_),
+                max(e for e, _ in all_),
+                statistics.median(w for _, w in all_),
+            )
             for look, all_ in by_look.items()
-        }  # fmt: skip
+        }
     return rows
 
 
@@ -178,8 +192,10 @@
         return 0
     for kind, rows in found.items():
         if kind == "machines":
-            print(f"after 20 tasks each: {rows['slow found']:.0%} of slow machines found, "
-                  f"{rows['healthy accused']:.1%} of healthy ones accused")  # fmt: skip
+            print(
+                f"after 20 tasks each: {rows['slow found']:.0%} of slow machines found, "
+                f"{rows['healthy accused']:.1%} of healthy ones accused"
+            )
             continue
         print(kind)
         for name, looks in rows.items():
--- a/ashtray/lab/traces.py
+++ b/ashtray/lab/traces.py
@@ -37,9 +37,17 @@
 
 
 def _run(
-    rng: random.Random, n: int, median: float, sigma: float, bias: float, error: float | None, machine: str = "m",
-    factor: float = 1.0, job_class: str = "pages", job: str | None = None,
-) -> Run:  # fmt: skip
+    rng: random.Random,
+    n: int,
+    median: float,
+    sigma: float,
+    bias: float,
+    error: float | None,
+    machine: str = "m",
+    factor: float = 1.0,
+    job_class: str = "pages",
+    job: str | None = None,
+) -> Run:
     """A task of a log-normal class.  `error` None: the owner says the same whatever the task."""
     run = median * math.exp(rng.gauss(0.0, sigma))
     if error is None:
@@ -70,8 +78,10 @@
 
 def shifted(rng: random.Random, n: int) -> Iterator[Run]:
     """After two thirds all tasks take three times as long, and owners do not know."""
-    return (_run(rng, k, 100.0 if k < 2 * n // 3 else 300.0, 0.3, 1.0 if k < 2 * n // 3 else 1 / 3, None)
-            for k in range(n))  # fmt: skip
+    return (
+        _run(rng, k, 100.0 if k < 2 * n // 3 else 300.0, 0.3, 1.0 if k < 2 * n // 3 else 1 / 3, None)
+        for k in range(n)
+    )
 
 
 def two_kinds(rng: random.Random, n: int) -> Iterator[Run]:
@@ -107,9 +117,15 @@
 
 
 KINDS: dict[str, Callable[[random.Random, int], Iterator[Run]]] = {
-    "steady": steady, "biased": biased, "blind": blind, "shifted": shifted, "two-kinds": two_kinds,
-    "two-kinds-blind": two_kinds_blind, "one-drowns": one_drowns, "slow-machine": slow_machine,
-}  # fmt: skip
+    "steady": steady,
+    "biased": biased,
+    "blind": blind,
+    "shifted": shifted,
+    "two-kinds": two_kinds,
+    "two-kinds-blind": two_kinds_blind,
+    "one-drowns": one_drowns,
+    "slow-machine": slow_machine,
+}
 
 
 def make(kind: str, seed: int, n: int) -> list[Run]:
--- a/ashtray/peers/presence.py
+++ b/ashtray/peers/presence.py
@@ -233,9 +233,12 @@
     """Word between controllers: who hears which worker, who can read, and that something has changed."""
 
     def __init__(
-        self, base: Base, presence: Presence, reports: Callable[[], dict[str, int]],
+        self,
+        base: Base,
+        presence: Presence,
+        reports: Callable[[], dict[str, int]],
         moved: Callable[[], None] = lambda: None,
-    ) -> None:  # fmt: skip
+    ) -> None:
         """`reports` tells when each worker that reports here was last heard; `moved` hears that duties move."""
         self.base = base
         self.presence = presence
--- a/ashtray/placement/explain.py
+++ b/ashtray/placement/explain.py
@@ -18,9 +18,14 @@
 
 
 def explain(
-    plan: Plan, job: Job, wall_us: int, owner: str, standing: Standing | None = None, run: Estimate | None = None,
+    plan: Plan,
+    job: Job,
+    wall_us: int,
+    owner: str,
+    standing: Standing | None = None,
+    run: Estimate | None = None,
     served: float | None = None,
-) -> dict[str, Any]:  # fmt: skip
+) -> dict[str, Any]:
     """An answer for a person: plain reasons, and the scores of the rules where tasks have places.
 
     `served`: the share of its class that was served, if that is under the floor.
@@ -29,14 +34,21 @@
     placed = plan.picture.placed(job.id)
     finished = plan.picture.finished(job)
     answer: dict[str, Any] = {
-        "name_id": job.id, "placed_by": owner, "tasks": spec.tasks, "done": len(finished), "placed": len(placed),
-        "waiting": [], "places": [],
-    }  # fmt: skip
+        "name_id": job.id,
+        "placed_by": owner,
+        "tasks": spec.tasks,
+        "done": len(finished),
+        "placed": len(placed),
+        "waiting": [],
+        "places": [],
+    }
     if run is not None and spec.kind != "service":
         answer["takes"] = {
-            "median_s": run.median_us / SECOND_US, "p10_s": run.p10_us / SECOND_US, "p90_s": run.p90_us / SECOND_US,
+            "median_s": run.median_us / SECOND_US,
+            "p10_s": run.p10_us / SECOND_US,
+            "p90_s": run.p90_us / SECOND_US,
             "seen": round(run.weight, 1),
-        }  # fmt: skip
+        }
     ask = plan.ask(job)
     rooms = {room.machine.name: room for room in plan.rooms}
     for (name, _), hold in sorted(plan.picture.held.get(job.id, {}).items()):
--- a/ashtray/placement/lean.py
+++ b/ashtray/placement/lean.py
@@ -24,9 +24,7 @@
     return int(value) if value == int(value) else value
 
 
-def pack(
-    value: dict[str, Any], before: dict[str, Any] | None = None, changed: Container[str] = ()
-) -> dict[str, Any]:  # fmt: skip
+def pack(value: dict[str, Any], before: dict[str, Any] | None = None, changed: Container[str] = ()) -> dict[str, Any]:
     """Write a group's record in lean form.  When tasks were placed is kept to the second.
 
     `before` is the lean record that this one follows on: rows of machines that are not `changed` are taken over as
@@ -54,9 +52,14 @@
             # Too much of what the tables say is of tasks long gone: it takes room in the record, and time of all.
             return pack(value)
     packed = {
-        FORM: 2, "type": value["type"], "zone": value["zone"], "since": since,
-        "kinds": [list(kind) for kind in kinds], "images": [list(image) for image in images], "machines": rows,
-    }  # fmt: skip
+        FORM: 2,
+        "type": value["type"],
+        "zone": value["zone"],
+        "since": since,
+        "kinds": [list(kind) for kind in kinds],
+        "images": [list(image) for image in images],
+        "machines": rows,
+    }
     if value.get("done"):
         packed["done"] = value["done"]
     return packed
@@ -64,7 +67,7 @@
 
 def _row(
     machine: dict[str, Any], since: int, kinds: dict[tuple[Any, ...], int], images: dict[tuple[str, float], int]
-) -> list[Any]:  # fmt: skip
+) -> list[Any]:
     """One machine, pointing into the tables, to which what is new is added."""
     holds = []
     for job, attempt, tasks, team, cpus, gpus, memory_gb, placed_us, stop_us, by in machine.get("holds", ()):
@@ -80,7 +83,7 @@
 
 def unpack(
     value: dict[str, Any], before: dict[str, Any] | None = None, known: Mapping[str, Any] | None = None
-) -> dict[str, Any]:  # fmt: skip
+) -> dict[str, Any]:
     """A group's record as `GroupRecord` has it, from either form.
 
     `before` is a lean record that was read earlier, and `known` what its machines said: rows that are the same are
@@ -112,11 +115,16 @@
         if holds:
             machine["holds"] = [
                 [
-                    f"job-{job}", attempt, tasks, *kinds[kind][:4], (since + age) * SECOND_US,
-                    stop[0] if stop else -1, kinds[kind][4],
+                    f"job-{job}",
+                    attempt,
+                    tasks,
+                    *kinds[kind][:4],
+                    (since + age) * SECOND_US,
+                    stop[0] if stop else -1,
+                    kinds[kind][4],
                 ]
                 for job, attempt, tasks, kind, age, *stop in holds
-            ]  # fmt: skip
+            ]
         machines[name] = machine
     whole = {"type": value["type"], "zone": value["zone"], "machines": machines}
     if "done" in value:
--- a/ashtray/placement/order.py
+++ b/ashtray/placement/order.py
@@ -116,7 +116,7 @@
 
     def arrange(
         self, jobs: list[Job], inside: set[str], picture: Picture, wall_us: int
-    ) -> tuple[list[Job], set[str]]:  # fmt: skip
+    ) -> tuple[list[Job], set[str]]:
         """A queue served by age, with the jobs of each team and priority in their bands, or by the room they need;
         and which have missed all the times that are stated for them.
 
@@ -172,9 +172,10 @@
 def fetch_us(job: Job, types: Iterable[MachineType]) -> int:
     """How long an image takes on a machine that does not have it, half-way between the types that a job may use."""
     rates = [
-        kind.fetch_gb_per_s for kind in types
+        kind.fetch_gb_per_s
+        for kind in types
         if (not job.spec.types or kind.name in job.spec.types) and kind.fetch_gb_per_s > 0
-    ]  # fmt: skip
+    ]
     if not rates:
         return 0
     return int(job.spec.image_gb * (1 / min(rates) + 1 / max(rates)) / 2 * SECOND_US)
--- a/ashtray/placement/picture.py
+++ b/ashtray/placement/picture.py
@@ -39,7 +39,7 @@
 
 def split_key(group: str) -> str:
     """The key of the mark of a group that is being split."""
-    return SPLIT + group[len(GROUP):]
+    return SPLIT + group[len(GROUP) :]
 
 
 HoldKey = tuple[str, int]
@@ -257,7 +257,7 @@
 
     def __init__(
         self, job_bytes: int = UNLIMITED, most_later: int = MOST_LATER, clock: Callable[[], int] = lambda: 0
-    ) -> None:  # fmt: skip
+    ) -> None:
         self._most_later = most_later
         self._clock = clock
         """The time of day."""
@@ -328,7 +328,7 @@
 
     def put(self, key: str, value: Any, version: int) -> None:
         if key.startswith(OVER):
-            self.note_over(key[len(OVER):], value)
+            self.note_over(key[len(OVER) :], value)
             return
         if max(self._versions.get(key, 0), self._gone.get(key, 0)) >= version:
             return
@@ -337,26 +337,26 @@
         if key.startswith(GROUP):
             self._put_group(key, value, version)
         elif key.startswith(LIVE):
-            job_id = key[len(LIVE):]
+            job_id = key[len(LIVE) :]
             job = self.jobs[job_id] = Job(job_id, value, version, self.job_bytes)
             self._stale |= self.needs.put(job, self.over)
             self._job_changed(job_id)
         elif key.startswith(CONTROLLER):
             # A new dict each time, so that what was worked out from the old one is known to be old.
-            self.controllers = {**self.controllers, key[len(CONTROLLER):]: value}
+            self.controllers = {**self.controllers, key[len(CONTROLLER) :]: value}
         elif key.startswith(TEAM):
-            self.shares[key[len(TEAM):]] = {host: (share[0], share[1]) for host, share in value.items()}
+            self.shares[key[len(TEAM) :]] = {host: (share[0], share[1]) for host, share in value.items()}
         elif key == FLEET:
             self.fleet = (value, version)
         elif key == RENTALS:
             self.rentals = value
         elif key.startswith(CLAIM):
-            self.claims[key[len(CLAIM):]] = value
+            self.claims[key[len(CLAIM) :]] = value
         elif key == TYPES or key.startswith(TYPES + "/"):
             self._types[key] = {name: msgspec.convert(t, MachineType) for name, t in value.items()}
             self._types_changed()
         elif key.startswith(SPLIT):
-            self._note_moved(GROUP + key[len(SPLIT):], (value["machine"], value["job"]))
+            self._note_moved(GROUP + key[len(SPLIT) :], (value["machine"], value["job"]))
         elif key.startswith(ESTIMATE):
             self.estimates[key] = value
 
@@ -374,14 +374,14 @@
                     self._drop_machine(machine)
                 self._note_done(group, {}, {})
         elif key.startswith(LIVE):
-            job_id = key[len(LIVE):]
+            job_id = key[len(LIVE) :]
             self.jobs.pop(job_id, None)
             self.needs.remove(job_id)
             self._job_changed(job_id)
         elif key.startswith(CONTROLLER):
-            self.controllers = {host: v for host, v in self.controllers.items() if host != key[len(CONTROLLER):]}
+            self.controllers = {host: v for host, v in self.controllers.items() if host != key[len(CONTROLLER) :]}
         elif key.startswith(TEAM):
-            self.shares.pop(key[len(TEAM):], None)
+            self.shares.pop(key[len(TEAM) :], None)
         elif key == FLEET:
             self.fleet = None
         elif key == RENTALS:
@@ -390,7 +390,7 @@
             del self._types[key]
             self._types_changed()
         elif key.startswith(SPLIT):
-            self._note_moved(GROUP + key[len(SPLIT):], None)
+            self._note_moved(GROUP + key[len(SPLIT) :], None)
         elif key.startswith(ESTIMATE):
             self.estimates.pop(key, None)
 
@@ -537,9 +537,7 @@
         of yet made a cancelled job count as done there, and the jobs after it run (point 13).
         """
         groups = self.groups
-        return job.version <= self.upto and all(
-            groups[key].version <= self.upto for key in self.done.get(job.id, ())
-        )
+        return job.version <= self.upto and all(groups[key].version <= self.upto for key in self.done.get(job.id, ()))
 
     def _unplaced(self, job: Job) -> list[int]:
         spec = job.spec
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -48,7 +48,7 @@
 class Placer:
     def __init__(
         self, base: Base, presence: Presence, grants: Grants, pace: Pace, planner: Planner, desk: Desk
-    ) -> None:  # fmt: skip
+    ) -> None:
         self.base = base
         self.presence = presence
         self.grants = grants
@@ -342,9 +342,16 @@
     def _stop(self, job: Job, victims: Victims, inside: set[str]) -> Fiber[None]:
         base = self.base
         build = partial(
-            stop_for, base.picture, base.teams, inside, job, victims, base.limits, base.settings.host_name,
+            stop_for,
+            base.picture,
+            base.teams,
+            inside,
+            job,
+            victims,
+            base.limits,
+            base.settings.host_name,
             base.kernel.wall_us,
-        )  # fmt: skip
+        )
         if (yield from base.follower.commit(build, len(victims), Urgency.PLACE, "preempt")):
             number = sum(len(tasks) for held in victims.values() for tasks in held.values())
             base.kernel.log("info", f"{job.id} stops {number} tasks on {', '.join(sorted(victims))}")
@@ -570,14 +577,19 @@
             record = edit.machine(machine.name)
             record.holds.append(
                 HoldRecord(
-                    job.id, number, encode_runs(left[:n]), spec.team, spec.cpus, spec.gpus, spec.memory_gb, wall_us,
+                    job.id,
+                    number,
+                    encode_runs(left[:n]),
+                    spec.team,
+                    spec.cpus,
+                    spec.gpus,
+                    spec.memory_gb,
+                    wall_us,
                     by=host,
-                )  # fmt: skip
+                )
             )
             del left[:n]
-            record.images = cached(
-                record.images, spec.image, spec.image_gb, room.type.cache_gb, self.image_bytes
-            )  # fmt: skip
+            record.images = cached(record.images, spec.image, spec.image_gb, room.type.cache_gb, self.image_bytes)
             cpus, gpus, memory = self._added.get(machine.name, (0.0, 0.0, 0.0))
             self._added[machine.name] = (cpus + n * spec.cpus, gpus + n * spec.gpus, memory + n * spec.memory_gb)
         if self.grants.limited(spec.team):
@@ -597,6 +609,6 @@
     kept = [*(entry for entry in images if entry[0] != image), (image, size)]
     while len(kept) > 1 and (
         sum(gb for _, gb in kept) > cache_gb or sum(len(name) + IMAGE_BYTES for name, _ in kept) > most_bytes
-    ):  # fmt: skip
+    ):
         kept.pop(0)
     return kept
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -34,9 +34,12 @@
 
 
 def queue(
-    picture: Picture, teams: dict[str, Team], times: StatedTimes | None = None, wall_us: int = 0,
+    picture: Picture,
+    teams: dict[str, Team],
+    times: StatedTimes | None = None,
+    wall_us: int = 0,
     floor: Floor | None = None,
-) -> tuple[list[Job], set[str]]:  # fmt: skip
+) -> tuple[list[Job], set[str]]:
     """The jobs with tasks that wait, the first to be served first: priority, guarantee, deadline or age.
 
     Under overload what can still make its next stated time goes first (`order.py`), and a class of which too little
@@ -127,10 +130,13 @@
             kind = kinds.get(machine.type)
             if kind is not None and not machine.record.retiring:
                 room = Room(
-                    machine, kind, kind.cpus - machine.cpus, kind.gpus - machine.gpus,
+                    machine,
+                    kind,
+                    kind.cpus - machine.cpus,
+                    kind.gpus - machine.gpus,
                     kind.memory_gb - machine.memory_gb,
                     picture.blame(machine) if machine.record.failed else 0,
-                )  # fmt: skip
+                )
                 # Nothing more is put into a record that is nearly as large as a value may be.
                 if self.left[machine.group] < HOLD_BYTES:
                     room.cpus = room.gpus = room.memory_gb = -1.0
@@ -181,9 +187,8 @@
             free_m += room.memory_gb
         whole, free = (whole_c, whole_g, whole_m), (free_c, free_g, free_m)
         c, g, m = (
-            weight * (1.1 - f / w if w else 1.0)
-            for weight, f, w in zip(self.knobs.weights, free, whole, strict=True)
-        )  # fmt: skip
+            weight * (1.1 - f / w if w else 1.0) for weight, f, w in zip(self.knobs.weights, free, whole, strict=True)
+        )
         return c, g, m
 
     def wanted(self, job: Job, wall_us: int, shared: bool = False) -> list[int]:
@@ -230,9 +235,14 @@
         return sorted({room.machine.zone for room in self.rooms})
 
     def place(
-        self, job: Job, count: int, widen: float, image_within_s: float | None = None, freed: bool = False,
+        self,
+        job: Job,
+        count: int,
+        widen: float,
+        image_within_s: float | None = None,
+        freed: bool = False,
         shared: bool = False,
-    ) -> list[Choice]:  # fmt: skip
+    ) -> list[Choice]:
         """Choose room for tasks of a job and take it; for a gang all of it or none.
 
         `freed`: also the room that only this controller knows of.  `shared`: see `wanted`.
@@ -397,9 +407,16 @@
             return None
         size = tuple(int(math.log2(x)) if x > 0 else None for x in (spec.cpus, spec.memory_gb))
         return (
-            *size, spec.gpus, spec.image, spec.zone, spec.spot, tuple(spec.types or ()), ask.image_within_s,
-            ask.spare_gpus, ask.priority <= 1,
-        )  # fmt: skip
+            *size,
+            spec.gpus,
+            spec.image,
+            spec.zone,
+            spec.spot,
+            tuple(spec.types or ()),
+            ask.image_within_s,
+            ask.spare_gpus,
+            ask.priority <= 1,
+        )
 
     def take(self, job: Job, choices: Iterable[Choice]) -> None:
         base = self._base_bytes(job)
--- a/ashtray/placement/preemption.py
+++ b/ashtray/placement/preemption.py
@@ -29,9 +29,13 @@
     """
 
     def __init__(
-        self, picture: Picture, inside: set[str], job: Job, excess: Excess,
+        self,
+        picture: Picture,
+        inside: set[str],
+        job: Job,
+        excess: Excess,
         spared: frozenset[tuple[str, str]] = frozenset(),
-    ) -> None:  # fmt: skip
+    ) -> None:
         """`spared`: teams and classes whose tasks are not stopped for it (`floor.py`)."""
         self._picture = picture
         self._inside = inside
@@ -98,9 +102,7 @@
         stoppable = [hold for hold in room.machine.holds if right.allowed(hold)]
         if not (fits or stoppable) or not all(rule.holds(room, ask) for rule in checks):
             continue
-        candidates = [
-            (wall_us - hold.record.placed_us, hold, task) for hold in stoppable for task in hold.tasks
-        ]  # fmt: skip
+        candidates = [(wall_us - hold.record.placed_us, hold, task) for hold in stoppable for task in hold.tasks]
         candidates.sort(key=lambda c: (c[0], c[1].job, c[2]))
         free = Room(room.machine, room.type, room.cpus, room.gpus, room.memory_gb)
         taken = 0
@@ -146,9 +148,15 @@
 
 
 def stop_for(
-    picture: Picture, teams: dict[str, Team], inside: set[str], job: Job, victims: Victims, limits: Limits,
-    by: str, wall_us: int,
-) -> Txn | None:  # fmt: skip
+    picture: Picture,
+    teams: dict[str, Team],
+    inside: set[str],
+    job: Job,
+    victims: Victims,
+    limits: Limits,
+    by: str,
+    wall_us: int,
+) -> Txn | None:
     """The transaction that stops victims for a job, with the claims on their teams' excess as it is now.
 
     None where the excess does not allow it any more: others have stopped some of it, or it has ended by itself.
--- a/ashtray/placement/rules.py
+++ b/ashtray/placement/rules.py
@@ -201,9 +201,17 @@
     for room in rooms:
         m = room.machine
         key = (
-            room.type.name, m.zone, m.record.spot, m.record.retiring, room.blame, m.name in ask.failed_on,
-            image in m.images, room.cpus, room.gpus, room.memory_gb,
-        )  # fmt: skip
+            room.type.name,
+            m.zone,
+            m.record.spot,
+            m.record.retiring,
+            room.blame,
+            m.name in ask.failed_on,
+            image in m.images,
+            room.cpus,
+            room.gpus,
+            room.memory_gb,
+        )
         if key not in verdicts:
             verdicts[key] = () if valid(room, ask) else None
         if verdicts[key] is not None:
--- a/ashtray/standby/notice.py
+++ b/ashtray/standby/notice.py
@@ -130,9 +130,10 @@
         """Peers that others doubt and that no call has told anything of here."""
         since_us = now_us - HEARSAY_US
         return [
-            host for host, peer in self.peers.items()
+            host
+            for host, peer in self.peers.items()
             if not peer.refused and not peer.unanswered and any(at > since_us for at in peer.doubted_by.values())
-        ]  # fmt: skip
+        ]
 
     def judge(self, now_us: int, awake_us: int, live: list[str], own_age_us: int) -> frozenset[str]:
         """Who is away, of those that hold a lease or held one: suspected or lame."""
--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -152,7 +152,7 @@
 
     def __init__(
         self, kernel: Kernel, address: str, limits: StateLimits, headroom: float = 0.96, nodes: int = 1
-    ) -> None:  # fmt: skip
+    ) -> None:
         """`nodes`: how many may share the limits; a process that begins must think that all of them do at once."""
         self.kernel = kernel
         self.address = address
@@ -189,8 +189,10 @@
             self._pinched_us = []
             low_s = self._low_us // SECOND_US
             self.kernel.log("info", f"the state service takes fewer changes: at the lower rate for {low_s} s")
-            self.changes.bucket.rate = min(self.changes.bucket.rate, self.changes.bucket.rate
-                                           * self.limits.next.write_rps / self.limits.write_rps)  # fmt: skip
+            self.changes.bucket.rate = min(
+                self.changes.bucket.rate,
+                self.changes.bucket.rate * self.limits.next.write_rps / self.limits.write_rps,
+            )
 
     def backlog(self) -> int:
         return len(self.requests.waiting) + len(self.changes.waiting)
@@ -240,9 +242,13 @@
         return (yield from self.request(Urgency.KEEP_ALIVE, "GET", path, tries=1, purpose="follow"))
 
     def commit(
-        self, build: Callable[[], Txn | None], changes: int, urgency: Urgency, purpose: str,
+        self,
+        build: Callable[[], Txn | None],
+        changes: int,
+        urgency: Urgency,
+        purpose: str,
         look: Callable[[], Fiber[None]] | None = None,
-    ) -> Fiber[tuple[Txn | None, Reply]]:  # fmt: skip
+    ) -> Fiber[tuple[Txn | None, Reply]]:
         """Commit what `build` makes.  It is called once the budget for about so many changes is there, not
         before, and after a `look` at what has changed, so that what waits for its turn does not grow stale."""
         asked_us = self.kernel.now_us
--- a/ashtray/store/follower.py
+++ b/ashtray/store/follower.py
@@ -42,9 +42,14 @@
     """
 
     def __init__(
-        self, kernel: Kernel, store: StoreClient, prefix: str, start: str, mirror: Mirror,
+        self,
+        kernel: Kernel,
+        store: StoreClient,
+        prefix: str,
+        start: str,
+        mirror: Mirror,
         changed: Callable[[], None],
-    ) -> None:  # fmt: skip
+    ) -> None:
         self.kernel = kernel
         self.store = store
         self.prefix = prefix
--- a/ashtray/teams/grants.py
+++ b/ashtray/teams/grants.py
@@ -129,7 +129,7 @@
 
     def wants(
         self, name: str, queue: Iterable[Job], owner: Callable[[Job], str], able: Iterable[str]
-    ) -> dict[str, Want]:  # fmt: skip
+    ) -> dict[str, Want]:
         """What the waiting tasks of a team need, by the controller that places them.
 
         One that is not in it places nothing any more: it is gone, or its jobs have moved away from it.
@@ -145,9 +145,14 @@
         return found
 
     def reshare(
-        self, name: str, spec: JobSpec, count: int, wants: Mapping[str, Want], turn: int = LAST,
+        self,
+        name: str,
+        spec: JobSpec,
+        count: int,
+        wants: Mapping[str, Want],
+        turn: int = LAST,
         urgent: bool = False,
-    ) -> Txn | None:  # fmt: skip
+    ) -> Txn | None:
         """Take what is in nobody's share for so many more tasks, and ask others to give up what they cannot use.
 
         What another controller gives up may be in use before it knows: it is taken only by a later change, made on
@@ -174,7 +179,7 @@
         others = [host for host in used if host != self.host]
         free = [
             limits[n] - sum(max(shares.get(host, (0.0, 0.0))[n], used[host][n]) for host in others) for n in (0, 1)
-        ]  # fmt: skip
+        ]
         more = (count * spec.cpus, count * spec.gpus)
         need = [used[self.host][n] + more[n] for n in (0, 1)]
         short = [n for n in (0, 1) if limits[n] and need[n] > free[n] + EPS]
@@ -213,9 +218,13 @@
         return raised[0], raised[1]
 
     def _gives(
-        self, host: str, shares: Mapping[str, Share], used: Mapping[str, Share],
-        wants: Mapping[str, Want], pressed: bool,
-    ) -> Share:  # fmt: skip
+        self,
+        host: str,
+        shares: Mapping[str, Share],
+        used: Mapping[str, Share],
+        wants: Mapping[str, Want],
+        pressed: bool,
+    ) -> Share:
         """What another controller is to give up of its share."""
         share = shares[host]
         if host not in wants:
@@ -227,9 +236,16 @@
         return spare[0], spare[1]
 
     def _helps(
-        self, team: Team, spec: JobSpec, count: int, can: int, free: list[float], gives: Mapping[str, Share],
-        shares: Mapping[str, Share], used: Mapping[str, Share],
-    ) -> bool:  # fmt: skip
+        self,
+        team: Team,
+        spec: JobSpec,
+        count: int,
+        can: int,
+        free: list[float],
+        gives: Mapping[str, Share],
+        shares: Mapping[str, Share],
+        used: Mapping[str, Share],
+    ) -> bool:
         """Whether there is room for what is wanted, or for one task more of an array, with what is given up."""
         most = list(free)
         for host, give in gives.items():
@@ -256,6 +272,7 @@
 def _within(team: Team, share: Share) -> Team:
     """The team as one controller sees it: its share is the limit.  A share of nothing is not 'no limit'."""
     return Team(
-        team.name, cpus_max=max(share[0], EPS) if team.cpus_max else 0.0,
+        team.name,
+        cpus_max=max(share[0], EPS) if team.cpus_max else 0.0,
         gpus_max=max(share[1], EPS) if team.gpus_max else 0.0,
-    )  # fmt: skip
+    )
--- a/ashtray/workers/desk.py
+++ b/ashtray/workers/desk.py
@@ -567,6 +567,7 @@
         late = now - self._done_us[jobs[0].id] > (SCARCE_TIDY_US if scarce else TIDY_US)
         if scarce and not late and len(jobs) < MAX_UNTIDY:
             return
+
         def build() -> Txn | None:
             fold = Fold(self.kernel, self.base.picture, self.base.limits)
             for job in jobs:
@@ -591,5 +592,3 @@
                 del self.workers[name]
         return
         yield
-
-
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -94,7 +94,11 @@
 
 
 def fold_machine(
-    picture: Picture, machine: Machine, record: MachineRecord, evidence: Evidence, folds: dict[str, JobFold],
+    picture: Picture,
+    machine: Machine,
+    record: MachineRecord,
+    evidence: Evidence,
+    folds: dict[str, JobFold],
     later: Container[str] = (),
 ) -> bool:
     """Apply a report to a copy of a machine's record, but for some jobs; says whether anything changed."""
@@ -150,7 +154,12 @@
 
 
 def note_end(
-    picture: Picture, name: str, record: MachineRecord, hold: HoldRecord, task: int, cause: str | None,
+    picture: Picture,
+    name: str,
+    record: MachineRecord,
+    hold: HoldRecord,
+    task: int,
+    cause: str | None,
     folds: dict[str, JobFold],
 ) -> None:
     """Account for one task that has left its machine."""
@@ -268,7 +277,7 @@
                     break
                 # A job that ends may cost two changes: more than a transaction takes are folded in turns.
                 costly = [job_id for job_id, fold in trial.items() if self._ops_of(job_id, fold, edit, spills)]
-                later = set(costly[max((self.limits.ops - 1) // 2, 1):])
+                later = set(costly[max((self.limits.ops - 1) // 2, 1) :])
                 if later:
                     record, trial = edit.copy_of(name), {}
                     fold_machine(self.picture, machine, record, known, trial, later)
@@ -326,9 +335,7 @@
     def _full(self, group: Group) -> bool:
         return self._size(group) > self.limits.value_bytes * SPILL_SHARE
 
-    def _size_after(
-        self, edit: Edit, machine: Machine, record: MachineRecord, folds: dict[str, JobFold]
-    ) -> int:  # fmt: skip
+    def _size_after(self, edit: Edit, machine: Machine, record: MachineRecord, folds: dict[str, JobFold]) -> int:
         """What a group's record takes with one machine's report; while there is room, more rather than less."""
         done = dict(edit.done)
         rough = self._size(edit.group) + SIGNED_BYTES + sum(len(hold.tasks) for hold in record.holds)
@@ -343,9 +350,7 @@
             return rough
         return edit.size_with(machine.name, record, done, self.limits)
 
-    def _keep(
-        self, edit: Edit, name: str, record: MachineRecord, folds: dict[str, JobFold], size: int
-    ) -> None:  # fmt: skip
+    def _keep(self, edit: Edit, name: str, record: MachineRecord, folds: dict[str, JobFold], size: int) -> None:
         """Make what a machine's report says a part of this transaction."""
         edit.replace(name, record)
         self.edits[edit.group.key] = edit
@@ -466,7 +471,7 @@
         edit = Edit(group)
         fits = int((full - group.size) // NEW_MACHINE_BYTES) + 1
         part = left[: min(size - len(group.machines), max(fits, 1))]
-        left = left[len(part):]
+        left = left[len(part) :]
         for name in part:
             edit.replace(name, MachineRecord(address=strangers[name].address, spot=strangers[name].spot))
         room -= group.size + NEW_MACHINE_BYTES * len(part)
--- a/ashtray/workers/messages.py
+++ b/ashtray/workers/messages.py
@@ -85,9 +85,17 @@
         tasks[(task[0], piece.attempt, task[1])] = TaskState(piece.status, piece.cause)
     notice = hello.warning_s
     return Report(
-        hello.berth, hello.endpoint, hello.hull, hello.yard, hello.loaners, hello.shift, hello.tick, hello.baton,
-        None if notice is None else int(min(notice, 1e9) * SECOND_US), tasks,
-    )  # fmt: skip
+        hello.berth,
+        hello.endpoint,
+        hello.hull,
+        hello.yard,
+        hello.loaners,
+        hello.shift,
+        hello.tick,
+        hello.baton,
+        None if notice is None else int(min(notice, 1e9) * SECOND_US),
+        tasks,
+    )
 
 
 def launch(key: TaskKey) -> dict[str, Any]:
--- a/ashtray/workers/splitting.py
+++ b/ashtray/workers/splitting.py
@@ -115,10 +115,11 @@
         base = self.base
         most = base.limits.value_bytes * SPLIT_SHARE
         groups = [
-            group for group in base.picture.groups.values()
+            group
+            for group in base.picture.groups.values()
             if (group.moving or (group.size > most and (len(group.machines) > 1 or group.packed is None)))
             and self.presence.foreman(group.key) == base.settings.host_name
-        ]  # fmt: skip
+        ]
         return sorted(groups, key=lambda group: (not group.moving, -group.size))
 
     def _key(self, base: str, taken: set[str]) -> str:
--- a/run.py
+++ b/run.py
@@ -10,8 +10,19 @@
 
 # Libraries have their compiled files beside them.  Imported after the prefix below is set, they would be looked for
 # under it and compiled anew at each start, which took two thirds of the time of one.
-for _name in ("argparse", "dataclasses", "hmac", "logging", "random", "tomllib", "traceback",
-              "aiohttp.web", "msgspec", "sexpdata", "uvloop"):  # fmt: skip
+for _name in (
+    "argparse",
+    "dataclasses",
+    "hmac",
+    "logging",
+    "random",
+    "tomllib",
+    "traceback",
+    "aiohttp.web",
+    "msgspec",
+    "sexpdata",
+    "uvloop",
+):
     importlib.import_module(_name)
 
 # The controllers' disk is read-only: bytecode is compiled by the build step and only read here.
--- a/tests/standins/cloud.py
+++ b/tests/fakes/cloud.py
@@ -91,8 +91,15 @@
                 continue
             up = machine.since_us + machine.boot_us <= then_us
             status = machine.status if machine.status == "failed" else "running" if up else "starting"
-            berths.append({
-                "name_id": name, "endpoint": self.address(name), "hull": machine.type, "yard": machine.zone,
-                "loaners": machine.spot, "status": status, "age_s": (then_us - machine.since_us) / 1e6,
-            })  # fmt: skip
+            berths.append(
+                {
+                    "name_id": name,
+                    "endpoint": self.address(name),
+                    "hull": machine.type,
+                    "yard": machine.zone,
+                    "loaners": machine.spot,
+                    "status": status,
+                    "age_s": (then_us - machine.since_us) / 1e6,
+                }
+            )
         return 200, {"berths": berths, "truncated": False}
--- a/tests/standins/serve.py
+++ b/tests/fakes/serve.py
@@ -1,6 +1,6 @@
 """The stand-ins on loopback, for tests of the real daemon and for trying ashtray out.
 
-    python -m tests.standins.serve --dir DIR [--controllers N] [--port PORT]
+    python -m tests.fakes.serve --dir DIR [--controllers N] [--port PORT]
 
 writes a settings file for each controller into DIR and serves a state service, a cloud and its workers until it
 is interrupted.
@@ -19,14 +19,24 @@
 import msgspec
 from aiohttp import web
 
-from tests.standins.cloud import Cloud, Rented
-from tests.standins.state import State
-from tests.standins.worker import Key, Worker, World
+from tests.fakes.cloud import Cloud, Rented
+from tests.fakes.state import State
+from tests.fakes.worker import Key, Worker, World
 
 TYPES = [
-    {"name": "small", "cpus": 4.0, "cards": 0.0, "memory_gb": 16.0, "local_gb": 20.0, "pull_gb_per_s": 1.0,
-     "rate": 1.0, "spot_price": 0.4, "ready_s": 0.5, "yards": ["a"]},
-]  # fmt: skip
+    {
+        "name": "small",
+        "cpus": 4.0,
+        "cards": 0.0,
+        "memory_gb": 16.0,
+        "local_gb": 20.0,
+        "pull_gb_per_s": 1.0,
+        "rate": 1.0,
+        "spot_price": 0.4,
+        "ready_s": 0.5,
+        "yards": ["a"],
+    },
+]
 SETTINGS = """host_name = "berth-{n}"
 domain = "a"
 api_addr = "127.0.0.1:{api}"
@@ -84,13 +94,21 @@
         for n, api in enumerate(self.apis):
             others = "".join(
                 f'[[others]]\nhost_name = "berth-{m}"\npeer_addr = "127.0.0.1:{other + 100}"\n'
-                for m, other in enumerate(self.apis) if m != n
-            )  # fmt: skip
+                for m, other in enumerate(self.apis)
+                if m != n
+            )
             file = self.directory / f"berth-{n}.toml"
             file.write_text(
-                SETTINGS.format(n=n, api=api, peer=api + 100, others=others, cloud=self.port + 1, state=self.port,
-                                nodes=len(self.apis))
-            )  # fmt: skip
+                SETTINGS.format(
+                    n=n,
+                    api=api,
+                    peer=api + 100,
+                    others=others,
+                    cloud=self.port + 1,
+                    state=self.port,
+                    nodes=len(self.apis),
+                )
+            )
             files.append(file)
         return files
 
@@ -138,16 +156,22 @@
         if found is not None:
             spec = found[0]["spec"]
             self.described[job] = {
-                "shape": spec["kind"], "bundle": spec["image"], "pieces": spec["tasks"],
+                "shape": spec["kind"],
+                "bundle": spec["image"],
+                "pieces": spec["tasks"],
                 "snapshot_every_s": spec.get("checkpoint_us", 0) / 1e6,
                 "snapshot_cost_s": spec.get("save_us", 0) / 1e6,
-            }  # fmt: skip
+            }
         return self.described.get(job)
 
     def _gang_ready(self, job: str, attempt: int) -> bool:
         spec = self._describe(job)
-        there = {k[2] for w in self.workers.values() for k, t in w.tasks.items()
-                 if k[:2] == (job, attempt) and t.on_machine}  # fmt: skip
+        there = {
+            k[2]
+            for w in self.workers.values()
+            for k, t in w.tasks.items()
+            if k[:2] == (job, attempt) and t.on_machine
+        }
         return spec is not None and len(there) == spec["pieces"]
 
     async def _worker(self, machine: Rented) -> None:
@@ -160,11 +184,20 @@
             return self.run_us
 
         world = World(self._describe, run_us, gang_ready=self._gang_ready)
-        worker = Worker(machine.name, machine.type, machine.zone, machine.spot, address, 6_000_000, 10_000_000, world,
-                        fetch_us=100_000, renewed_us=now_us())  # fmt: skip
+        worker = Worker(
+            machine.name,
+            machine.type,
+            machine.zone,
+            machine.spot,
+            address,
+            6_000_000,
+            10_000_000,
+            world,
+            fetch_us=100_000,
+            renewed_us=now_us(),
+        )
         self.workers[machine.name] = worker
 
-
         def handle(now: int, method: str, path: str, body: Any) -> tuple[int, Any]:
             return worker.orders(now, body) if path == "/orders" else (200, worker.report())
 
--- a/tests/standins/state.py
+++ b/tests/fakes/state.py
@@ -37,10 +37,10 @@
         if url.path == "/store":
             return self._page(query)
         if url.path.startswith("/store/"):
-            found = self.keys.get(unquote(url.path[len("/store/"):]))
+            found = self.keys.get(unquote(url.path[len("/store/") :]))
             if found is None:
                 return 404, {"ledger": self.revision}
-            return 200, {"k": url.path[len("/store/"):], "value": found[0], "stamp": found[1]}
+            return 200, {"k": url.path[len("/store/") :], "value": found[0], "stamp": found[1]}
         if url.path == "/follow":
             return self._follow(query)
         if url.path == "/txn":
--- a/tests/standins/worker.py
+++ b/tests/fakes/worker.py
@@ -72,10 +72,17 @@
                 piece["cause"] = task.cause
             pieces.append(piece)
         return {
-            "berth": self.name, "endpoint": self.address, "hull": self.type, "yard": self.zone,
-            "loaners": self.spot, "shift": self.session, "tick": self.tick, "baton": self.token,
-            "warning_s": None if self.notice_us is None else self.notice_us / 1e6, "pieces": pieces,
-        }  # fmt: skip
+            "berth": self.name,
+            "endpoint": self.address,
+            "hull": self.type,
+            "yard": self.zone,
+            "loaners": self.spot,
+            "shift": self.session,
+            "tick": self.tick,
+            "baton": self.token,
+            "warning_s": None if self.notice_us is None else self.notice_us / 1e6,
+            "pieces": pieces,
+        }
 
     def advance(self, now_us: int) -> bool:
         """Let time pass; says whether anything changed."""
--- a/tests/model.py
+++ b/tests/model.py
@@ -16,21 +16,41 @@
 from ashtray.controller import Controller
 from ashtray.inbox import FOR_EVER_US, Inbox, Rank, rank_of, rank_of_reply
 from ashtray.kernel import Answer, Call, Output, Reply
-from tests.standins.cloud import Cloud, Rented
-from tests.standins.state import State
-from tests.standins.worker import Key, Worker
-from tests.standins.worker import World as WorkerWorld
+from tests.fakes.cloud import Cloud, Rented
+from tests.fakes.state import State
+from tests.fakes.worker import Key, Worker
+from tests.fakes.worker import World as WorkerWorld
 
 SECOND = 1_000_000
 LEASE_S, CANCEL_S, REPORT_S, GANG_WAIT_S, GANG_PEER_S = 8.0, 20.0, 1.5, 15.0, 2.0
 FORGOTTEN_S = 75
 """A job about which no question is answered for so long, once all troubles are over, is forgotten."""
 TYPES = [
-    {"name": "small", "cpus": 4.0, "cards": 0.0, "memory_gb": 16.0, "local_gb": 20.0, "pull_gb_per_s": 1.0,
-     "rate": 1.0, "spot_price": 0.4, "ready_s": 5.0, "yards": ["a", "b"]},
-    {"name": "big", "cpus": 8.0, "cards": 2.0, "memory_gb": 32.0, "local_gb": 20.0, "pull_gb_per_s": 1.0,
-     "rate": 4.0, "spot_price": 1.5, "ready_s": 5.0, "yards": ["a"]},
-]  # fmt: skip
+    {
+        "name": "small",
+        "cpus": 4.0,
+        "cards": 0.0,
+        "memory_gb": 16.0,
+        "local_gb": 20.0,
+        "pull_gb_per_s": 1.0,
+        "rate": 1.0,
+        "spot_price": 0.4,
+        "ready_s": 5.0,
+        "yards": ["a", "b"],
+    },
+    {
+        "name": "big",
+        "cpus": 8.0,
+        "cards": 2.0,
+        "memory_gb": 32.0,
+        "local_gb": 20.0,
+        "pull_gb_per_s": 1.0,
+        "rate": 4.0,
+        "spot_price": 1.5,
+        "ready_s": 5.0,
+        "yards": ["a"],
+    },
+]
 TEAM = {"name": "crew", "cpus": 8.0, "cpus_max": 24.0, "gpus": 0.0, "gpus_max": 0.0}
 
 
@@ -44,28 +64,54 @@
         state["next"] = {"write_rps": 45.0, "value_kb": following[0], "txn_ops": following[1]}
     return msgspec.convert(
         {
-            "host_name": f"berth-{host}", "domain": "a", "api_addr": f"c{host}:1", "cluster_listen": f"p{host}:1",
+            "host_name": f"berth-{host}",
+            "domain": "a",
+            "api_addr": f"c{host}:1",
+            "cluster_listen": f"p{host}:1",
             "others": [{"host_name": f"berth-{n}", "peer_addr": f"p{n}:1"} for n in range(hosts) if n != host],
             "services": {"cloud": "cloud:1", "state": "state:1"},
             "cluster": {
-                "nodes": hosts, "zones": ["a", "b"], "teams": [TEAM, {"name": "free"}],
-                "workers": {"report_s": REPORT_S, "lease_s": LEASE_S, "gang_wait_s": GANG_WAIT_S,
-                            "gang_peer_s": GANG_PEER_S, "cancel_s": CANCEL_S},
+                "nodes": hosts,
+                "zones": ["a", "b"],
+                "teams": [TEAM, {"name": "free"}],
+                "workers": {
+                    "report_s": REPORT_S,
+                    "lease_s": LEASE_S,
+                    "gang_wait_s": GANG_WAIT_S,
+                    "gang_peer_s": GANG_PEER_S,
+                    "cancel_s": CANCEL_S,
+                },
                 "state": state,
                 "cloud": {"rps": 5.0, "list_lag_s": 2.0},
             },
         },
         kind,
-    )  # fmt: skip
+    )
 
 
 def submission(job: str, **over: Any) -> dict[str, Any]:
     base = {
-        "name_id": job, "lane": "any", "crew": "crew", "shape": "batch", "urgency": "standard", "pieces": 3,
-        "cpus": 2.0, "cards": 0.0, "memory_gb": 4.0, "bundle": "img", "image_gb": 1.0, "hulls": None, "yard": None,
-        "same_place": False, "spread": False, "loaners": True, "expect_s": 6.0, "snapshot_every_s": 0.0,
-        "snapshot_cost_s": 0.0, "due_s": None,
-    }  # fmt: skip
+        "name_id": job,
+        "lane": "any",
+        "crew": "crew",
+        "shape": "batch",
+        "urgency": "standard",
+        "pieces": 3,
+        "cpus": 2.0,
+        "cards": 0.0,
+        "memory_gb": 4.0,
+        "bundle": "img",
+        "image_gb": 1.0,
+        "hulls": None,
+        "yard": None,
+        "same_place": False,
+        "spread": False,
+        "loaners": True,
+        "expect_s": 6.0,
+        "snapshot_every_s": 0.0,
+        "snapshot_cost_s": 0.0,
+        "due_s": None,
+    }
     return {**base, **over}
 
 
@@ -111,9 +157,13 @@
     """A small deployment.  Everything random comes from one seed."""
 
     def __init__(
-        self, seed: int, hosts: int = 3, knobs: Knobs | None = None, following: Next | None = None,
+        self,
+        seed: int,
+        hosts: int = 3,
+        knobs: Knobs | None = None,
+        following: Next | None = None,
         before: Any = None,
-    ) -> None:  # fmt: skip
+    ) -> None:
         """`following`: the limits to come; `before`: the package of the version that all hosts begin with."""
         self.knobs = knobs or Knobs()
         self.following = following
@@ -258,9 +308,14 @@
         return deliver
 
     def _input(
-        self, host: Host, life: int, take: Callable[[Controller], list[Output]], rank: Rank = Rank.DUTIES,
-        patience_us: int = FOR_EVER_US, refuse: Callable[[], list[Output]] | None = None,
-    ) -> None:  # fmt: skip
+        self,
+        host: Host,
+        life: int,
+        take: Callable[[Controller], list[Output]],
+        rank: Rank = Rank.DUTIES,
+        patience_us: int = FOR_EVER_US,
+        refuse: Callable[[], list[Output]] | None = None,
+    ) -> None:
         """Give a core an input: at once, in its turn where it is slow, or once it no longer stands still."""
         if host.core is None or host.life != life:
             return
@@ -359,9 +414,15 @@
         self.at(there, lambda: self._arrive(source, target, call.method, call.path, body, answered, finish))
 
     def _arrive(
-        self, source: str, target: str, method: str, path: str, body: Any, answer: Callable[[int, Any], None],
+        self,
+        source: str,
+        target: str,
+        method: str,
+        path: str,
+        body: Any,
+        answer: Callable[[int, Any], None],
         finish: Callable[[Reply], None],
-    ) -> None:  # fmt: skip
+    ) -> None:
         if target == "state":
             self.state_requests += 1
             refused = source[0] == "c" and self.hosts[int(source[1:])].refused_until > self.now
@@ -406,12 +467,25 @@
             return
         world = WorkerWorld(
             lambda job: self.jobs[job].spec if job in self.jobs else None,
-            self._run_us, self._started, self._left, self._gang_ready, self._gang_ended,
+            self._run_us,
+            self._started,
+            self._left,
+            self._gang_ready,
+            self._gang_ended,
             self.mistaken.__contains__,
-        )  # fmt: skip
+        )
         name = machine.name
-        worker = Worker(name, machine.type, machine.zone, machine.spot, name, int(LEASE_S * SECOND),
-                        int(GANG_WAIT_S * SECOND), world, renewed_us=self.now)  # fmt: skip
+        worker = Worker(
+            name,
+            machine.type,
+            machine.zone,
+            machine.spot,
+            name,
+            int(LEASE_S * SECOND),
+            int(GANG_WAIT_S * SECOND),
+            world,
+            renewed_us=self.now,
+        )
         self.workers[name] = worker
         self._live(worker)
         self._report_loop(worker, self.rng.randrange(len(self.hosts)))
@@ -482,7 +556,7 @@
             if self.cloud.machines[name].ended_us is None:
                 new = self.workers[name] = replace(
                     old, session=1, tick=0, token=0, renewed_us=self.now, notice_us=None, tasks={}, cached=set()
-                )  # fmt: skip
+                )
                 self._live(new)
                 self._report_loop(new, self.rng.randrange(len(self.hosts)))
 
@@ -536,8 +610,11 @@
             raise RuleBroken(f"wrong_place: {job_id} in {set(zones)}")
         if spec["spread"] and max(zones.count(z) for z in zones) > (spec["pieces"] + 1) // 2:
             raise RuleBroken(f"wrong_place: {job_id} not spread")
-        used = sum(len(ms) * self.jobs[j].spec["cpus"] for (j, _), ms in self.on.items()
-                   if self.jobs[j].spec["crew"] == "crew")  # fmt: skip
+        used = sum(
+            len(ms) * self.jobs[j].spec["cpus"]
+            for (j, _), ms in self.on.items()
+            if self.jobs[j].spec["crew"] == "crew"
+        )
         if used > TEAM["cpus_max"] + 1e-6:
             raise RuleBroken(f"quota: {used}")
         if spec["shape"] == "gang":
@@ -564,9 +641,12 @@
                     job.finished = set(range(job.spec["pieces"]))
                 else:
                     gang["over"] = "mates_gone"
-        elif task is not None and task.state == "running" and self.now >= task.end_us and not (
-            worker.fails or job_id in self.mistaken
-        ):  # fmt: skip
+        elif (
+            task is not None
+            and task.state == "running"
+            and self.now >= task.end_us
+            and not (worker.fails or job_id in self.mistaken)
+        ):
             job.finished.add(number)
 
     def _gang_ready(self, job: str, attempt: int) -> bool:
@@ -602,9 +682,14 @@
         self._submit(job_id)
 
     def _ask(
-        self, method: str, path: str, body: Any, timeout_s: float, then: Callable[[Reply], None],
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        timeout_s: float,
+        then: Callable[[Reply], None],
         node: int | None = None,
-    ) -> None:  # fmt: skip
+    ) -> None:
         """Ask a controller, any if none is given."""
         node = self.rng.randrange(len(self.hosts)) if node is None else node
         asked_us = self.now
--- /dev/null
+++ b/tests/mutation.py
@@ -0,0 +1,69 @@
+"""Mutation check: replaces one guard after the other in a scratch copy, and runs the tests that must notice it.
+
+python -m tests.mutation [--runs N] [--jobs N] [NAME ...]
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from tests import production
+from tests.mutants import Mutant, load_mutants
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def run_mutant(mutant: Mutant, runs: int) -> str:
+    """Run a mutant's tests in a scratch copy; the verdict in words, `caught: ...` if a test failed."""
+    with tempfile.TemporaryDirectory() as scratch:
+        for part in ("ashtray", "tests", "deploy", "pyproject.toml"):
+            source = ROOT / part
+            copy = shutil.copytree if source.is_dir() else shutil.copy
+            copy(source, Path(scratch) / part)
+        for before in (ROOT / "target").glob("production-*"):
+            # The scratch copy has no history of its own.
+            shutil.copytree(before, Path(scratch) / "target" / before.name)
+        mutated = Path(scratch) / mutant.file
+        text = mutated.read_text()
+        if text.count(mutant.original) != 1:
+            return "the text to replace was not found exactly once"
+        mutated.write_text(text.replace(mutant.original, mutant.replacement))
+        environment = {**os.environ, "ASHTRAY_MODEL_RUNS": str(runs), "PYTHONDONTWRITEBYTECODE": "1"}
+        command = [sys.executable, "-m", "pytest", "-q", "-x", *mutant.tests]
+        done = subprocess.run(command, cwd=scratch, env=environment, capture_output=True, text=True, check=False)
+        if done.returncode == 0:
+            return "NOT caught"
+        if done.returncode != 1:
+            return f"not run: pytest ended with {done.returncode}"
+        reasons = [line for line in done.stdout.splitlines() if line.startswith("E   ") and "Error" in line]
+        reasons = reasons or [line for line in done.stdout.splitlines() if "RuleBroken" in line]
+        return "caught: " + (reasons[0][4:].strip() if reasons else "failed")[:150]
+
+
+def main() -> int:
+    """Run the chosen mutants, all by default; 1 if one was not caught."""
+    mutants = load_mutants()
+    parser = argparse.ArgumentParser(description="Replace safety guards one by one; see which tests notice.")
+    parser.add_argument("--runs", type=int, default=300, help="generated runs for each mutant")
+    parser.add_argument("--jobs", type=int, default=os.cpu_count(), help="mutants at one time")
+    parser.add_argument("names", nargs="*", default=list(mutants))
+    options = parser.parse_args()
+    production.load()
+    missed = 0
+    with ThreadPoolExecutor(options.jobs) as pool:
+        verdicts = pool.map(lambda name: run_mutant(mutants[name], options.runs), options.names)
+        for name, verdict in zip(options.names, verdicts, strict=True):
+            missed += not verdict.startswith("caught")
+            print(f"{name:34} {verdict}", flush=True)
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/production.py
+++ b/tests/production.py
@@ -20,9 +20,7 @@
     commit = tomllib.loads((ROOT / "deploy/service.toml").read_text())["production"]
     folder = ROOT / "target" / f"production-{commit}"
     if not (folder / NAME).is_dir():
-        done = subprocess.run(
-            ["git", "archive", commit, "ashtray"], cwd=ROOT, capture_output=True, check=False
-        )
+        done = subprocess.run(["git", "archive", commit, "ashtray"], cwd=ROOT, capture_output=True, check=False)
         if done.returncode != 0:
             return None
         with tarfile.open(fileobj=io.BytesIO(done.stdout)) as archive:
--- a/tests/test_addition.py
+++ b/tests/test_addition.py
@@ -326,8 +326,10 @@
 @pytest.mark.parametrize(
     "trouble",
     [
-        lambda model: slow(model, (0,), 60), lambda model: slow(model, (0, 1, 2), 15),
-        lambda model: slow(model, (0, 1, 2), 130), lambda model: stand_still(model, 1, 6),
+        lambda model: slow(model, (0,), 60),
+        lambda model: slow(model, (0, 1, 2), 15),
+        lambda model: slow(model, (0, 1, 2), 130),
+        lambda model: stand_still(model, 1, 6),
     ],
     ids=["one at a fraction of its speed", "all slower", "all far too slow", "one stands still for 3 s every 10 s"],
 )
--- a/tests/test_bad_nights.py
+++ b/tests/test_bad_nights.py
@@ -75,10 +75,17 @@
 @pytest.mark.parametrize(
     "word",
     [
-        {"state_age_us": -1}, {"state_age_us": "x"}, {"need": -1.0}, {"need": float("nan")}, {"need": float("inf")},
-        {"heard": {"vm-1": -5}}, {"heard": {"vm-1": 10**30}}, {"heard": [1]}, {"state_age_us": None},
+        {"state_age_us": -1},
+        {"state_age_us": "x"},
+        {"need": -1.0},
+        {"need": float("nan")},
+        {"need": float("inf")},
+        {"heard": {"vm-1": -5}},
+        {"heard": {"vm-1": 10**30}},
+        {"heard": [1]},
+        {"state_age_us": None},
     ],
-)  # fmt: skip
+)
 def test_absurd_word_of_a_peer_is_refused_without_effect(word):
     core = Model(1).hosts[0].core
     before = repr(core.peers.peers)
@@ -230,7 +237,7 @@
     groups = {core.picture.machines[name].group for name, _ in core.picture.held["job-1"]}
     assert groups and groups <= set(txn.guards)
     # One that is being split is not changed itself while its machines are moved, and folded, elsewhere.
-    locks = {SPLIT + key[len(GROUP):] for key in groups}
+    locks = {SPLIT + key[len(GROUP) :] for key in groups}
     assert not locks & set(txn.guards)
     core.limits.value_bytes = 10
     assert locks <= set(core.jobs._cancellation("job-1").guards)
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -69,8 +69,9 @@
     handle, accepted = model.state.handle, []
 
     def watch(now_us, method, path, body):
-        if path == "/txn" and any(c.get("put") == "ashtray/now/job/job-0" and not g["stamp"]
-                                  for c in body["apply"] for g in body["guards"]):  # fmt: skip
+        if path == "/txn" and any(
+            c.get("put") == "ashtray/now/job/job-0" and not g["stamp"] for c in body["apply"] for g in body["guards"]
+        ):
             accepted.append(body)
         return handle(now_us, method, path, body)
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from tests.standins.serve import Stage
+from tests.fakes.serve import Stage
 from tests.test_formats import SUBMISSION
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -29,8 +29,17 @@
 
 
 def run_of(**over: Any) -> traces.Run:
-    values = {"job": "job-1", "job_class": "pages", "team": "studio", "image": "img", "machine": "m",
-              "expect_s": 100.0, "run_s": 100.0, "best_s": 100.0, "best_p90_s": 100.0}  # fmt: skip
+    values = {
+        "job": "job-1",
+        "job_class": "pages",
+        "team": "studio",
+        "image": "img",
+        "machine": "m",
+        "expect_s": 100.0,
+        "run_s": 100.0,
+        "best_s": 100.0,
+        "best_p90_s": 100.0,
+    }
     return traces.Run(**{**values, **over})
 
 
@@ -65,9 +74,7 @@
 
 
 @given(
-    st.lists(
-        st.tuples(st.floats(1e-6, 1e9), st.floats(0, 1e9), st.booleans(), st.sampled_from("abc")), max_size=60
-    ),
+    st.lists(st.tuples(st.floats(1e-6, 1e9), st.floats(0, 1e9), st.booleans(), st.sampled_from("abc")), max_size=60),
     st.floats(0, 1e6),
 )
 def test_no_observations_make_nonsense(seen: list[tuple[float, float, bool, str]], ran_s: float) -> None:
@@ -124,8 +131,10 @@
     assert "" in estimates.rows and levels(replay.job_of(run_of(job_class=f"class-{MOST_CLASSES - 1}")).spec)[3]
 
 
-@pytest.mark.parametrize("value", [None, {"form": 1}, {"form": 9, "applied": {}, "rows": {}},
-                                   {"form": 1, "applied": {}, "rows": {"": "AAAA"}}])  # fmt: skip
+@pytest.mark.parametrize(
+    "value",
+    [None, {"form": 1}, {"form": 9, "applied": {}, "rows": {}}, {"form": 1, "applied": {}, "rows": {"": "AAAA"}}],
+)
 def test_a_record_that_cannot_be_read_is_left_alone(value: Any) -> None:
     model = Model(1)
     key = f"{ESTIMATE}0"
@@ -216,8 +225,6 @@
     assert Record(1, {}, {}) == read({"form": 1, "applied": {}, "rows": {}, "later": 3})
 
 
-
-
 def test_what_operators_ask_and_forget() -> None:
     estimates = Estimates()
     for n in range(20):
@@ -229,10 +236,12 @@
     )
     known = {key: array("f", row) for key, row in estimates.rows.items()}
     for method, path, sent, expected in (
-        ("GET", "/operators/estimates/nobody", None, 404), ("POST", "/operators/estimates", None, 405),
-        ("POST", "/operators/estimates/forget", {"class": 3}, 400), ("GET", "/operators/else", None, 404),
+        ("GET", "/operators/estimates/nobody", None, 404),
+        ("POST", "/operators/estimates", None, 405),
+        ("POST", "/operators/estimates/forget", {"class": 3}, 400),
+        ("GET", "/operators/else", None, 404),
         ("POST", "/operators/estimates/forget", {"class": "pages"}, 200),
-    ):  # fmt: skip
+    ):
         assert operate(estimates, method, path, sent)[0] == expected
     # What the records still hold does not bring it back; nor does what another controller remembers.
     estimates.know(known)
--- a/tests/test_floor.py
+++ b/tests/test_floor.py
@@ -45,9 +45,18 @@
     def come(self, name: str, job_class: str = "panels", tasks: int = 2, **over: object) -> None:
         gang = job_class == "pages"
         spec = JobSpec(
-            job_class, "studio" if gang else "reader", "gang" if gang else "array", 1 if gang else 3, tasks, 1.0, 0.0,
-            1.0, "img", 0.0, estimate_us=RUN_S * SECOND_US,
-        )  # fmt: skip
+            job_class,
+            "studio" if gang else "reader",
+            "gang" if gang else "array",
+            1 if gang else 3,
+            tasks,
+            1.0,
+            0.0,
+            1.0,
+            "img",
+            0.0,
+            estimate_us=RUN_S * SECOND_US,
+        )
         record = JobRecord(spec, "berth-0", self.now_us)
         self.put(f"{LIVE}job-{name}", msgspec.structs.replace(record, **over))
 
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -18,17 +18,42 @@
 from ashtray.workers.messages import parse_report
 
 SUBMISSION = {
-    "name_id": "job-1", "lane": "train", "crew": "vision", "shape": "gang", "urgency": "urgent", "pieces": 16,
-    "cpus": 8.0, "cards": 1.0, "memory_gb": 64.0, "bundle": "img", "image_gb": 6.2, "hulls": ["g8"], "yard": None,
-    "same_place": True, "spread": False, "loaners": True, "expect_s": 240.0, "snapshot_every_s": 30.0,
-    "snapshot_cost_s": 4.0, "due_s": 900.0,
-}  # fmt: skip
+    "name_id": "job-1",
+    "lane": "train",
+    "crew": "vision",
+    "shape": "gang",
+    "urgency": "urgent",
+    "pieces": 16,
+    "cpus": 8.0,
+    "cards": 1.0,
+    "memory_gb": 64.0,
+    "bundle": "img",
+    "image_gb": 6.2,
+    "hulls": ["g8"],
+    "yard": None,
+    "same_place": True,
+    "spread": False,
+    "loaners": True,
+    "expect_s": 240.0,
+    "snapshot_every_s": 30.0,
+    "snapshot_cost_s": 4.0,
+    "due_s": 900.0,
+}
 REPORT = {
-    "berth": "vm-1", "endpoint": "10.0.0.9:9000", "hull": "g8", "yard": "a", "loaners": True, "shift": 1, "tick": 8,
-    "baton": 41, "warning_s": None,
-    "pieces": [{"piece": "job-4/3", "try": 2, "status": "running"},
-               {"piece": "job-3/0", "try": 1, "status": "ended", "cause": "done"}],
-}  # fmt: skip
+    "berth": "vm-1",
+    "endpoint": "10.0.0.9:9000",
+    "hull": "g8",
+    "yard": "a",
+    "loaners": True,
+    "shift": 1,
+    "tick": 8,
+    "baton": 41,
+    "warning_s": None,
+    "pieces": [
+        {"piece": "job-4/3", "try": 2, "status": "running"},
+        {"piece": "job-3/0", "try": 1, "status": "ended", "cause": "done"},
+    ],
+}
 JUNK = st.none() | st.booleans() | st.text(max_size=5) | st.lists(st.integers(), max_size=2) | st.floats()
 
 
@@ -63,9 +88,20 @@
 
 @pytest.mark.parametrize(
     ("field", "value"),
-    [("pieces", 0), ("pieces", 100_001), ("pieces", 2.0), ("cpus", -1.0), ("cpus", math.nan), ("cards", math.inf),
-     ("shape", "ring"), ("urgency", "now"), ("name_id", "job-"), ("name_id", "job-1x"), ("due_s", -1.0)],
-)  # fmt: skip
+    [
+        ("pieces", 0),
+        ("pieces", 100_001),
+        ("pieces", 2.0),
+        ("cpus", -1.0),
+        ("cpus", math.nan),
+        ("cards", math.inf),
+        ("shape", "ring"),
+        ("urgency", "now"),
+        ("name_id", "job-"),
+        ("name_id", "job-1x"),
+        ("due_s", -1.0),
+    ],
+)
 def test_invalid_fields_are_refused(field, value):
     with pytest.raises(Malformed):
         parse_submission({**SUBMISSION, field: value})
@@ -133,18 +169,23 @@
 
 @pytest.mark.parametrize(
     ("old", "new", "named"),
-    [('host_name = "berth-0"', "", "host_name"), ("lease_s = 18.0", 'lease_s = "x"', "cluster.workers.lease_s"),
-     ("lease_s = 18.0", "", "cluster.workers.lease_s"), ("10.2.0.1:2379", "nowhere", "services.state"),
-     ("[services]", "[services", "not TOML"), ("rps = 100.0", "rps = -1.0", "cluster.state.rps"),
-     (NEXT, NEXT.replace("txn_ops = 5", "txn_ops = 1"), "cluster.state.next.txn_ops"),
-     (NEXT, NEXT.replace("txn_ops = 5", ""), "cluster.state.next.txn_ops"),
-     (NEXT, NEXT.replace("2.0", "0.0"), "cluster.state.next.value_kb"),
-     (NEXT, NEXT.replace("18.0", '"x"'), "cluster.state.next.write_rps"),
-     ("cpu_share = 0.36", "cpu_share = -0.1", "cluster.quota.cpu_share"),
-     ("cpu_share = 0.36", "cpu_share = nan", "cluster.quota.cpu_share"),
-     ("ram_mb = 138", 'ram_mb = "x"', "cluster.quota.ram_mb"),
-     ("ram_mb = 138", "ram_mb = 0", "cluster.quota.ram_mb")],
-)  # fmt: skip
+    [
+        ('host_name = "berth-0"', "", "host_name"),
+        ("lease_s = 18.0", 'lease_s = "x"', "cluster.workers.lease_s"),
+        ("lease_s = 18.0", "", "cluster.workers.lease_s"),
+        ("10.2.0.1:2379", "nowhere", "services.state"),
+        ("[services]", "[services", "not TOML"),
+        ("rps = 100.0", "rps = -1.0", "cluster.state.rps"),
+        (NEXT, NEXT.replace("txn_ops = 5", "txn_ops = 1"), "cluster.state.next.txn_ops"),
+        (NEXT, NEXT.replace("txn_ops = 5", ""), "cluster.state.next.txn_ops"),
+        (NEXT, NEXT.replace("2.0", "0.0"), "cluster.state.next.value_kb"),
+        (NEXT, NEXT.replace("18.0", '"x"'), "cluster.state.next.write_rps"),
+        ("cpu_share = 0.36", "cpu_share = -0.1", "cluster.quota.cpu_share"),
+        ("cpu_share = 0.36", "cpu_share = nan", "cluster.quota.cpu_share"),
+        ("ram_mb = 138", 'ram_mb = "x"', "cluster.quota.ram_mb"),
+        ("ram_mb = 138", "ram_mb = 0", "cluster.quota.ram_mb"),
+    ],
+)
 def test_settings_that_cannot_be_used_name_file_and_field(tmp_path: Path, old: str, new: str, named: str):
     file = tmp_path / "s.toml"
     file.write_text(SETTINGS.replace(old, new))
@@ -156,28 +197,42 @@
 
 
 HOLD = st.tuples(
-    st.integers(0, 40), st.integers(1, 3), st.sampled_from(["a", "b"]), st.integers(1, 90).map(float),
-    st.integers(0, 90), st.sampled_from([-1, 0, 5_000_000]), st.sampled_from(["berth-0", "berth-1"]),
-)  # fmt: skip
+    st.integers(0, 40),
+    st.integers(1, 3),
+    st.sampled_from(["a", "b"]),
+    st.integers(1, 90).map(float),
+    st.integers(0, 90),
+    st.sampled_from([-1, 0, 5_000_000]),
+    st.sampled_from(["berth-0", "berth-1"]),
+)
 MACHINE = st.tuples(
-    st.integers(0, 5), st.booleans(), st.booleans(), st.integers(0, 9), st.lists(st.integers(0, 8), max_size=3),
+    st.integers(0, 5),
+    st.booleans(),
+    st.booleans(),
+    st.integers(0, 9),
+    st.lists(st.integers(0, 8), max_size=3),
     st.lists(HOLD, max_size=4),
-)  # fmt: skip
+)
 STEPS = st.lists(
     st.tuples(st.dictionaries(st.integers(0, 5), MACHINE, max_size=3), st.sets(st.integers(0, 5), max_size=2)),
-    min_size=4, max_size=40,
-)  # fmt: skip
+    min_size=4,
+    max_size=40,
+)
 
 
 def machine_record(made: tuple) -> MachineRecord:
     address, spot, retiring, token, images, holds = made
     return MachineRecord(
-        f"10.0.0.{address}:1", spot, retiring, token, images=[(f"img-{n}", n + 0.5) for n in dict.fromkeys(images)],
+        f"10.0.0.{address}:1",
+        spot,
+        retiring,
+        token,
+        images=[(f"img-{n}", n + 0.5) for n in dict.fromkeys(images)],
         holds=[
             HoldRecord(f"job-{job:06}", attempt, "0-2", team, cpus, 0.0, 4.0, (1000 + at_s) * 1_000_000, stop_us, by)
             for job, attempt, team, cpus, at_s, stop_us, by in holds
         ],
-    )  # fmt: skip
+    )
 
 
 @given(STEPS)
@@ -223,9 +278,12 @@
 
 @pytest.mark.parametrize(
     ("old", "new", "named"),
-    [("", "", []), ("cpu_share = 0.36", "cpu_share = 0.05", ["cpu_share: 0.05"]),
-     ("ram_mb = 138", "ram_mb = 40", ["ram_mb: 40"])],
-)  # fmt: skip
+    [
+        ("", "", []),
+        ("cpu_share = 0.36", "cpu_share = 0.05", ["cpu_share: 0.05"]),
+        ("ram_mb = 138", "ram_mb = 40", ["ram_mb: 40"]),
+    ],
+)
 def test_a_quota_that_is_not_wise_is_a_warning_and_no_error(tmp_path: Path, old: str, new: str, named: list[str]):
     file = tmp_path / "s.toml"
     file.write_text(SETTINGS.replace(old, new) if old else SETTINGS)
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -11,7 +11,7 @@
 from ashtray.placement.picture import GROUP, TEAM, HoldRecord, MachineRecord, Picture
 from ashtray.store.client import Txn
 from ashtray.teams.grants import LAST, Grants, Want
-from tests.standins.state import State
+from tests.fakes.state import State
 
 HOSTS = ("h0", "h1", "h2")
 LIMIT = 24.0
@@ -117,7 +117,7 @@
             host.fence()
         elif op == "share":
             # Who has gone, or is taken to have, gives up all; who has tasks waiting gives up nothing unasked.
-            wants = dict.fromkeys(HOSTS[slot % 2:], Want(2.0 * count * (slot == 1)))
+            wants = dict.fromkeys(HOSTS[slot % 2 :], Want(2.0 * count * (slot == 1)))
             host.send(host.grants.reshare("crew", SPEC, count, wants, 3 * slot + n, slot < 2))
         elif op == "free":
             host.free(slot)
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -66,12 +66,18 @@
     # A full group, each machine with as many holds as it has GPUs, of jobs and images of their own.
     machines = {
         name: MachineRecord(
-            "10.100.100.100:9000", True, False, 2**62, images=[(f"image-{n}-{k}", 5.25) for k in range(6)],
-            holds=[HoldRecord(f"job-{8 * n + k:06}", 3, "0-2,5", "reader-app", 9.5, 1.0, 36.0, 10**15, by="berth-3")
-                   for k in range(8)],
+            "10.100.100.100:9000",
+            True,
+            False,
+            2**62,
+            images=[(f"image-{n}-{k}", 5.25) for k in range(6)],
+            holds=[
+                HoldRecord(f"job-{8 * n + k:06}", 3, "0-2,5", "reader-app", 9.5, 1.0, 36.0, 10**15, by="berth-3")
+                for k in range(8)
+            ],
         )
         for n, name in enumerate(names(group_size(KIND, limits)))
-    }  # fmt: skip
+    }
     value = msgspec.to_builtins(GroupRecord("big", "a", machines))
     assert lean.size_of(lean.pack(value) if alike else value) <= limits.value_bytes
 
@@ -130,8 +136,17 @@
 def test_the_names_of_tasks_are_read_once_however_often_they_are_reported() -> None:
     parse_task.cache_clear()
     pieces = [{"piece": f"job-{n}/{n}", "try": 1, "status": "running"} for n in range(200)]
-    report = {"berth": "vm-1", "endpoint": "x:1", "hull": "big", "yard": "a", "loaners": False, "shift": 1, "tick": 1,
-              "baton": 0, "pieces": pieces}  # fmt: skip
+    report = {
+        "berth": "vm-1",
+        "endpoint": "x:1",
+        "hull": "big",
+        "yard": "a",
+        "loaners": False,
+        "shift": 1,
+        "tick": 1,
+        "baton": 0,
+        "pieces": pieces,
+    }
     found = [parse_report({**report, "tick": n}) for n in range(10)]
     assert all(one is not None and one.tasks == found[0].tasks for one in found if found[0] is not None)
     assert parse_task.cache_info().misses == 200
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -29,8 +29,8 @@
 from ashtray.runs import decode_runs, encode_runs
 from ashtray.store.client import Limits, Txn
 from ashtray.teams.guarantees import Excess
+from tests.fakes.state import State
 from tests.model import SECOND, Model, submission
-from tests.standins.state import State
 
 TEAMS = {team.name: team for team in (Team("a", cpus=10.0), Team("b", cpus=4.0), Team("c"))}
 ZONES = ("y", "z")
@@ -39,7 +39,7 @@
 
 def job_record(
     team: str, tasks: int, cpus: float = 1.0, priority: int = 2, at_us: int = 0, zone: str | None = None
-) -> Any:  # fmt: skip
+) -> Any:
     spec = JobSpec("any", team, "array", priority, tasks, cpus, 0.0, 0.0, "img", 0.0, zone=zone)
     return msgspec.to_builtins(JobRecord(spec, "berth-0", at_us))
 
@@ -84,8 +84,12 @@
 
 
 def stopped(picture: Picture, team: str) -> float:
-    return sum(len(hold.tasks) * hold.record.cpus for holds in picture.held.values() for hold in holds.values()
-               if hold.record.stop_us >= 0 and hold.record.team == team)  # fmt: skip
+    return sum(
+        len(hold.tasks) * hold.record.cpus
+        for holds in picture.held.values()
+        for hold in holds.values()
+        if hold.record.stop_us >= 0 and hold.record.team == team
+    )
 
 
 def hold(job: str, tasks: set[int], team: str, cpus: float = 1.0) -> HoldRecord:
@@ -95,9 +99,7 @@
 def probe(machines: int = 1) -> World:
     """Team b: guarantee 4 CPUs, one array of 8 of which 5 run; team a: guarantee 10, jobs wait."""
     each = -(-5 // machines)
-    holds = {
-        f"vm-{n}": [hold("job-1", set(range(n * each, min((n + 1) * each, 5))), "b")] for n in range(machines)
-    }  # fmt: skip
+    holds = {f"vm-{n}": [hold("job-1", set(range(n * each, min((n + 1) * each, 5))), "b")] for n in range(machines)}
     world = World(holds, float(each))
     world.put({LIVE + "job-1": job_record("b", 8)})
     return world
--- a/tests/test_inbox.py
+++ b/tests/test_inbox.py
@@ -74,10 +74,17 @@
 
 @pytest.mark.parametrize(
     "path, rank",
-    [("/hello", Rank.LEASES), ("/up", Rank.DUTIES), ("/submissions/job-1/abort", Rank.DUTIES),
-     ("/peer/word", Rank.DUTIES), ("/submissions", Rank.USERS), ("/submissions/job-1", Rank.USERS),
-     ("/peer/request", Rank.USERS), ("/nothing", Rank.USERS)],
-)  # fmt: skip
+    [
+        ("/hello", Rank.LEASES),
+        ("/up", Rank.DUTIES),
+        ("/submissions/job-1/abort", Rank.DUTIES),
+        ("/peer/word", Rank.DUTIES),
+        ("/submissions", Rank.USERS),
+        ("/submissions/job-1", Rank.USERS),
+        ("/peer/request", Rank.USERS),
+        ("/nothing", Rank.USERS),
+    ],
+)
 def test_the_rank_of_a_request(path, rank):
     assert rank_of(path)[0] == rank
 
@@ -85,9 +92,7 @@
 def test_the_daemon_takes_inputs_at_once_until_its_turn_is_long(monkeypatch):
     # On the loop that the service runs on: its clock does not stand still within a turn, as was believed at first.
     taken, calls, now_s = [], [], [100.0]
-    clock = SimpleNamespace(
-        monotonic=lambda: now_s[0], monotonic_ns=lambda: int(now_s[0] * 1e9), time_ns=lambda: 0
-    )  # fmt: skip
+    clock = SimpleNamespace(monotonic=lambda: now_s[0], monotonic_ns=lambda: int(now_s[0] * 1e9), time_ns=lambda: 0)
     monkeypatch.setattr(server, "time", clock)
 
     async def play() -> None:
@@ -148,7 +153,7 @@
     assert caplog.messages == [
         "late, in ms: 102 timers median 50.0, 99% 99.0, worst 100.0",
         "late, in ms: 1 timers median 1.0, 99% 1.0, worst 1.0",
-    ]  # fmt: skip
+    ]
 
 
 def test_of_all_that_are_far_too_slow_none_loses_a_lease_and_users_are_answered():
@@ -162,9 +167,12 @@
     for host in model.hosts:
         host.slow_us = 130_000
     answered = []
-    model.send, send = lambda source, call, deliver: send(
-        source, call, lambda reply: (answered.append(reply.status) if source == "user" else None, deliver(reply))
-    ), model.send
+    model.send, send = (
+        lambda source, call, deliver: send(
+            source, call, lambda reply: (answered.append(reply.status) if source == "user" else None, deliver(reply))
+        ),
+        model.send,
+    )
     for n in range(20, 50):
         model.submit(submission(f"job-{n}", pieces=3, crew="free", hulls=["small"]))
         model.run(2)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -21,22 +21,34 @@
 
 SECOND = 1_000_000
 HOLD = st.builds(
-    HoldRecord, st.integers(0, 10**9).map("job-{:06}".format), st.integers(1, 99),
-    st.sets(st.integers(0, 300), min_size=1, max_size=9).map(encode_runs), st.sampled_from(["crew", "free"]),
-    st.sampled_from([0.5, 1.0, 15.0]), st.sampled_from([0.0, 1.0]), st.sampled_from([3.2, 51.0]),
-    st.integers(0, 10**9).map(lambda s: s * SECOND), st.sampled_from([-1, -1, 0, 5 * SECOND]),
+    HoldRecord,
+    st.integers(0, 10**9).map("job-{:06}".format),
+    st.integers(1, 99),
+    st.sets(st.integers(0, 300), min_size=1, max_size=9).map(encode_runs),
+    st.sampled_from(["crew", "free"]),
+    st.sampled_from([0.5, 1.0, 15.0]),
+    st.sampled_from([0.0, 1.0]),
+    st.sampled_from([3.2, 51.0]),
+    st.integers(0, 10**9).map(lambda s: s * SECOND),
+    st.sampled_from([-1, -1, 0, 5 * SECOND]),
     st.sampled_from(["berth-0", "berth-1"]),
-)  # fmt: skip
+)
 MACHINE = st.builds(
-    MachineRecord, st.just("10.1.0.232:9000"), st.booleans(), st.booleans(), st.integers(0, 2**60),
+    MachineRecord,
+    st.just("10.1.0.232:9000"),
+    st.booleans(),
+    st.booleans(),
+    st.integers(0, 2**60),
     st.lists(st.integers(0, 99).map("job-{}".format), max_size=6),
     st.lists(st.tuples(st.sampled_from(["img-1", "img-2", "img-3"]), st.sampled_from([0.5, 2.25])), max_size=4),
     st.lists(HOLD, max_size=6),
-)  # fmt: skip
+)
 
 
-@given(st.dictionaries(st.integers(0, 999).map("vm-{:06}".format), MACHINE, max_size=8),
-       st.dictionaries(st.integers(0, 99).map("job-{}".format), st.just("0-3,7"), max_size=3))  # fmt: skip
+@given(
+    st.dictionaries(st.integers(0, 999).map("vm-{:06}".format), MACHINE, max_size=8),
+    st.dictionaries(st.integers(0, 99).map("job-{}".format), st.just("0-3,7"), max_size=3),
+)
 def test_the_lean_form_says_the_same(machines, done):
     whole = msgspec.to_builtins(GroupRecord("small", "a", machines, done))
     packed = msgspec.json.decode(msgspec.json.encode(lean.pack(whole)))
@@ -141,8 +153,9 @@
         picture.put(f"{LIVE}job-{n}", msgspec.to_builtins(JobRecord(spec, "berth-0", 0, 1)), 3)
         holds.append(HoldRecord(f"job-{n}", 1, f"{100 + n}-{139 + n}", "crew", 1.0, 0.0, 1.0, 0, by="berth-0"))
     names = ["vm-0", "vm-1"]
-    record = GroupRecord("small", "a", {name: MachineRecord("x:1", token=7, holds=holds[k::2])
-                                        for k, name in enumerate(names)})  # fmt: skip
+    record = GroupRecord(
+        "small", "a", {name: MachineRecord("x:1", token=7, holds=holds[k::2]) for k, name in enumerate(names)}
+    )
     version = 5
     picture.put(GROUP + "0", lean.pack(msgspec.to_builtins(record)), version)
     rng = random.Random(3)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -110,7 +110,7 @@
         model.far[rest[0]] = (model.now + int(rest[2] * SECOND), int(rest[1] * SECOND))
     elif kind == "tangle":
         # Orders to half of the workers are held while gangs lose a machine and workers change controllers.
-        for held in names[:: 2]:
+        for held in names[::2]:
             model.held_orders[held] = model.now + int(rest[1] * SECOND)
         model.roaming_until = model.now + int(rest[1] * SECOND)
         model.at(3 * SECOND // 2, lambda: model.lose_machine(rest[0]))
@@ -196,7 +196,10 @@
 # Without shrinking, a failure is shown as it was drawn; with it, one takes minutes.
 @settings(max_examples=RUNS, phases=[Phase.explicit, Phase.generate], suppress_health_check=list(HealthCheck))
 @given(
-    st.integers(0, 10**6), st.lists(JOB, min_size=3, max_size=10), FAULTS, st.sampled_from([3, 3, 5]),
+    st.integers(0, 10**6),
+    st.lists(JOB, min_size=3, max_size=10),
+    FAULTS,
+    st.sampled_from([3, 3, 5]),
     st.sampled_from([None, 1, 2]),
 )
 def test_no_rule_breaks_and_all_jobs_end_when_the_faults_do(seed, jobs, faults, hosts, group_size):
@@ -230,10 +233,14 @@
     root = Path(__file__).resolve().parent.parent
     told = [
         subprocess.run(
-            [sys.executable, "-c", STEADY], cwd=root, env={**os.environ, "PYTHONHASHSEED": seed}, check=True,
-            capture_output=True, text=True,
+            [sys.executable, "-c", STEADY],
+            cwd=root,
+            env={**os.environ, "PYTHONHASHSEED": seed},
+            check=True,
+            capture_output=True,
+            text=True,
         ).stdout
         for seed in ("1", "2")
-    ]  # fmt: skip
+    ]
     assert int(told[0].split()[0]) > 40
     assert told[0] == told[1]
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -52,8 +52,13 @@
 
 
 def test_teams_and_priorities_keep_their_turns():
-    jobs = [("pages", 50.0, 1, "studio"), ("other", 45.0, 1, "reader"), ("pages", 10.0, 1, "studio"),
-            ("pages", 99.0, 0, "studio"), ("other", 9.0, 1, "reader")]  # fmt: skip
+    jobs = [
+        ("pages", 50.0, 1, "studio"),
+        ("other", 45.0, 1, "reader"),
+        ("pages", 10.0, 1, "studio"),
+        ("pages", 99.0, 0, "studio"),
+        ("other", 9.0, 1, "reader"),
+    ]
     assert order(jobs) == [3, 2, 1, 0, 4]
 
 
@@ -68,8 +73,13 @@
 
 
 def test_classes_without_stated_times_keep_their_turns():
-    jobs = [("other", 300.0, 1, "studio"), ("pages", 90.0, 1, "studio"), ("other", 50.0, 1, "studio"),
-            ("pages", 9.0, 1, "studio"), ("other", 3.0, 1, "studio")]  # fmt: skip
+    jobs = [
+        ("other", 300.0, 1, "studio"),
+        ("pages", 90.0, 1, "studio"),
+        ("other", 50.0, 1, "studio"),
+        ("pages", 9.0, 1, "studio"),
+        ("other", 3.0, 1, "studio"),
+    ]
     assert order(jobs) == [0, 3, 2, 1, 4]
 
 
@@ -153,9 +163,7 @@
     assert [times.standing(picture.jobs[f"job-{n}"], picture, NOW_US).band for n in (0, 1, 2)] == [0, 0, 1]
 
 
-JOB = st.tuples(
-    st.sampled_from(["pages", "other"]), st.floats(0, 500), st.integers(0, 3), st.sampled_from(TEAMS)
-)
+JOB = st.tuples(st.sampled_from(["pages", "other"]), st.floats(0, 500), st.integers(0, 3), st.sampled_from(TEAMS))
 
 
 @given(st.lists(JOB, max_size=12))
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -170,7 +170,6 @@
     picture.put(LIVE + job_id, msgspec.to_builtins(JobRecord(spec, "berth-0", 0)), version)
 
 
-
 def test_the_next_stage_does_not_wait_for_lazy_folds():
     # Found on simulated days: where no controller heard of all that was left of a job, its end waited up to 20 s.
     model = Model(7, knobs=Knobs(group_size=1), following=(2.0, 5))
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -164,9 +164,11 @@
     max_examples=max(RUNS // 4, 10), phases=[Phase.explicit, Phase.generate], suppress_health_check=list(HealthCheck)
 )
 @given(
-    st.integers(0, 10**6), st.lists(JOB, min_size=3, max_size=8), FAULTS,
+    st.integers(0, 10**6),
+    st.lists(JOB, min_size=3, max_size=8),
+    FAULTS,
     st.lists(st.tuples(st.floats(4, 75), st.integers(0, 4), st.floats(0.01, 0.9)), min_size=4, max_size=20),
-)  # fmt: skip
+)
 def test_no_rule_breaks_when_processes_are_back_at_once(seed, jobs, faults, ends) -> None:
     model = Model(seed, 3, Knobs())
     begin(model, seed, jobs)
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -8,8 +8,8 @@
 from ashtray.store.client import Limits
 from ashtray.workers.folding import Evidence, Fold, adoption
 from ashtray.workers.messages import Report
+from tests.fakes.state import State
 from tests.model import CANCEL_S, LEASE_S, Model, submission
-from tests.standins.state import State
 
 
 def fold(record_token: int, own_token: int, exact: bool):
@@ -99,11 +99,22 @@
     model.submit(submission("job-0"))
     model.run(25)
     prefixes = ("ashtray/now/job/", "ashtray/now/group/", "ashtray/now/team/")
-    placements = [b for b in seen if any("job-0" in str(lean.unpack(c["value"])["machines"]) for c in b["apply"]
-                                         if str(c.get("put", "")).startswith("ashtray/now/group/"))]  # fmt: skip
+    placements = [
+        b
+        for b in seen
+        if any(
+            "job-0" in str(lean.unpack(c["value"])["machines"])
+            for c in b["apply"]
+            if str(c.get("put", "")).startswith("ashtray/now/group/")
+        )
+    ]
     assert placements and "ashtray/now/team/crew" in {g["k"] for g in placements[0]["guards"]}
-    touched = [(key, body) for body in seen for c in body["apply"]
-               if (key := c.get("put") or c["remove"]).startswith(prefixes)]  # fmt: skip
+    touched = [
+        (key, body)
+        for body in seen
+        for c in body["apply"]
+        if (key := c.get("put") or c["remove"]).startswith(prefixes)
+    ]
     assert {key[:16] for key, _ in touched} == {prefix[:16] for prefix in prefixes}
     for key, body in touched:
         assert key in {g["k"] for g in body["guards"]}
@@ -173,8 +184,20 @@
     model = Model(21)
     model.checks()
     model.run(3)
-    model.submit(submission("job-0", shape=kind, pieces=3, cpus=3.0, crew="free", hulls=["small"], yard="a",
-                            snapshot_every_s=2.0, snapshot_cost_s=1.0, expect_s=40.0))  # fmt: skip
+    model.submit(
+        submission(
+            "job-0",
+            shape=kind,
+            pieces=3,
+            cpus=3.0,
+            crew="free",
+            hulls=["small"],
+            yard="a",
+            snapshot_every_s=2.0,
+            snapshot_cost_s=1.0,
+            expect_s=40.0,
+        )
+    )
     model._run_us = lambda key: 40 * 10**6
     model.run(20)
     on = {n: next(iter(machines)) for (_, n), machines in model.on.items()}
--- a/tests/test_shares_model.py
+++ b/tests/test_shares_model.py
@@ -66,7 +66,7 @@
 
 
 def replaced(values: Shares, n: int, value: float) -> Shares:
-    return (*values[:n], value, *values[n + 1:])
+    return (*values[:n], value, *values[n + 1 :])
 
 
 def grants_of(hosts: list[str], world: World, n: int) -> Grants:
@@ -83,7 +83,7 @@
     view = world.views[n]
     above = None if view.above is not None and view.above < world.version else view.above
     new = View(world.version, world.shares, world.used, world.version, above)
-    return world._replace(views=(*world.views[:n], new, *world.views[n + 1:]))
+    return world._replace(views=(*world.views[:n], new, *world.views[n + 1 :]))
 
 
 def steps(hosts: list[str], world: World) -> Iterator[tuple[str, World]]:
@@ -93,7 +93,7 @@
         grants = grants_of(hosts, world, n)
 
         def known(new: View, world: World = world, n: int = n) -> tuple[View, ...]:
-            return (*world.views[:n], new, *world.views[n + 1:])
+            return (*world.views[:n], new, *world.views[n + 1 :])
 
         yield f"{n} looks", seen(world, n)
         if world.used[n] > 0:
@@ -140,7 +140,7 @@
     views = tuple(
         (rank[v.version], v.shares, v.used, rank[v.read], None if v.above is None else rank[v.above])
         for v in world.views
-    )  # fmt: skip
+    )
     return rank[world.version], world.shares, world.used, views, tuple((n, rank[v]) for n, v in world.late)
 
 
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -373,10 +373,19 @@
 
 NAMES = st.one_of(st.none(), st.lists(st.integers(0, 999).map(lambda n: f"vm-{n:06d}"), max_size=50, unique=True))
 INTENTS = st.lists(
-    st.builds(Intent, st.integers(0, 10**9).map(lambda n: f"berth-1-7-{n}"), st.just("small"), st.just("a"),
-              st.booleans(), st.integers(1, 50), st.integers(0, 10**15), NAMES),
-    max_size=40, unique_by=lambda intent: intent.request,
-)  # fmt: skip
+    st.builds(
+        Intent,
+        st.integers(0, 10**9).map(lambda n: f"berth-1-7-{n}"),
+        st.just("small"),
+        st.just("a"),
+        st.booleans(),
+        st.integers(1, 50),
+        st.integers(0, 10**15),
+        NAMES,
+    ),
+    max_size=40,
+    unique_by=lambda intent: intent.request,
+)
 
 
 @given(INTENTS, st.integers(200, 20_000))
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -68,14 +68,22 @@
 to play it took 44 s for the world, 300.5 s in the processes' own code and 5.5 s in the kernel, in 9 turns
 """
 REPORT = {
-    "scenario": "loss", "seed": 105, "machines": 832, "wall_s": 400.0, "rules_broken": {"by_kind": {}},
-    "classes": {"render": {"jobs": 1, "started": 1, "done": 1, "tasks": 3},
-                "panel": {"jobs": 4, "started": 3, "done": 1, "tasks": 80}},
+    "scenario": "loss",
+    "seed": 105,
+    "machines": 832,
+    "wall_s": 400.0,
+    "rules_broken": {"by_kind": {}},
+    "classes": {
+        "render": {"jobs": 1, "started": 1, "done": 1, "tasks": 3},
+        "panel": {"jobs": 4, "started": 3, "done": 1, "tasks": 80},
+    },
     "teams": {"studio": {"jobs": 1, "started": 1}, "reader-app": {"jobs": 4, "started": 3}},
-    "node_stats": [{"memory_peak_mb": 44.0, "connections_peak": 300, "panics": 0},
-                   {"memory_peak_mb": 40.0, "connections_peak": 475, "panics": 0}],
+    "node_stats": [
+        {"memory_peak_mb": 44.0, "connections_peak": 300, "panics": 0},
+        {"memory_peak_mb": 40.0, "connections_peak": 475, "panics": 0},
+    ],
     "users": {"submitted": 5, "accepted": 4},
-}  # fmt: skip
+}
 
 
 def load(name: str):
@@ -90,9 +98,20 @@
     accept = load("accept")
     row = accept.Row("a", "loss", size=1.5, back_s=0.05, limits=2.0, changes=0.5, work=2.0)
     text = accept.site_text(SITE, row)
-    for line in ("count = 231", "spot = 165", "gpus = 2400.0", "cpus_max = 105000.0", "initial = 324",
-                 "rate = 3.30000", "rate = 2.40000", "restart_delay_s = 0.05", "write_rps = 15.0",
-                 'kind = "machine_cut", count = 165', 'kind = "node_crash", count = 1 ', "count = 5"):  # fmt: skip
+    for line in (
+        "count = 231",
+        "spot = 165",
+        "gpus = 2400.0",
+        "cpus_max = 105000.0",
+        "initial = 324",
+        "rate = 3.30000",
+        "rate = 2.40000",
+        "restart_delay_s = 0.05",
+        "write_rps = 15.0",
+        'kind = "machine_cut", count = 165',
+        'kind = "node_crash", count = 1 ',
+        "count = 5",
+    ):
         assert line in text, line
     assert accept.site_text(SITE, accept.Row("a", "loss")) == accept.site_text(SITE, accept.Row("b", "busy"))
 
@@ -164,8 +183,21 @@
 
 
 def test_the_ledger_tells_the_same_counts_twice() -> None:
-    command = [sys.executable, str(TOOLS / "ledger.py"), "--machines", "20", "--controllers", "2", "--after", "20",
-               "--seconds", "10", "--load", "5", "--json"]  # fmt: skip
+    command = [
+        sys.executable,
+        str(TOOLS / "ledger.py"),
+        "--machines",
+        "20",
+        "--controllers",
+        "2",
+        "--after",
+        "20",
+        "--seconds",
+        "10",
+        "--load",
+        "5",
+        "--json",
+    ]
     first, second = (
         json.loads(subprocess.run(command, capture_output=True, text=True, check=True).stdout) for _ in range(2)
     )
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,8 +16,9 @@
 FALLS = st.sampled_from([(2.0, 5), (2.0, 6), (1.5, 5), (4.0, 4)])
 PIPELINE = st.lists(
     st.tuples(JOB.filter(lambda job: job["shape"] != "service"), st.sets(st.integers(1, 4), max_size=3)),
-    min_size=2, max_size=8,
-)  # fmt: skip
+    min_size=2,
+    max_size=8,
+)
 """Jobs and, for each, how far before it those that it needs are."""
 
 
@@ -39,10 +40,15 @@
 
 @settings(max_examples=RUNS, phases=[Phase.explicit, Phase.generate], suppress_health_check=list(HealthCheck))
 @given(
-    st.integers(0, 10**6), PIPELINE, PIPELINE, st.floats(0.1, 8),
+    st.integers(0, 10**6),
+    PIPELINE,
+    PIPELINE,
+    st.floats(0.1, 8),
     st.lists(st.tuples(st.floats(5, 60), FAULT), max_size=10),
-    st.lists(st.tuples(st.floats(8, 70), st.integers(0, 15)), max_size=3), FALLS, st.floats(3, 60),
-)  # fmt: skip
+    st.lists(st.tuples(st.floats(8, 70), st.integers(0, 15)), max_size=3),
+    FALLS,
+    st.floats(3, 60),
+)
 def test_pipelines_keep_every_rule_while_limits_fall(seed, one, other, pace_s, faults, cancels, following, fall_s):
     model = Model(seed, following=following)
     model.checks()
@@ -81,13 +87,20 @@
 
 
 # The machine-time of both versions is what this costs: fewer runs than above.
-@settings(max_examples=max(RUNS // 2, 1), phases=[Phase.explicit, Phase.generate],
-          suppress_health_check=list(HealthCheck))  # fmt: skip
+@settings(
+    max_examples=max(RUNS // 2, 1), phases=[Phase.explicit, Phase.generate], suppress_health_check=list(HealthCheck)
+)
 @given(
-    st.integers(0, 10**6), st.lists(JOB, min_size=4, max_size=12), PIPELINE, st.permutations([0, 1, 2]),
-    st.floats(2, 10), st.lists(st.tuples(st.floats(5, 40), st.integers(0, 2)), max_size=3),
-    st.lists(st.tuples(st.floats(5, 60), FAULT), max_size=8), st.one_of(FALLS, st.none()), st.floats(4, 30),
-)  # fmt: skip
+    st.integers(0, 10**6),
+    st.lists(JOB, min_size=4, max_size=12),
+    PIPELINE,
+    st.permutations([0, 1, 2]),
+    st.floats(2, 10),
+    st.lists(st.tuples(st.floats(5, 40), st.integers(0, 2)), max_size=3),
+    st.lists(st.tuples(st.floats(5, 60), FAULT), max_size=8),
+    st.one_of(FALLS, st.none()),
+    st.floats(4, 30),
+)
 def test_both_versions_serve_side_by_side_until_all_are_new(
     before, seed, jobs, stages, order, every_s, crashes, faults, following, fall_s
 ):
--- a/tools/accept.py
+++ b/tools/accept.py
@@ -53,8 +53,10 @@
 PLAYED = re.compile(r"to play it took ([\d.]+) s for the world, ([\d.]+) s in .* and ([\d.]+) s in the kernel")
 SECTION = re.compile(r"\[+([\w.]+)\]+\s*$")
 SCALED = {  # the numbers of a site that grow with its size
-    "capacity": ("count", "spot"), "teams": ("gpus", "gpus_max", "cpus", "cpus_max"), "jobs": ("initial",),
-}  # fmt: skip
+    "capacity": ("count", "spot"),
+    "teams": ("gpus", "gpus_max", "cpus", "cpus_max"),
+    "jobs": ("initial",),
+}
 
 
 @dataclass
@@ -126,9 +128,13 @@
     last = max(classes, key=lambda job: (order.index(job["priority"]), job.get("gpus", 0.0)))
     team = (last.get("teams") or [site["teams"][0]["name"]])[0]
     return {
-        "@first": classes[0]["name"], "@last": last["name"], "@team": team, "@hull": gpus[0] if gpus else "",
-        "@nodes": str(site["nodes"]["count"]), "@zone": site["nodes"]["zones"][0],
-    }  # fmt: skip
+        "@first": classes[0]["name"],
+        "@last": last["name"],
+        "@team": team,
+        "@hull": gpus[0] if gpus else "",
+        "@nodes": str(site["nodes"]["count"]),
+        "@zone": site["nodes"]["zones"][0],
+    }
 
 
 def replaced(text: str, site: str) -> str:
@@ -140,6 +146,7 @@
 
 def scaled_machines(text: str, size: float) -> str:
     """The machines that trouble hits, in proportion."""
+
     def grown(found: re.Match[str]) -> str:
         return f"{found[1]}{max(round(int(found[2]) * size), 1)}"
 
@@ -180,7 +187,7 @@
             out.append(block)
             continue
         for zone in zones:
-            part = re.sub(r'(?m)^zone = .*$', f'zone = "{zone}"', block)
+            part = re.sub(r"(?m)^zone = .*$", f'zone = "{zone}"', block)
             out.append(re.sub(r"(?m)^(count|spot) = (\d+)", lambda m: f"{m[1]} = {int(m[2]) // len(zones)}", part))
     return "".join(out)
 
@@ -238,19 +245,28 @@
     figure = re.search(rf"(?m)^{re.escape(data['scenario'])}\s+\d+\s+(\d\.\d+)", printed)
     played = PLAYED.search(printed)
     return Played(
-        title, f"{data['scenario']} {data['seed']}", data["machines"], float(figure[1]) if figure else None,
+        title,
+        f"{data['scenario']} {data['seed']}",
+        data["machines"],
+        float(figure[1]) if figure else None,
         [f"{kind} {number}" for kind, number in data["rules_broken"]["by_kind"].items()],
-        sum(node["panics"] for node in nodes), sum(map(float, played.groups())) if played else data["wall_s"],
+        sum(node["panics"] for node in nodes),
+        sum(map(float, played.groups())) if played else data["wall_s"],
         f"{most['memory_peak_mb']:.0f}" + (f" of {given['memory_mb']:.0f}" if given else ""),
         f"{most['connections_peak']}" + (f" of {given['max_connections']}" if given else ""),
-        users["accepted"] / max(users["submitted"], 1), parts,
-    )  # fmt: skip
+        users["accepted"] / max(users["submitted"], 1),
+        parts,
+    )
 
 
 def largest(
-    name: str, tasks: dict[str, int], came_s: dict[str, float], begun_s: dict[str, float], done: set[str],
+    name: str,
+    tasks: dict[str, int],
+    came_s: dict[str, float],
+    begun_s: dict[str, float],
+    done: set[str],
     last_s: float,
-) -> list[Part]:  # fmt: skip
+) -> list[Part]:
     """What became of a class's largest jobs: begun in time, and done, each for the worse of the two readings."""
     begun, ended = [], []
     for part in LARGEST if tasks else ():
@@ -287,8 +303,9 @@
     """The days as a table for `docs/acceptance.md`; the least class or team of each in bold."""
     lines = [
         "| day | machines | figure | to play | memory, MB | connections | accepted | done of those that came, by "
-        "class; started, by team | verdict |", "| --- | --- | --- | --- | --- | --- | --- | --- | --- |",
-    ]  # fmt: skip
+        "class; started, by team | verdict |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
     for day in days:
         least = min(day.parts, key=Part.share) if day.parts else None
         said = []
@@ -301,8 +318,10 @@
         failed = day.failed(floor)
         verdict = f"FAILS: {', '.join(failed)}" if failed else "passes"
         figure = "-" if day.figure is None else f"{day.figure:.2f}"
-        lines.append(f"| {day.title} | {day.machines} | {figure} | {day.played_s:.0f} s | {day.memory} | "
-                     f"{day.connections} | {day.accepted:.3f} | {'; '.join(said)} | {verdict} |")  # fmt: skip
+        lines.append(
+            f"| {day.title} | {day.machines} | {figure} | {day.played_s:.0f} s | {day.memory} | "
+            f"{day.connections} | {day.accepted:.3f} | {'; '.join(said)} | {verdict} |"
+        )
     return "\n".join(lines) + "\n"
 
 
@@ -313,8 +332,10 @@
     for number, raw in enumerate(data.get("row", ())):
         unknown = raw.keys() - Row.__dataclass_fields__.keys()
         if unknown or "name" not in raw or "day" not in raw:
-            raise ValueError(f"{matrix.name}, row {number + 1}: {', '.join(sorted(unknown)) or 'name or day'} "
-                             f"is {'unknown' if unknown else 'missing'}")  # fmt: skip
+            raise ValueError(
+                f"{matrix.name}, row {number + 1}: {', '.join(sorted(unknown)) or 'name or day'} "
+                f"is {'unknown' if unknown else 'missing'}"
+            )
         rows.append(Row(**raw))
     if names:
         return [row for row in rows if row.name in names]
--- a/tools/bounds.py
+++ b/tools/bounds.py
@@ -70,7 +70,7 @@
 
 def overload(
     places: float, rate: float, hold: float, seconds: float, factor: float, burst: float, start: float, within: float
-) -> float:  # fmt: skip
+) -> float:
     """The greatest share of tasks that any order can give a place within so many seconds.
 
     `rate` tasks come a second, `factor` times as many during `burst` of all `seconds` (from a third of them on), and
@@ -106,9 +106,18 @@
 
 
 def floor(
-    first: float, first_hold: float, first_only: float, last: float, last_hold: float,
-    last_only: float, shared: float, shared_first: float, shared_last: float, median: float, p95: float,
-) -> float:  # fmt: skip
+    first: float,
+    first_hold: float,
+    first_only: float,
+    last: float,
+    last_hold: float,
+    last_only: float,
+    shared: float,
+    shared_first: float,
+    shared_last: float,
+    median: float,
+    p95: float,
+) -> float:
     """The greatest least share of two classes' jobs that can be done, the last one's smallest jobs first.
 
     Tasks of the first class come at a mean of `first` a second and hold a place for `first_hold` seconds, of those
@@ -134,17 +143,41 @@
         ("price", price, {"demand": float, "cheap_units": float, "cheap": float, "dear": float}),
         ("useful", useful, {"boot": float, "fetch": float, "busy": float}),
         ("changes", changes, {"rate": float, "jobs": float, "groups": int, "run": float}),
-        ("overload", overload, dict.fromkeys(
-            ("places", "rate", "hold", "seconds", "factor", "burst", "start", "within"), float)),
-        ("floor", floor, dict.fromkeys(
-            ("first", "first_hold", "first_only", "last", "last_hold", "last_only", "shared",
-             "shared_first", "shared_last", "median", "p95"), float)),
+        (
+            "overload",
+            overload,
+            dict.fromkeys(("places", "rate", "hold", "seconds", "factor", "burst", "start", "within"), float),
+        ),
+        (
+            "floor",
+            floor,
+            dict.fromkeys(
+                (
+                    "first",
+                    "first_hold",
+                    "first_only",
+                    "last",
+                    "last_hold",
+                    "last_only",
+                    "shared",
+                    "shared_first",
+                    "shared_last",
+                    "median",
+                    "p95",
+                ),
+                float,
+            ),
+        ),
         ("wait", wait, {"images": int, "machines": int, "jobs": int, "fetch": float, "within": float}),
     ):
         sub = bounds.add_parser(name, description=call.__doc__)
         for number, kind in numbers.items():
-            sub.add_argument("--" + number.replace("_", "-"), type=kind, required=number != "tasks",
-                             default=1 if number == "tasks" else None)  # fmt: skip
+            sub.add_argument(
+                "--" + number.replace("_", "-"),
+                type=kind,
+                required=number != "tasks",
+                default=1 if number == "tasks" else None,
+            )
         sub.set_defaults(call=call, numbers=list(numbers))
     args = parser.parse_args()
     print(f"{args.call(**{number: getattr(args, number) for number in args.numbers}):.3f}")
--- a/tools/ledger.py
+++ b/tools/ledger.py
@@ -42,12 +42,22 @@
 SECOND = 1_000_000
 CPU, GPU = "cpu", "gpu"
 DUTIES = {
-    "reports": "desk.py:on_report", "orders and folds": "desk.py:_tend", "folding": "desk.py:fold",
-    "following": "follower.py:_round", "planning": "placer.py:_round", "renting": "runner.py:round",
-    "splitting": "splitting.py:run", "tidying": "desk.py:tidy", "users": "service.py:poll",
-    "submissions": "service.py:_submit", "look-ups": "service.py:_look_up", "needs": "service.py:resolve",
-    "words to peers": "presence.py:_send", "words from peers": "presence.py:on_word", "estimates": "keeping.py:run",
-}  # fmt: skip
+    "reports": "desk.py:on_report",
+    "orders and folds": "desk.py:_tend",
+    "folding": "desk.py:fold",
+    "following": "follower.py:_round",
+    "planning": "placer.py:_round",
+    "renting": "runner.py:round",
+    "splitting": "splitting.py:run",
+    "tidying": "desk.py:tidy",
+    "users": "service.py:poll",
+    "submissions": "service.py:_submit",
+    "look-ups": "service.py:_look_up",
+    "needs": "service.py:resolve",
+    "words to peers": "presence.py:_send",
+    "words from peers": "presence.py:on_word",
+    "estimates": "keeping.py:run",
+}
 """What the time is told by: the first function of each duty, with all that it calls."""
 
 
@@ -92,15 +102,36 @@
         self.number += 1
         job = f"job-{self.number:06}"
         if self.users.random() < 0.6:
-            spec = models.submission(job, shape="gang", urgency="urgent", pieces=self.users.choice([3, 3, 6, 12]),
-                                     cpus=15.0, memory_gb=50.0, loaners=False, lane="renders", expect_s=100.0,
-                                     bundle=f"img-{self.users.randrange(18)}", image_gb=2.5,
-                                     snapshot_every_s=15.0, snapshot_cost_s=5.0)  # fmt: skip
+            spec = models.submission(
+                job,
+                shape="gang",
+                urgency="urgent",
+                pieces=self.users.choice([3, 3, 6, 12]),
+                cpus=15.0,
+                memory_gb=50.0,
+                loaners=False,
+                lane="renders",
+                expect_s=100.0,
+                bundle=f"img-{self.users.randrange(18)}",
+                image_gb=2.5,
+                snapshot_every_s=15.0,
+                snapshot_cost_s=5.0,
+            )
         else:
             pieces = min(max(int(self.users.lognormvariate(3.4, 0.7)), 1), 150)
-            spec = models.submission(job, pieces=pieces, cpus=10.0, cards=1.0, memory_gb=36.0, urgency="idle",
-                                     lane="panels", expect_s=40.0, crew="free",
-                                     bundle=f"img-{self.users.randrange(5)}", image_gb=5.0)  # fmt: skip
+            spec = models.submission(
+                job,
+                pieces=pieces,
+                cpus=10.0,
+                cards=1.0,
+                memory_gb=36.0,
+                urgency="idle",
+                lane="panels",
+                expect_s=40.0,
+                crew="free",
+                bundle=f"img-{self.users.randrange(5)}",
+                image_gb=5.0,
+            )
         self.submit(spec)
         if self.users.random() < 0.04:
             self.at(int(self.users.uniform(1, 40) * SECOND), lambda: self.cancel(job))
@@ -111,11 +142,31 @@
     models.LEASE_S, models.CANCEL_S, models.REPORT_S = 18.0, 43.0, 2.5
     models.GANG_WAIT_S, models.GANG_PEER_S = 35.0, 4.0
     models.TYPES = [
-        {"name": CPU, "cpus": 16.0, "cards": 0.0, "memory_gb": 64.0, "local_gb": 60.0, "pull_gb_per_s": 0.2,
-         "rate": 0.86, "spot_price": 0.2, "ready_s": 20.0, "yards": ["a"]},
-        {"name": GPU, "cpus": 96.0, "cards": 8.0, "memory_gb": 384.0, "local_gb": 80.0, "pull_gb_per_s": 0.6,
-         "rate": 27.16, "spot_price": 6.91, "ready_s": 25.0, "yards": ["a"]},
-    ]  # fmt: skip
+        {
+            "name": CPU,
+            "cpus": 16.0,
+            "cards": 0.0,
+            "memory_gb": 64.0,
+            "local_gb": 60.0,
+            "pull_gb_per_s": 0.2,
+            "rate": 0.86,
+            "spot_price": 0.2,
+            "ready_s": 20.0,
+            "yards": ["a"],
+        },
+        {
+            "name": GPU,
+            "cpus": 96.0,
+            "cards": 8.0,
+            "memory_gb": 384.0,
+            "local_gb": 80.0,
+            "pull_gb_per_s": 0.6,
+            "rate": 27.16,
+            "spot_price": 6.91,
+            "ready_s": 25.0,
+            "yards": ["a"],
+        },
+    ]
     models.TEAM = {"name": "crew", "cpus": 10_000.0, "cpus_max": 25_000.0, "gpus": 0.0, "gpus_max": 0.0}
     small = models.settings_for
 
@@ -153,8 +204,9 @@
 
 def memory(fleet: Fleet) -> dict[str, float]:
     """MB that a picture of all that is stored takes, and the peak while it is put together from its pages."""
-    items = [(key, value, stamp) for key, (value, stamp, _) in fleet.state.keys.items()
-             if key.startswith("ashtray/now/")]  # fmt: skip
+    items = [
+        (key, value, stamp) for key, (value, stamp, _) in fleet.state.keys.items() if key.startswith("ashtray/now/")
+    ]
     raw = msgspec.msgpack.encode([[key, value] for key, value, _ in items])
     stamps = [stamp for _, _, stamp in items]
     gc.collect()
@@ -165,8 +217,13 @@
     picture.waiting()
     now, peak = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    return {"machines": len(picture.machines), "jobs": len(picture.jobs), "stored MB": len(raw) / 1e6,
-            "picture MB": now / 1e6, "peak MB": peak / 1e6}  # fmt: skip
+    return {
+        "machines": len(picture.machines),
+        "jobs": len(picture.jobs),
+        "stored MB": len(raw) / 1e6,
+        "picture MB": now / 1e6,
+        "peak MB": peak / 1e6,
+    }
 
 
 def main() -> int:
@@ -203,17 +260,22 @@
     found = ledger(fleet.profile, seconds, args.top)
     fleet.profile = None
     found["counts"] = {
-        "inputs": fleet.counts["inputs"] / seconds, "machines": float(len(fleet.workers)),
+        "inputs": fleet.counts["inputs"] / seconds,
+        "machines": float(len(fleet.workers)),
         "jobs done": float(sum(job.told == "done" for job in fleet.jobs.values())),
-        "jobs": float(len(fleet.jobs)), "revisions": (fleet.state.revision - changes) / seconds,
-    }  # fmt: skip
+        "jobs": float(len(fleet.jobs)),
+        "revisions": (fleet.state.revision - changes) / seconds,
+    }
     found["memory"] = memory(fleet)
     if args.json:
         print(json.dumps(found, indent=1))
         return 0
     print(f"a core's time: {1000 * found['seconds']:.1f} ms a second, profiled")
-    for title, rows in (("by duty, ms a second", found["duties"]), ("counts", found["counts"]),
-                        ("memory", found["memory"])):  # fmt: skip
+    for title, rows in (
+        ("by duty, ms a second", found["duties"]),
+        ("counts", found["counts"]),
+        ("memory", found["memory"]),
+    ):
         print(f"\n{title}")
         for name, value in sorted(rows.items(), key=lambda row: -row[1]):
             print(f"  {name:22} {1000 * value if 'duty' in title else value:10.2f}")
--- a/tools/regress.py
+++ b/tools/regress.py
@@ -25,8 +25,21 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 TABLE = ROOT / "docs" / "figures.toml"
-WIDE = ("store/", "peers/", "workers/", "teams/", "fleet/", "daemon/", "kernel.py", "controller.py", 
-        "placement/picture", "placement/lean", "placement/placer", "jobs/service", "jobs/model")  # fmt: skip
+WIDE = (
+    "store/",
+    "peers/",
+    "workers/",
+    "teams/",
+    "fleet/",
+    "daemon/",
+    "kernel.py",
+    "controller.py",
+    "placement/picture",
+    "placement/lean",
+    "placement/placer",
+    "jobs/service",
+    "jobs/model",
+)
 """Where a change touches storage, membership, timers or messages."""
 
 
@@ -42,8 +55,10 @@
 
 
 def save_table(table: dict[str, dict[str, dict[str, Any]]]) -> None:
-    lines = ["# The best figure of each standard day (simulated machines), and the journal's entry that it is from.",
-             "# Written by tools/regress.py --keep."]  # fmt: skip
+    lines = [
+        "# The best figure of each standard day (simulated machines), and the journal's entry that it is from.",
+        "# Written by tools/regress.py --keep.",
+    ]
     for site, days in sorted(table.items()):
         lines += ["", f"[{site}]"]
         for day, row in days.items():
@@ -112,7 +127,7 @@
             print(f"the bench wrote nothing into journal/ (exit code {code})", file=sys.stderr)
             return 2
     else:
-        found = entries()[-args.entries:]
+        found = entries()[-args.entries :]
     table = load_table()
     bad = compare(found, table, args.noise)
     if args.keep:
--- a/tools/takeover.py
+++ b/tools/takeover.py
@@ -140,9 +140,12 @@
 
 
 def firsts(
-    lines: list[tuple[float, str, str]], began_s: float, marks: dict[str, re.Pattern[str]], host: str = "",
+    lines: list[tuple[float, str, str]],
+    began_s: float,
+    marks: dict[str, re.Pattern[str]],
+    host: str = "",
     until_s: float = float("inf"),
-) -> dict[str, float]:  # fmt: skip
+) -> dict[str, float]:
     """For each mark how long after a time its first line came, from one host or any."""
     found: dict[str, float] = {}
     for at_s, by, text in lines:
@@ -181,8 +184,11 @@
         if values:
             print(f"{name}: {len(values)} starts, median {median(values):.1f} s, worst {max(values):.1f} s")
     for all_of in full:
-        stages = zip(("anybody places", "runs", "taken over", "decides"),
-                     (all_of.placed, all_of.runs, all_of.taken_over, all_of.decided), strict=True)  # fmt: skip
+        stages = zip(
+            ("anybody places", "runs", "taken over", "decides"),
+            (all_of.placed, all_of.runs, all_of.taken_over, all_of.decided),
+            strict=True,
+        )
         said = ", ".join(f"{name} {shown(value)}" for name, value in stages)
         print(f"{all_of.hosts} ended at {all_of.at_s:.1f} s: {said}")
 
@@ -228,8 +234,20 @@
         print(json.dumps([asdict(fall) for fall in found]))
         return 0
     row = "{:>8} {:9} {:7} {:5}" + " {:>8}" * 5 + "  {}"
-    print(row.format("fall", "host", "kind", "runs", "noticed", "taken", "decides", "rented", "anybody",
-                     "inherits (median, worst)"))  # fmt: skip
+    print(
+        row.format(
+            "fall",
+            "host",
+            "kind",
+            "runs",
+            "noticed",
+            "taken",
+            "decides",
+            "rented",
+            "anybody",
+            "inherits (median, worst)",
+        )
+    )
     for fall in found:
         waits = fall.inherits
         heirs = f"{len(waits)} ({median(waits):.1f}, {max(waits):.1f})" if waits else "0"
