Sign in again when an older lease has taken the presence along

After each renewal the controller looks whether its picture has its key, and if not signs in once more under the same lease. The test fails without this where the process is back after 0.05 or 0.3 s.

--- a/ashtray/peers/presence.py
+++ b/ashtray/peers/presence.py
@@ -53,6 +53,8 @@
         self.lease: int | None = None
         self.until_us = 0
         """Up to when the lease is surely there."""
+        self._signed_at = 0
+        """The revision at which the key was last written."""
         self._live_of: dict[str, Any] | None = None
         self._live: list[str] = []
         self._able_of: tuple[list[str], frozenset[str]] | None = None
@@ -83,6 +85,7 @@
                     if reply.status == 200:
                         self.lease = lease
                         self.until_us = asked_us + LEASE_US
+                        self._signed_at = reply.body["ledger"]
                         if not self.incarnation:
                             self.incarnation = reply.body["ledger"]
                             self.grants.begin(self.incarnation)
@@ -97,10 +100,23 @@
             renewed: Reply = yield from base.store.renew_lease(self.lease)
             if renewed.status == 200:
                 self.until_us = asked_us + LEASE_US
+                if self._unseen():
+                    # Written once more under the same lease.
+                    opened, self.lease = (self.lease, asked_us), None
             elif renewed.status == 404:
                 self.lease = None
         yield Sleep(SECOND_US)
 
+    def _unseen(self) -> bool:
+        """Whether the key is gone though its lease is there.
+
+        An earlier sign-in, of this process or the one before it, may be carried out late: it attaches the key to an
+        older lease, and the end of that lease removes it.
+        """
+        follower = self.base.follower
+        read = follower.loaded and follower.revision >= self._signed_at
+        return read and self.base.settings.host_name not in self.base.picture.controllers
+
     def leave(self) -> Fiber[None]:
         """Give the lease up, with all that hangs on it, so that others need not wait for its end."""
         self.leaving = True
--- a/tests/mutants/transactions.py
+++ b/tests/mutants/transactions.py
@@ -7,6 +7,11 @@
 MUTANTS: dict[str, tuple[str, str, str]] = {
     "late-acceptance-of-what-is-over": (ACCEPTING, ".guard(OVER + job.job_id, 0).put(", ".put("),
     "accepted-twice": (ACCEPTING, "txn.guard(LIVE + job.job_id, 0).guard(", "txn.guard("),
+    "presence-gone-unseen": (
+        "ashtray/peers/presence.py",
+        "return read and self.base.settings.host_name not in self.base.picture.controllers",
+        "return False",
+    ),
     "fold-counted-twice": (
         KEEPING,
         "if record.applied.get(self.base.settings.host_name) != sent.fold:",
--- a/tests/test_meetings_transactions.py
+++ b/tests/test_meetings_transactions.py
@@ -734,6 +734,32 @@
     assert {"late 200", "late 409", "again 200 cancelled", "submit 200 cancelled", "submit 503 None"} <= met
 
 
+# Presence
+
+
+def signs_in_twice(late_s: float) -> tuple[Model, Troubles]:
+    """A controller whose first sign-in is carried out late; it has signed in with its second one since."""
+    model = Model(1, 3)
+    troubles = Troubles(model, KINDS["sign in"], Fate.LATE, late_s=(late_s, late_s))
+    model.run(3)
+    return model, troubles
+
+
+@pytest.mark.parametrize("late_s", [3.5, 4.5, 5.5])
+@pytest.mark.parametrize("back_s", [0.05, 0.3, None])
+def test_a_late_sign_in_takes_nobodys_presence_for_long(late_s: float, back_s: float | None) -> None:
+    # Found here: the late one attached the key to the lease of the process before, and went with that.
+    model, troubles = signs_in_twice(late_s)
+    number = int(troubles.meetings[0].transaction.source[1:])
+    if back_s is not None:
+        model.crash(number, back_s)
+    model.run(20)
+    troubles.check()
+    assert troubles.meetings[0].status == 200
+    assert f"{CONTROLLER}berth-{number}" in model.state.keys
+    assert all(f"berth-{number}" in host.core.presence.live() for host in model.hosts)
+
+
 # Acceptance
 
 
