Keep up to date which tasks are about to leave their machines

Nearly every plan went through all holds of the fleet for those that were told to stop, or whose attempt is broken. The picture now keeps them by job and looks only at jobs that changed. A plan's machines are read with fewer look-ups.

The generated test of the picture compares it with all holds looked at anew.

--- a/ashtray/placement/picture.py
+++ b/ashtray/placement/picture.py
@@ -342,6 +342,12 @@
         self._finished: dict[str, set[int]] = {}
         self._waiting: dict[str, list[int]] = {}
         self._stale: set[str] = set()
+        self._leaving: dict[str, list[tuple[str, Hold]]] = {}
+        """For each job, and the machines they are on, its holds whose tasks are about to end.
+
+        True of all jobs but those in `_leaving_stale`: of these a hold or the record has changed since.
+        """
+        self._leaving_stale: set[str] = set()
         self._unsure: set[str] = set()
         """Jobs all of whose tasks are done by changes that are later than what was read."""
         self._gone: dict[str, int] = {}
@@ -548,6 +554,7 @@
         self._placed.pop(job_id, None)
         self._finished.pop(job_id, None)
         self._stale.add(job_id)
+        self._leaving_stale.add(job_id)
 
     def _job_changed(self, job_id: str) -> None:
         self._holds_changed(job_id)
@@ -625,6 +632,24 @@
         """Whether all tasks of a job are done by what is shown, read or not."""
         return job.spec.kind != "service" and len(self.finished(job)) >= job.spec.tasks
 
+    def leaving(self) -> dict[str, list[tuple[str, Hold]]]:
+        """By job, the holds whose tasks were told to stop or are not to be started any more, and their machines."""
+        if self._leaving_stale:
+            stale, self._leaving_stale = self._leaving_stale, set()
+            for job_id in sorted(stale):
+                job = self.jobs.get(job_id)
+                broken = UNLIMITED if job is None else job.record.broken
+                found = [
+                    (name, hold)
+                    for (name, _), hold in self.held.get(job_id, {}).items()
+                    if hold.record.stop_us >= 0 or hold.attempt <= broken
+                ]
+                if found:
+                    self._leaving[job_id] = found
+                else:
+                    self._leaving.pop(job_id, None)
+        return self._leaving
+
     def version(self, key: str) -> int:
         return self._versions.get(key, 0)
 
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -11,7 +11,7 @@
 from ashtray.base import Base
 from ashtray.config.operators import Knobs
 from ashtray.config.settings import Team
-from ashtray.jobs.model import PRIORITIES, UNLIMITED, Job, JobSpec
+from ashtray.jobs.model import PRIORITIES, Job, JobSpec
 from ashtray.kernel import SECOND_US
 from ashtray.placement.floor import Floor
 from ashtray.placement.order import StatedTimes
@@ -126,21 +126,23 @@
             for key, group in picture.groups.items()
         }
         """Bytes that may still be written into each group's record, with a reserve for what must be."""
+        # Nothing more is put into a record that is nearly as large as a value may be.
+        full = {key for key, left in self.left.items() if left < HOLD_BYTES}
         for machine in picture.machines.values():
             kind = kinds.get(machine.type)
-            if kind is not None and not machine.record.retiring:
-                room = Room(
-                    machine,
-                    kind,
-                    kind.cpus - machine.cpus,
-                    kind.gpus - machine.gpus,
-                    kind.memory_gb - machine.memory_gb,
-                    picture.blame(machine) if machine.record.failed else 0,
-                )
-                # Nothing more is put into a record that is nearly as large as a value may be.
-                if self.left[machine.group] < HOLD_BYTES:
-                    room.cpus = room.gpus = room.memory_gb = -1.0
-                self.rooms.append(room)
+            record = machine.record
+            if kind is None or record.retiring:
+                continue
+            blame = picture.blame(machine) if record.failed else 0
+            if machine.group in full:
+                self.rooms.append(Room(machine, kind, -1.0, -1.0, -1.0, blame))
+                continue
+            cpus, gpus, memory_gb = (
+                kind.cpus - machine.cpus,
+                kind.gpus - machine.gpus,
+                kind.memory_gb - machine.memory_gb,
+            )
+            self.rooms.append(Room(machine, kind, cpus, gpus, memory_gb, blame))
         self.freed: list[Room] = []
         """Room that reports have freed and no commit has yet: only this controller knows of it."""
         self.no_victims: dict[Demand, int] = {}
@@ -329,16 +331,12 @@
     def _stopping(self) -> dict[str, tuple[float, float, float]]:
         """The room of tasks that are about to leave, by machine."""
         found: dict[str, tuple[float, float, float]] = {}
-        jobs = self.picture.jobs
-        for job_id, holds in self.picture.held.items():
-            job = jobs.get(job_id)
-            broken = UNLIMITED if job is None else job.record.broken
-            for (name, _), hold in holds.items():
-                if hold.record.stop_us >= 0 or hold.attempt <= broken:
-                    n = len(hold.tasks)
-                    c, g, m = found.get(name, (0.0, 0.0, 0.0))
-                    r = hold.record
-                    found[name] = (c + n * r.cpus, g + n * r.gpus, m + n * r.memory_gb)
+        for holds in self.picture.leaving().values():
+            for name, hold in holds:
+                n = len(hold.tasks)
+                c, g, m = found.get(name, (0.0, 0.0, 0.0))
+                r = hold.record
+                found[name] = (c + n * r.cpus, g + n * r.gpus, m + n * r.memory_gb)
         return found
 
     def _choose(
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -257,6 +257,17 @@
         job: {key: (hold.record, hold.tasks) for key, hold in held.items()} for job, held in picture.held.items()
     }
     names = ["crew", "free"]
+    leaving = {}
+    for job, held in picture.held.items():
+        live = picture.jobs.get(job)
+        ends = [
+            (name, id(hold))
+            for (name, _), hold in held.items()
+            if live is None or hold.record.stop_us >= 0 or hold.attempt <= live.record.broken
+        ]
+        if ends:
+            leaving[job] = sorted(ends)
+    assert {job: sorted((name, id(h)) for name, h in held) for job, held in picture.leaving().items()} == leaving
     return {
         "machines": {name: (machine.raw, machine.group) for name, machine in picture.machines.items()},
         "holds": holds,
