Keep leases alive in an outage by peers' statements of cancellations

Only controllers confirm cancellations. Each answer to a peer's word now states the cancellations beyond the revision that the peer has read, complete if every change since was followed. A controller with complete statements of all others knows each cancellation told before it asked for the oldest of them, ends those jobs' tasks at once, and renews on. Without one of them the bound holds as before; it is a module of its own now, each term of its sum a named constant.

test_leases_are_not_renewed_for_ever cut a controller from the state service alone, and expected its renewals to end: with its peers' statements they need not. It cuts it from a peer as well now, and a second test shows both directions.

--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -29,6 +29,7 @@
 from ashtray.teams.grants import Grants
 from ashtray.workers.desk import Desk
 from ashtray.workers.folding import most_later
+from ashtray.workers.renewal import RenewalGuard
 from ashtray.workers.splitting import Splitter
 
 UNWELL_US = 5 * SECOND_US
@@ -59,8 +60,11 @@
         times = StatedTimes(settings.cluster.objectives, pace)
         planner = Planner(base, times, Floor(self.picture, pace))
         self.presence = Presence(base, self.grants, Notice(hosts, word_us(len(hosts))))
-        self.peers = Peers(base, self.presence, lambda: self.desk.heard_us(), lambda: self._duties_moved())
-        self.desk = Desk(base, self.presence, self.peers, pace)
+        self.renewal = RenewalGuard(settings.cluster.workers, hosts)
+        self.peers = Peers(
+            base, self.presence, lambda: self.desk.heard_us(), lambda: self._duties_moved(), self._peer_stated
+        )
+        self.desk = Desk(base, self.presence, self.peers, pace, self.renewal)
         self.placer = Placer(base, self.presence, self.grants, pace, planner, self.desk)
         self.jobs = JobDesk(base, self.presence, self.peers, planner, pace.estimates, self.placer.changed)
         self.runner = Runner(base, self.presence, self.peers, pace, planner)
@@ -72,6 +76,12 @@
         self.kernel.fire(self.placer.kick)
         self.kernel.fire(self.runner.kick)
 
+    def _peer_stated(self, host: str, asked_us: int, cancelled: list[str]) -> None:
+        """A peer has stated all cancellations that it knows and this controller had not read: end their tasks."""
+        if self.picture.note_cancelled_elsewhere(cancelled):
+            self.desk.tend_all(self.picture.take_touched())
+        self.renewal.stated(host, asked_us)
+
     def _changed(self) -> None:
         self.limits.refused = self.store.refused
         if not self.limits.alike and (self.presence.upgraded() or self.picture.lean or self.store.refused):
--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -290,7 +290,7 @@
         finally:
             del self._looking[job_id]
         if reply.status == 200:
-            picture.note_over(job_id, reply.body["value"])
+            picture.note_over(job_id, reply.body["value"], reply.body["stamp"])
         elif reply.status == 404 and picture.loads == loads:
             picture.note_absent(job_id)
         self.kernel.fire(signal)
--- a/ashtray/peers/presence.py
+++ b/ashtray/peers/presence.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ashtray.base import Base
+from ashtray.jobs.cancellations import CancellationStatement
 from ashtray.jobs.model import Job
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Signal, Sleep, Wait
 from ashtray.placement.picture import CONTROLLER, FLEET
@@ -213,6 +214,8 @@
     """The age of the last report of each worker that it hears."""
     doubts: list[str] = []
     """Whom it doubts, by evidence of its own: see `standby/notice.py`."""
+    revision: Annotated[int, msgspec.Meta(ge=0)] | None = None
+    """Up to which revision of the state service it has read; the answer states the cancellations beyond it."""
     book: Book | None = None
     """What the fleet's runner knows, for its heirs: see `standby/book.py`."""
 
@@ -238,8 +241,13 @@
         presence: Presence,
         reports: Callable[[], dict[str, int]],
         moved: Callable[[], None] = lambda: None,
+        stated: Callable[[str, int, list[str]], None] = lambda host, asked_us, cancelled: None,
     ) -> None:
-        """`reports` tells when each worker that reports here was last heard; `moved` hears that duties move."""
+        """Tell peers what this controller knows, and take in what they say.
+
+        `reports` tells when each worker that reports here was last heard.  `moved` is called when duties move.
+        `stated` is called with each complete statement of cancellations: by whom, when it was asked, and the jobs.
+        """
         self.base = base
         self.presence = presence
         self.notice = presence.notice
@@ -248,6 +256,7 @@
         self.book: tuple[Book, int] | None = None
         """The last that came, and when."""
         self._moved = moved
+        self._stated = stated
         self._reports = reports
         self.peers = {p.host_name: PeerState(p.host_name, p.peer_addr) for p in base.settings.others}
         self.word_us = self.notice.word_us
@@ -261,7 +270,9 @@
     def run(self, peer: PeerState) -> Fiber[None]:
         kernel = self.base.kernel
         while True:
+            asked_us = kernel.now_us
             reply = yield from self._send(peer, self._word(peer.host))
+            self._take_statement(peer.host, asked_us, reply)
             self.notice.called(peer.host, reply.refused, reply.status != 0)
             self.judge()
             # One that refuses is asked again as soon as that would show something.
@@ -310,6 +321,8 @@
             book = self.write_book()
             if book is not None:
                 word["book"] = msgspec.to_builtins(book)
+        if base.follower.loaded:
+            word["revision"] = base.follower.revision
         return word | {
             "host": base.settings.host_name,
             "state_age_us": min(base.kernel.now_us - base.follower.read_us, MOST_US),
@@ -345,6 +358,23 @@
         reply: Reply = yield Call(peer.address, "POST", "/peer/word", body, SECOND_US)
         return reply
 
+    def _take_statement(self, host: str, asked_us: int, reply: Reply) -> None:
+        """Take in a peer's answer to a word; a version without statements answers with none."""
+        if reply.status != 200:
+            return
+        try:
+            statement = msgspec.convert(reply.body, CancellationStatement)
+        except msgspec.ValidationError:
+            return
+        if statement.complete:
+            self._stated(host, asked_us, statement.cancelled)
+
+    def _statement(self, beyond: int | None) -> CancellationStatement:
+        """The cancellations beyond a revision that users may have been told of by this controller."""
+        follower = self.base.follower
+        followed_from = follower.followed_from if follower.loaded else None
+        return self.base.picture.cancellations.statement(followed_from, beyond)
+
     def on_word(self, request_id: int, body: Any) -> None:
         kernel = self.base.kernel
         peer = self.peers.get(str(body.get("host"))) if isinstance(body, dict) else None
@@ -374,7 +404,7 @@
         self.notice.word(peer.host, kernel.now_us, word.state_age_us, word.doubts)
         self._nudge(self.notice.wants_a_look(kernel.now_us))
         self.judge()
-        kernel.answer(request_id, 200, {})
+        kernel.answer(request_id, 200, msgspec.to_builtins(self._statement(word.revision)))
 
     def better_connected(self, after_us: int = 3 * SECOND_US) -> str | None:
         """A peer that reads from the state service while this controller has not for that long."""
--- a/ashtray/placement/picture.py
+++ b/ashtray/placement/picture.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from itertools import islice
 from typing import Any
 
 import msgspec
 
+from ashtray.jobs.cancellations import CancellationLog
 from ashtray.jobs.model import LIVE, MOST_LATER, OVER, UNLIMITED, Job
 from ashtray.jobs.needs import Needs
 from ashtray.placement import lean
@@ -269,6 +270,8 @@
         """Whether a record in lean form was seen: then no controller of the version before is about."""
         self.over: dict[str, Any] = {}
         """Final states of jobs, read or seen lately; they never change."""
+        self.cancellations = CancellationLog()
+        """The cancellations that were seen lately, for peers that cannot read the state service."""
         self.job_bytes = job_bytes
         """What a job's record may take."""
         self.clear()
@@ -313,6 +316,11 @@
         self._stale: set[str] = set()
         self._unsure: set[str] = set()
         """Jobs all of whose tasks are done by changes that are later than what was read."""
+        self.cancelled_elsewhere: set[str] = set()
+        """Jobs that are cancelled by the word of a peer, while this controller has not read so itself.
+
+        Some may be unknown here: accepted, placed and cancelled since the last read.
+        """
         self._gone: dict[str, int] = {}
         """What this process has removed itself, later than what was read: older changes of it may still come in."""
 
@@ -328,7 +336,7 @@
 
     def put(self, key: str, value: Any, version: int) -> None:
         if key.startswith(OVER):
-            self.note_over(key[len(OVER) :], value)
+            self.note_over(key[len(OVER) :], value, version)
             return
         if max(self._versions.get(key, 0), self._gone.get(key, 0)) >= version:
             return
@@ -408,8 +416,12 @@
             # Its size is of no more use: it is not written again.
             self._put_group(key, group.value, group.version)
 
-    def note_over(self, job_id: str, state: Any) -> None:
+    def note_over(self, job_id: str, state: Any, version: int) -> None:
+        """Take in a job's final state, written by the change of revision `version`."""
+        if job_id not in self.over and state["status"] == "cancelled":
+            self.cancellations.note(version, job_id)
         self.over[job_id] = state
+        self.cancelled_elsewhere.discard(job_id)
         self.absent.pop(job_id, None)
         after = self.needs.over(job_id, state)
         if after:
@@ -590,8 +602,21 @@
 
     def is_over(self, job_id: str) -> bool:
         """Whether a job is known to be over; one that is merely not known yet is not."""
+        if job_id in self.cancelled_elsewhere:
+            return True
         return job_id not in self.jobs and (job_id in self.over or job_id in self.held)
 
+    def note_cancelled_elsewhere(self, job_ids: Iterable[str]) -> bool:
+        """Take a peer's word that jobs are cancelled; says whether that is news.
+
+        None of their tasks may run any more.  Their records are read once the state service can be.
+        """
+        news = {job_id for job_id in job_ids if job_id not in self.over} - self.cancelled_elsewhere
+        self.cancelled_elsewhere |= news
+        for job_id in sorted(news):
+            self.touched |= {machine for machine, _ in self.held.get(job_id, ())}
+        return bool(news)
+
     def placed(self, job_id: str) -> set[int]:
         """The tasks of a job that hold room somewhere."""
         tasks = self._placed.get(job_id)
--- a/ashtray/store/follower.py
+++ b/ashtray/store/follower.py
@@ -57,6 +57,8 @@
         self.mirror = mirror
         self.changed = changed
         self.revision = 0
+        self.followed_from = 0
+        """The revision from which on every change has been followed, where the picture is loaded."""
         self.controllers = 1
         """How many follow: they share the requests."""
         self.loaded = False
@@ -133,7 +135,7 @@
                 after = item["k"]
             if not reply.body["truncated"] or not reply.body["items"]:
                 break
-        self.revision = revision
+        self.revision = self.followed_from = revision
         self._paged = True
         return True
 
--- a/ashtray/workers/desk.py
+++ b/ashtray/workers/desk.py
@@ -16,6 +16,7 @@
 from ashtray.workers import messages
 from ashtray.workers.folding import Evidence, Fold, adoption, ends_later, hold_is_dead, saves_now
 from ashtray.workers.messages import Report, TaskKey, parse_report
+from ashtray.workers.renewal import RenewalGuard
 
 TOKEN_SHIFT = 40
 FOLD_US = 150_000
@@ -70,8 +71,9 @@
 
 
 class Desk:
-    def __init__(self, base: Base, presence: Presence, peers: Peers, pace: Pace) -> None:
+    def __init__(self, base: Base, presence: Presence, peers: Peers, pace: Pace, renewal: RenewalGuard) -> None:
         self.base = base
+        self.renewal = renewal
         self.kernel = base.kernel
         self.presence = presence
         self.peers = peers
@@ -96,17 +98,6 @@
 
     # Reports
 
-    def renewing(self) -> bool:
-        """Whether leases may be renewed: see `docs/design.md`, cancellation.
-
-        A cancellation that this controller has not read of was accepted after its last good read began.  If no
-        lease is renewed later than cancel_s - lease_s after that, all tasks of its workers end in time.
-        """
-        times = self.base.settings.cluster.workers
-        margin = 1.0 + 0.002 * times.cancel_s
-        limit_us = int(max(times.cancel_s - times.lease_s - margin, 0.5) * SECOND_US)
-        return self.kernel.now_us - self.base.follower.read_us <= limit_us
-
     def on_report(self, request_id: int, body: Any) -> None:
         report = parse_report(body)
         if report is None:
@@ -131,7 +122,8 @@
             worker.began.clear()
             self.kernel.answer(request_id, 421, {"foreman": foreman})
             return
-        if not self.renewing():
+        if not self.renewal.may_renew(self.kernel.now_us, self.base.follower.read_us):
+            # Safety point 5: cancellations may have been confirmed elsewhere that this controller does not know of.
             self.kernel.answer(request_id, 503, {"error": "cut off from the state service"})
             return
         met = worker.token == 0
@@ -360,7 +352,7 @@
         fresh = self.kernel.now_us - self.base.follower.read_us < FRESH_US
         for hold in machine.holds:
             dead = hold_is_dead(picture, hold.job, hold.attempt, hold.record.stop_us)
-            over = hold.job not in picture.jobs
+            over = picture.is_over(hold.job)
             for task in hold.tasks:
                 key = (hold.job, hold.attempt, task)
                 held.add(key)
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -75,7 +75,9 @@
 def hold_is_dead(picture: Picture, job_id: str, attempt: int, stop_us: int) -> bool:
     """Whether a hold's tasks are not to be started any more."""
     job = picture.jobs.get(job_id)
-    return job is None or stop_us >= 0 or attempt <= job.record.broken
+    if job is None or stop_us >= 0 or attempt <= job.record.broken:
+        return True
+    return job_id in picture.cancelled_elsewhere
 
 
 @dataclass
--- a/tests/mutants/safety.py
+++ b/tests/mutants/safety.py
@@ -56,7 +56,11 @@
     ),
     "no-doubt": (DESK, "if not reply.refused and worker.token == token:", "if False:"),
     "orders-in-flight-ignored": (DESK, "busy = worker.in_flight or worker.answered is not None", "busy = False"),
-    "renew-for-ever": (DESK, "return self.kernel.now_us - self.base.follower.read_us <= limit_us", "return True"),
+    "renew-for-ever": (
+        "ashtray/workers/renewal.py",
+        "return now_us - self.informed_us(now_us, read_us) <= self.bound_us",
+        "return True",
+    ),
     "job-not-guarded": (PLACER, "txn.guard(LIVE + job.id, job.version).put(", "txn.put("),
     "groups-not-guarded": (PICTURE, "        txn.guard(group.key, group.version)\n", ""),
     "team-not-guarded": (PLACER, "txn.guard(TEAM + name, picture.version(TEAM + name))", "pass"),
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -1,6 +1,7 @@
 """Safety points that generated faults seldom reach, each shown directly."""
 
 import msgspec
+import pytest
 
 from ashtray.kernel import Call, Kernel, Reply
 from ashtray.placement import lean
@@ -130,16 +131,36 @@
     assert not desk._owns(desk.workers[name], machine)
 
 
-def test_leases_are_not_renewed_for_ever_without_the_state_service():
+def renews(model: Model, number: int) -> bool:
+    core = model.hosts[number].core
+    return core.renewal.may_renew(model.clock(model.hosts[number])[0], core.follower.read_us)
+
+
+@pytest.mark.parametrize("peers_in_reach", [0, 1])
+def test_leases_are_not_renewed_for_ever_without_the_state_service(peers_in_reach):
     model = settled()
-    desk = model.hosts[0].core.desk
-    assert desk.renewing()
+    assert renews(model, 0)
     model.cut("c0", "state", 60, False)
+    for peer in range(1, 3 - peers_in_reach):
+        model.cut("c0", f"c{peer}", 60, False)
     # Up to the limit short outages kill no work; past it a cancellation elsewhere could be missed.
     model.run(CANCEL_S - LEASE_S - 3)
-    assert desk.renewing()
+    assert renews(model, 0)
     model.run(3)
-    assert not desk.renewing()
+    assert not renews(model, 0)
+
+
+def test_leases_are_renewed_while_all_peers_state_the_cancellations_that_they_know():
+    model = settled()
+    model.cut("c0", "state", 200, False)
+    model.run(3 * CANCEL_S)
+    assert renews(model, 0)
+    # One of them alone may have confirmed a cancellation since.
+    model.cut("c0", "c2", 200, False)
+    model.run(CANCEL_S - LEASE_S - 4)
+    assert renews(model, 0)
+    model.run(4)
+    assert not renews(model, 0)
 
 
 def test_a_machine_that_two_controllers_adopt_at_once_gets_into_one_group():
