Announce a committed cancellation to all peers before its user is told

A peer read of a cancellation with its next look, some tenths of a second later, and could start a task of the job on its picture of before.

The controller that committed a cancellation now tells all peers in one message (those of 3 ms together), and answers its user when they have answered, or after 0.3 s. Each ends the job's tasks at once and starts none. No rule rests on it.

--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -7,6 +7,8 @@
 from functools import partial
 from typing import Any
 
+import msgspec
+
 from ashtray.base import Base
 from ashtray.config.operators import Knobs
 from ashtray.config.settings import Settings
@@ -17,6 +19,8 @@
 from ashtray.jobs.pace import Pace
 from ashtray.jobs.service import JobDesk
 from ashtray.kernel import SECOND_US, Fiber, Kernel, Output, Reply
+from ashtray.peers import announcements
+from ashtray.peers.announcements import CancellationNotice
 from ashtray.peers.presence import Peers, Presence, word_us
 from ashtray.placement.floor import Floor
 from ashtray.placement.order import StatedTimes
@@ -76,12 +80,27 @@
         self.kernel.fire(self.placer.kick)
         self.kernel.fire(self.runner.kick)
 
-    def _peer_stated(self, host: str, asked_us: int, cancelled: list[str]) -> None:
-        """A peer has stated all cancellations that it knows and this controller had not read: end their tasks."""
-        if self.picture.note_cancelled_elsewhere(cancelled):
+    def _cancelled_elsewhere(self, job_ids: list[str]) -> None:
+        """A peer knows of cancellations that this controller may not have read: end the jobs' tasks."""
+        if self.picture.note_cancelled_elsewhere(job_ids):
             self.desk.tend_all(self.picture.take_touched())
+
+    def _peer_stated(self, host: str, asked_us: int, cancelled: list[str]) -> None:
+        """A peer has stated all cancellations that it knows and this controller had not read."""
+        self._cancelled_elsewhere(cancelled)
         self.renewal.stated(host, asked_us)
 
+    def _on_cancellation_notice(self, request_id: int, body: Any) -> None:
+        try:
+            notice = msgspec.convert(body, CancellationNotice)
+        except msgspec.ValidationError as error:
+            self.kernel.answer(request_id, 400, {"error": str(error)[:200]})
+            return
+        if self.follower.loaded:
+            # What is not read yet is read later than this cancellation.
+            self._cancelled_elsewhere(notice.cancelled)
+        self.kernel.answer(request_id, 200, {})
+
     def _changed(self) -> None:
         self.limits.refused = self.store.refused
         if not self.limits.alike and (self.presence.upgraded() or self.picture.lean or self.store.refused):
@@ -195,6 +214,8 @@
         self.kernel.advance(now_us, wall_us)
         if path == "/peer/word" and method == "POST":
             self.peers.on_word(request_id, body)
+        elif path == announcements.PATH and method == "POST":
+            self._on_cancellation_notice(request_id, body)
         elif path == "/peer/request" and method == "POST" and isinstance(body, dict):
             self._route(
                 request_id, str(body.get("method")), str(body.get("path")), body.get("body"), True, handed=True
--- a/ashtray/inbox.py
+++ b/ashtray/inbox.py
@@ -48,7 +48,7 @@
         return Rank.DUTIES, PROBE_PATIENCE_US
     if path.endswith("/abort"):
         return Rank.DUTIES, CHANGE_PATIENCE_US
-    if path == "/peer/word":
+    if path in ("/peer/word", "/peer/cancelled"):
         return Rank.DUTIES, FOR_EVER_US
     return Rank.USERS, CHANGE_PATIENCE_US if path in ("/submissions", "/peer/request") else POLL_PATIENCE_US
 
--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -363,6 +363,7 @@
                 break
             if (yield from self.base.follower.commit(cancellation, 2, Urgency.CANCEL, "cancel")):
                 self.kernel.log("info", f"{job_id} cancelled")
+                yield from self.peers.announcer.announce(job_id)
                 self.kernel.answer(request_id, 200, state_body(job_id, "cancelled"))
                 return
         else:
--- /dev/null
+++ b/ashtray/peers/announcements.py
@@ -0,0 +1,71 @@
+"""Tells all peers of a cancellation before its user is told, so that none of them starts a task of the job any more.
+
+Peers read of a cancellation with their next look at the state service, some tenths of a second later.  Until then one
+of them may start a task on its picture of before.  No rule rests on this message: where a peer does not answer, the
+user is told all the same, and the peer reads of the cancellation.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Annotated
+
+import msgspec
+
+from ashtray.kernel import Call, Fiber, Kernel, Signal, Sleep, Wait
+
+PATH = "/peer/cancelled"
+BATCH_US = 3_000
+"""Cancellations that come within this time share a message."""
+PATIENCE_US = 300_000
+"""A user waits no longer than this for the peers' answers."""
+
+
+class CancellationNotice(msgspec.Struct):
+    """The message to a peer: these jobs' cancellations have been committed."""
+
+    cancelled: list[Annotated[str, msgspec.Meta(max_length=100)]]
+
+
+@dataclass
+class _Batch:
+    """Cancellations that go out together."""
+
+    job_ids: list[str] = field(default_factory=list)
+    unanswered: int = 0
+    answered: Signal = field(default_factory=Signal)
+    """Fired when all peers have answered or failed to."""
+
+
+class CancellationAnnouncer:
+    """Sends committed cancellations to all peers, those of one moment in one message to each."""
+
+    def __init__(self, kernel: Kernel, addresses: Iterable[str]) -> None:
+        self._kernel = kernel
+        self._addresses = list(addresses)
+        self._open: _Batch | None = None
+
+    def announce(self, job_id: str) -> Fiber[None]:
+        """Tell all peers that a job's cancellation is committed; returns once they know, or after `PATIENCE_US`."""
+        if not self._addresses:
+            return
+        if self._open is None:
+            self._open = _Batch()
+            self._kernel.spawn(self._send(self._open))
+        batch = self._open
+        batch.job_ids.append(job_id)
+        yield Wait(batch.answered, BATCH_US + PATIENCE_US)
+
+    def _send(self, batch: _Batch) -> Fiber[None]:
+        yield Sleep(BATCH_US)
+        self._open = None
+        batch.unanswered = len(self._addresses)
+        for address in self._addresses:
+            self._kernel.spawn(self._tell(address, batch))
+
+    def _tell(self, address: str, batch: _Batch) -> Fiber[None]:
+        yield Call(address, "POST", PATH, {"cancelled": batch.job_ids}, PATIENCE_US)
+        batch.unanswered -= 1
+        if not batch.unanswered:
+            self._kernel.fire(batch.answered)
--- a/ashtray/peers/presence.py
+++ b/ashtray/peers/presence.py
@@ -15,6 +15,7 @@
 from ashtray.jobs.cancellations import CancellationStatement
 from ashtray.jobs.model import Job
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Signal, Sleep, Wait
+from ashtray.peers.announcements import CancellationAnnouncer
 from ashtray.placement.picture import CONTROLLER, FLEET
 from ashtray.standby.book import HEIRS, Book
 from ashtray.standby.notice import TELL, Notice
@@ -259,6 +260,7 @@
         self._stated = stated
         self._reports = reports
         self.peers = {p.host_name: PeerState(p.host_name, p.peer_addr) for p in base.settings.others}
+        self.announcer = CancellationAnnouncer(base.kernel, [peer.address for peer in self.peers.values()])
         self.word_us = self.notice.word_us
         self._doubts: set[str] = set()
         """Whom this controller doubted when it last looked."""
--- a/tests/mutants/gap.py
+++ b/tests/mutants/gap.py
@@ -2,7 +2,8 @@
 
 TESTS = ["tests/test_meetings_gap.py"]
 RENEWAL, LOG = "ashtray/workers/renewal.py", "ashtray/jobs/cancellations.py"
-PICTURE, PRESENCE, DESK = "ashtray/placement/picture.py", "ashtray/peers/presence.py", "ashtray/workers/desk.py"
+PICTURE, PRESENCE = "ashtray/placement/picture.py", "ashtray/peers/presence.py"
+SERVICE = "ashtray/jobs/service.py"
 
 MUTANTS: dict[str, tuple[str, str, str]] = {
     "bound-without-the-lease": (
@@ -11,7 +12,7 @@
         "int(times.cancel_s * SECOND_US - drift_us)",
     ),
     "bound-without-the-drift": (RENEWAL, "2 * CLOCK_DRIFT * times.cancel_s * SECOND_US", "0"),
-    "bound-without-the-worker's-delay": (RENEWAL, "- drift_us) - WORKER_DELAY_US", "- drift_us)"),
+    "bound-without-the-worker-delay": (RENEWAL, "- drift_us) - WORKER_DELAY_US", "- drift_us)"),
     "one-statement-is-enough": (
         RENEWAL,
         "min(self._stated_us.values(), default=now_us)",
@@ -40,4 +41,14 @@
         "self.cancellations.note(version, job_id)",
         "pass",
     ),
+    "cancellations-are-not-announced": (
+        SERVICE,
+        "yield from self.peers.announcer.announce(job_id)",
+        "pass",
+    ),
+    "announced-cancellations-are-ignored": (
+        "ashtray/controller.py",
+        "self._cancelled_elsewhere(notice.cancelled)",
+        "pass",
+    ),
 }
--- a/tests/test_meetings_gap.py
+++ b/tests/test_meetings_gap.py
@@ -389,3 +389,43 @@
     # What there was no room for is missing.
     assert not log.statement(10, 12).complete
     assert log.statement(10, 20).complete
+
+
+# Starts after a confirmed cancellation
+
+
+def starts_after_confirmation(model: Model) -> list[tuple[str, int]]:
+    """Collect the starts of tasks, with how long after the confirmation in microseconds."""
+    late: list[tuple[str, int]] = []
+    started = model._started
+
+    def note(machine: str, key: tuple[str, int, int]) -> None:
+        told_us = model.jobs[key[0]].cancelled_us
+        if told_us is not None:
+            late.append((key[0], model.now - told_us))
+        started(machine, key)
+
+    model._started = note
+    for worker in model.workers.values():
+        worker.world.started = note
+    return late
+
+
+@pytest.mark.parametrize("seed", [3, 4, 5])
+def test_no_task_starts_once_its_user_was_told_of_the_cancellation(seed):
+    model, _ = deploy(seed)
+    # Room, and the image is there: what is launched starts at once.
+    model.cancel("job-0")
+    model.cancel("job-1")
+    model.run(3)
+    late = starts_after_confirmation(model)
+    before = model.starts
+    for n in range(100, 180):
+        model.submit(submission(f"job-{n}", pieces=1, cpus=0.1, crew="free", hulls=["small"], expect_s=60.0))
+        model.at((n - 100) * 25_000, lambda n=n: cancel_at(model, f"job-{n}", n % HOSTS))
+        model.run(0.15)
+    model.run(5)
+    told = [model.jobs[f"job-{n}"].cancelled_us for n in range(100, 180)]
+    # Some were started before, and some were cancelled before that.
+    assert all(told) and 10 < model.starts - before < 80
+    assert late == []
