Rename the fleet's boot times, forecast and cloud messages

Cause: names such as Boots, Kind, Future and Berth, and tuples whose fields were told by their places.

--- a/ashtray/fleet/forecast.py
+++ b/ashtray/fleet/forecast.py
@@ -1,11 +1,11 @@
-"""When the queue would be served by the machines that are there or coming, and what renting would change."""
+"""When the queue would be served by the machines that are present or pending, and what renting would change."""
 
 from __future__ import annotations
 
 import heapq
 from bisect import insort
-from collections.abc import Callable, Iterable
-from typing import Any
+from collections.abc import Callable, Iterable, Iterator
+from typing import NamedTuple
 
 from ashtray.jobs.model import Job, JobSpec
 from ashtray.kernel import SECOND_US
@@ -15,45 +15,60 @@
 NEVER_US = 1 << 62
 MAX_STEPS = 4000
 """Machines looked at in one forecast: more is left for the next one."""
+EPSILON = 1e-6
+STOPPING_US = 2 * SECOND_US
+"""How long tasks that were told to stop may be expected to hold their places."""
 
 
-class Future:
+class Release(NamedTuple):
+    """Room that tasks free on a machine at a time of day.  Releases sort by time."""
+
+    at_us: int
+    cpus: float
+    gpus: float
+    memory_gb: float
+
+
+class FutureMachine:
     """A machine with the room that is free on it, from when on, and what will be freed later."""
 
     __slots__ = ("room", "from_us", "releases", "used")
 
-    def __init__(self, room: Room, from_us: int, releases: list[tuple[int, float, float, float]]) -> None:
+    def __init__(self, room: Room, from_us: int, releases: list[Release]) -> None:
         self.room = room
         self.from_us = from_us
+        """The time of day from which on tasks can start here."""
         self.releases = sorted(releases)
         self.used = False
         """Whether tasks that wait were put here."""
 
     def earliest_us(self, spec: JobSpec) -> int:
-        """When a task of this size fits."""
+        """The time of day at which a task of this size fits."""
         if self.room.fits(spec):
             return self.from_us
-        cpus, gpus, memory = self.room.cpus, self.room.gpus, self.room.memory_gb
-        eps = 1e-6
-        for at_us, c, g, m in self.releases:
-            cpus, gpus, memory = cpus + c, gpus + g, memory + m
-            if cpus + eps >= spec.cpus and gpus + eps >= spec.gpus and memory + eps >= spec.memory_gb:
-                return max(at_us, self.from_us)
+        cpus, gpus, memory_gb = self.room.cpus, self.room.gpus, self.room.memory_gb
+        for release in self.releases:
+            cpus += release.cpus
+            gpus += release.gpus
+            memory_gb += release.memory_gb
+            enough_memory = memory_gb + EPSILON >= spec.memory_gb
+            if cpus + EPSILON >= spec.cpus and gpus + EPSILON >= spec.gpus and enough_memory:
+                return max(release.at_us, self.from_us)
         return NEVER_US
 
     def take(self, spec: JobSpec, at_us: int, most: int, run_us: int) -> int:
-        """Put tasks here at that time; what is put later starts no earlier."""
+        """Put up to `most` tasks here at that time, and return how many fit; what is put later starts no earlier."""
         self.from_us = max(self.from_us, at_us)
-        while self.releases and self.releases[0][0] <= at_us:
-            _, c, g, m = self.releases.pop(0)
-            self.room.cpus += c
-            self.room.gpus += g
-            self.room.memory_gb += m
+        while self.releases and self.releases[0].at_us <= at_us:
+            release = self.releases.pop(0)
+            self.room.cpus += release.cpus
+            self.room.gpus += release.gpus
+            self.room.memory_gb += release.memory_gb
         count = min(most, self.room.fits(spec))
         self.room.take(spec, count)
         if count:
             self.used = True
-            freed = (at_us + run_us, count * spec.cpus, count * spec.gpus, count * spec.memory_gb)
+            freed = Release(at_us + run_us, count * spec.cpus, count * spec.gpus, count * spec.memory_gb)
             insort(self.releases, freed)
         return count
 
@@ -62,115 +77,132 @@
     """When the tasks of a hold may be expected to end, as the time of day."""
     job = picture.jobs.get(hold.job)
     if job is None or hold.record.stop_us >= 0:
-        return wall_us + 2 * SECOND_US
+        return wall_us + STOPPING_US
     if job.spec.kind == "service":
         return NEVER_US
     end_us = hold.record.placed_us + run_us(job)
-    # One that runs over its estimate is as likely to go on for a part of what it has run.
+    # A task that runs over its estimate is as likely to go on for a part of what it has run.
     return max(end_us, wall_us + (wall_us - hold.record.placed_us) // 4 + SECOND_US)
 
 
-def futures(
+def future_machines(
     picture: Picture, rooms: Iterable[Room], wall_us: int, ready_us: dict[str, int], run_us: Callable[[Job], int]
-) -> list[Future]:
+) -> list[FutureMachine]:
+    """The machines of a forecast; `ready_us` says when those that are pending may be expected."""
     found = []
     for room in rooms:
         releases = []
         for hold in room.machine.holds:
-            n = len(hold.tasks)
-            r = hold.record
+            number = len(hold.tasks)
+            record = hold.record
             at_us = hold_ends_us(picture, hold, wall_us, run_us)
-            releases.append((at_us, n * r.cpus, n * r.gpus, n * r.memory_gb))
-        found.append(Future(room, ready_us.get(room.machine.name, wall_us), releases))
+            releases.append(Release(at_us, number * record.cpus, number * record.gpus, number * record.memory_gb))
+        found.append(FutureMachine(room, ready_us.get(room.machine.name, wall_us), releases))
     return found
 
 
+class MachineClass(NamedTuple):
+    """What decides which machines a job may use, beside the size of its tasks."""
+
+    job_class: str
+    types: tuple[str, ...]
+    zone: str | None
+    spot: bool
+
+    def allows(self, future: FutureMachine) -> bool:
+        """Whether a machine is of an allowed type, zone and kind."""
+        machine = future.room.machine
+        return (
+            (not self.types or machine.type in self.types)
+            and self.zone in (None, machine.zone)
+            and (self.spot or not machine.record.spot)
+        )
+
+
+class QueueEntry(NamedTuple):
+    """A machine by its place in the forecast, and when it has room; entries sort by time."""
+
+    at_us: int
+    number: int
+
+
 class Forecast:
-    """The queue served in order on what is there, what is coming and what is wished for.
+    """The queue served in order on machines that are present, pending and called for.
 
     Jobs of one class that may use the same machines share one heap of these by the earliest time that they have
     room; an entry that another job has made too early is put back when it comes up.
     """
 
-    def __init__(self, fleet: list[Future]) -> None:
-        self.fleet = fleet
+    def __init__(self, machines: list[FutureMachine]) -> None:
+        self.machines = machines
         self.steps = MAX_STEPS
-        self._heaps: dict[tuple[Any, ...], list[tuple[int, int]]] = {}
-        self._taken: list[tuple[int, int]] = []
+        """How many more times tasks may be put on a machine."""
+        self._heaps: dict[MachineClass, list[QueueEntry]] = {}
+        self._taken: list[QueueEntry] = []
 
-    def _heap(self, ask: Ask) -> list[tuple[int, int]]:
+    def _heap(self, ask: Ask) -> list[QueueEntry]:
         spec = ask.spec
-        zone = ask.zone or spec.zone
-        key = (spec.job_class, tuple(spec.types or ()), zone, spec.spot)
-        heap = self._heaps.get(key)
+        allowed = MachineClass(spec.job_class, tuple(spec.types or ()), ask.zone or spec.zone, spec.spot)
+        heap = self._heaps.get(allowed)
         if heap is None:
-            heap = self._heaps[key] = [
-                (at_us, n)
-                for n, future in enumerate(self.fleet)
-                if may_use(future, spec, zone) and (at_us := future.earliest_us(spec)) < NEVER_US
-            ]
+            heap = self._heaps[allowed] = list(self._entries(allowed, spec))
             heapq.heapify(heap)
         return heap
 
+    def _entries(self, allowed: MachineClass, spec: JobSpec) -> Iterator[QueueEntry]:
+        for number, machine in enumerate(self.machines):
+            fits = machine.room.type.fits(spec.cpus, spec.gpus, spec.memory_gb) > 0
+            if not fits or not allowed.allows(machine):
+                continue
+            at_us = machine.earliest_us(spec)
+            if at_us < NEVER_US:
+                yield QueueEntry(at_us, number)
+
     def earliest(self, ask: Ask) -> int:
-        """When the next task of a job would have room."""
+        """The time of day at which the next task of a job would have room, or `NEVER_US`."""
         heap = self._heap(ask)
         while heap:
-            at_us, n = heap[0]
-            again_us = self.fleet[n].earliest_us(ask.spec)
-            if again_us <= at_us:
-                return at_us
+            entry = heap[0]
+            at_us = self.machines[entry.number].earliest_us(ask.spec)
+            if at_us <= entry.at_us:
+                return entry.at_us
             heapq.heappop(heap)
-            if again_us < NEVER_US:
-                heapq.heappush(heap, (again_us, n))
+            if at_us < NEVER_US:
+                heapq.heappush(heap, QueueEntry(at_us, entry.number))
         return NEVER_US
 
     def take(self, ask: Ask, most: int, run_us: int) -> int:
-        """Put tasks where `earliest` found room; returns how many."""
+        """Put up to `most` tasks where `earliest` found room; returns how many."""
         self.steps -= 1
         heap = self._heap(ask)
-        at_us, n = heapq.heappop(heap)
-        got = self.fleet[n].take(ask.spec, at_us, most, run_us)
-        again_us = self.fleet[n].earliest_us(ask.spec)
-        if again_us < NEVER_US and (got or again_us > at_us):
+        entry = heapq.heappop(heap)
+        machine = self.machines[entry.number]
+        count = machine.take(ask.spec, entry.at_us, most, run_us)
+        again_us = machine.earliest_us(ask.spec)
+        if again_us < NEVER_US and (count or again_us > entry.at_us):
+            again = QueueEntry(again_us, entry.number)
             if ask.spec.kind == "gang":
-                self._taken.append((again_us, n))
+                self._taken.append(again)
             else:
-                heapq.heappush(heap, (again_us, n))
-        return got
+                heapq.heappush(heap, again)
+        return count
 
     def served(self, ask: Ask) -> None:
         """A job's tasks have their places: what its gang took may be taken again after it.
 
-        Not before, for its tasks run at the same time: found by the model test, a gang waited for ever for a
-        second machine because the forecast ran half of it after the other half.
+        Not before, for its tasks run at the same time.  The model test found a gang that waited for ever for a second
+        machine, because the forecast ran half of it after the other half.
         """
         heap = self._heap(ask)
         for entry in self._taken:
             heapq.heappush(heap, entry)
         self._taken.clear()
 
-    def add(self, future: Future, ask: Ask) -> None:
-        """A machine that is wished for: this job may use it, and so may others that it suits."""
-        n = len(self.fleet)
-        self.fleet.append(future)
+    def add(self, machine: FutureMachine, ask: Ask) -> None:
+        """Add a machine that is called for: this job may use it, and so may others that it suits."""
+        number = len(self.machines)
+        self.machines.append(machine)
         self._heap(ask)
-        for (_, types, zone, spot), heap in self._heaps.items():
-            machine = future.room.machine
-            if (
-                (not types or machine.type in types)
-                and zone in (None, machine.zone)
-                and (spot or not machine.record.spot)
-            ):
-                heapq.heappush(heap, (future.from_us, n))
-
-
-def may_use(future: Future, spec: JobSpec, zone: str | None) -> bool:
-    machine = future.room.machine
-    kind = future.room.type
-    return (
-        (not spec.types or machine.type in spec.types)
-        and zone in (None, machine.zone)
-        and (spec.spot or not machine.record.spot)
-        and kind.fits(spec.cpus, spec.gpus, spec.memory_gb) > 0
-    )
+        for allowed, heap in self._heaps.items():
+            if allowed.allows(machine):
+                heapq.heappush(heap, QueueEntry(machine.from_us, number))
--- a/ashtray/fleet/runner.py
+++ b/ashtray/fleet/runner.py
@@ -16,9 +16,10 @@
 import msgspec
 
 from ashtray.base import Base
-from ashtray.fleet.boots import Boots, Kind
-from ashtray.fleet.forecast import NEVER_US, Forecast, Future, futures
-from ashtray.fleet.messages import BerthList, deletion, parse_types, rental
+from ashtray.fleet.boot_times import BootTimes
+from ashtray.fleet.forecast import NEVER_US, Forecast, FutureMachine, future_machines
+from ashtray.fleet.machine_kind import NO_KIND, MachineKind
+from ashtray.fleet.messages import MachineList, deletion, parse_types, rental, rented_names
 from ashtray.jobs.model import LIVE, Job
 from ashtray.jobs.pace import Pace
 from ashtray.kernel import SECOND_US, Call, Fiber, Reply, Signal, Sleep, Wait
@@ -57,7 +58,7 @@
 class Coming:
     """A machine that was rented or listed and has not reported yet."""
 
-    kind: Kind
+    kind: MachineKind
     since_us: int
     up: bool = False
     up_us: int = 0
@@ -90,7 +91,7 @@
         A gang's machines come up one after the other: returned as idle before the last one is up, they would
         never be there together.
         """
-        self.blocked: dict[Kind, tuple[int, int]] = {}
+        self.blocked: dict[MachineKind, tuple[int, int]] = {}
         """Kinds without capacity: until when not to ask, and how often it was refused."""
         self.cheapest_for_urgent: dict[str, tuple[str, bool]] = {}
         """For each class with an aim on waiting, the type and kind that serves it at the least price."""
@@ -98,7 +99,7 @@
         self.started_us = 0
         self.bucket = Bucket(base.settings.cluster.cloud.rps * 0.8, 1.0, self.kernel.now_us)
         self.pause_until_us = 0
-        self.boots = Boots(base.picture, base.knobs.boot_patience)
+        self.boot_times = BootTimes(base.picture, base.knobs.boot_patience)
         self._newest = ""
         """The last name that was ever listed."""
         self._seq = 0
@@ -234,7 +235,7 @@
             latest({name: now - at_us for name, at_us in self.gone.items()}),
             latest({name: now - at_us for name, at_us in self.idle_since.items()}),
             [(*kind, until - now, times) for kind, (until, times) in self.blocked.items() if until > now],
-            [(*kind, ratio) for kind, ratio in sorted(self.boots.ratios().items())],
+            [(*kind, ratio) for kind, ratio in sorted(self.boot_times.ratios().items())],
         )
 
     def _read_book(self, former: int) -> None:
@@ -247,9 +248,9 @@
         self.gone.update((name, at_us - age_us) for name, age_us in book.gone.items())
         self.idle_since.update((name, at_us - age_us) for name, age_us in book.idle.items())
         for name, zone, spot, for_us, times in book.blocked:
-            self.blocked[(name, zone, spot)] = (at_us + for_us, times)
+            self.blocked[MachineKind(name, zone, spot)] = (at_us + for_us, times)
         for name, zone, spot, ratio in book.boots:
-            self.boots.told((name, zone, spot), ratio)
+            self.boot_times.set_ratio(MachineKind(name, zone, spot), ratio)
 
     def _take_over(self) -> Fiber[None]:
         """The checks before the first decision: see `standby/takeover.py`."""
@@ -335,22 +336,22 @@
             if reply.status != 200:
                 return
             try:
-                page = msgspec.convert(reply.body, BerthList)
+                page = msgspec.convert(reply.body, MachineList)
             except msgspec.ValidationError:
                 return
-            for berth in page.berths:
-                seen[berth.name_id] = berth.status
-                after = berth.name_id
-                if berth.name_id in self.gone:
+            for berth in page.machines:
+                seen[berth.name] = berth.state
+                after = berth.name
+                if berth.name in self.gone:
                     continue
-                coming = self.coming.get(berth.name_id)
-                if coming is None and berth.name_id not in self.base.picture.machines:
+                coming = self.coming.get(berth.name)
+                if coming is None and berth.name not in self.base.picture.machines:
                     since = began_us - int(berth.age_s * SECOND_US)
-                    coming = Coming((berth.hull, berth.yard, berth.loaners), since)
-                    self.coming[berth.name_id] = coming
-                if coming is not None and berth.status == "running" and not coming.up:
+                    coming = Coming(berth.kind, since)
+                    self.coming[berth.name] = coming
+                if coming is not None and berth.state == "running" and not coming.up:
                     coming.up, coming.up_us = True, began_us
-            if not page.truncated or not page.berths:
+            if not page.truncated or not page.machines:
                 break
         self.listed = seen
         self.listed_us = began_us
@@ -364,13 +365,13 @@
         picture = self.base.picture
         times = self.base.settings.cluster.workers
         lost: list[str] = []
-        freed: set[Kind] = set()
+        freed: set[MachineKind] = set()
         for name, coming in list(self.coming.items()):
             if name in picture.machines:
-                self.boots.came(coming.kind, coming.since_us, now)
+                self.boot_times.record(coming.kind, coming.since_us, now)
                 del self.coming[name]
                 continue
-            late = self.boots.hopeless(coming.kind, coming.since_us, now)
+            late = self.boot_times.hopeless(coming.kind, coming.since_us, now)
             if not late and coming.kind not in freed and self._in_the_way(coming, now):
                 late = True
                 freed.add(coming.kind)
@@ -420,10 +421,10 @@
         for four minutes until it was given up.  Only where none of its kind is up: what is late by a little comes
         sooner than its replacement, and with others up nobody waits for it alone.
         """
-        overdue = self.boots.left_us(coming.kind, coming.since_us, now) is None
+        overdue = self.boot_times.remaining_us(coming.kind, coming.since_us, now) is None
         if not overdue or coming.up or not self._blocked(coming.kind):
             return False
-        kinds = ((m.type, m.zone, m.record.spot) for m in self.base.picture.machines.values())
+        kinds = (MachineKind(m.type, m.zone, m.record.spot) for m in self.base.picture.machines.values())
         return coming.kind not in kinds
 
     def _spare_gangs(self) -> Fiber[None]:
@@ -620,16 +621,16 @@
 
     # Renting
 
-    def _blocked(self, kind: Kind) -> bool:
+    def _blocked(self, kind: MachineKind) -> bool:
         return self.blocked.get(kind, (0, 0))[0] > self.kernel.now_us
 
-    def _room(self, name: str, kind: Kind) -> Room:
+    def _room(self, name: str, kind: MachineKind) -> Room:
         """An empty machine that is not there yet."""
         spec = self.base.picture.types[kind[0]]
         machine = Machine(name, name, kind[0], kind[1], {"address": "", "spot": kind[2]})
         return Room(machine, spec, spec.cpus, spec.gpus, spec.memory_gb)
 
-    def _offers(self, job: Job, blocked: bool = False) -> list[tuple[float, Kind]]:
+    def _offers(self, job: Job, blocked: bool = False) -> list[tuple[float, MachineKind]]:
         """What could be rented for a job, the cheapest for each of its tasks first."""
         spec = job.spec
         offers = []
@@ -643,12 +644,13 @@
                 if spec.zone not in (None, zone):
                     continue
                 for spot in (True, False) if spec.spot else (False,):
-                    if blocked or not self._blocked((kind.name, zone, spot)):
+                    offered = MachineKind(kind.name, zone, spot)
+                    if blocked or not self._blocked(offered):
                         price = kind.spot_price if spot else kind.price
-                        offers.append((price / min(fits, spec.tasks), (kind.name, zone, spot)))
+                        offers.append((price / min(fits, spec.tasks), offered))
         return sorted(offers)
 
-    def wishes(self) -> dict[Kind, int]:
+    def wishes(self) -> dict[MachineKind, int]:
         """What is to be rented: machines without which tasks would wait longer than renting is worth.
 
         The queue is served in a forecast on what is there and coming.  A task that would start later than a
@@ -664,7 +666,7 @@
         for name, coming in self.coming.items():
             kind: MachineType | None = base.picture.types.get(coming.kind[0])
             if kind is not None and name not in self._ending and name not in base.picture.machines:
-                left_us = self.boots.left_us(coming.kind, coming.since_us, self.kernel.now_us)
+                left_us = self.boot_times.remaining_us(coming.kind, coming.since_us, self.kernel.now_us)
                 if left_us is None and hedges[coming.kind] > 0:
                     # Overdue: another one is wished for, and this one is used all the same should it come.
                     hedges[coming.kind] -= 1
@@ -674,15 +676,15 @@
         if not jobs:
             self.needed = set()
             return {}
-        forecast = Forecast(futures(base.picture, plan.rooms, wall_us, ready_us, self.pace.run_us))
-        wishes: dict[Kind, int] = {}
+        forecast = Forecast(future_machines(base.picture, plan.rooms, wall_us, ready_us, self.pace.run_us))
+        wishes: dict[MachineKind, int] = {}
         for job in jobs:
             left = len(plan.wanted(job, wall_us))
             if left:
                 plan.count(job, left)
                 for ask, part in self._parts(plan.ask(job), left):
                     self._wish(job, ask, part, forecast, wishes)
-        self.needed = {future.room.machine.name for future in forecast.fleet if future.used}
+        self.needed = {future.room.machine.name for future in forecast.machines if future.used}
         return wishes
 
     def _parts(self, ask: Ask, left: int) -> list[tuple[Ask, int]]:
@@ -697,23 +699,23 @@
             parts.append((replace(ask, zone=zone), part))
         return [(part_ask, part) for part_ask, part in parts if part > 0]
 
-    def _wish(self, job: Job, ask: Ask, left: int, forecast: Forecast, wishes: dict[Kind, int]) -> None:
+    def _wish(self, job: Job, ask: Ask, left: int, forecast: Forecast, wishes: dict[MachineKind, int]) -> None:
         wall_us = self.kernel.wall_us
         run_us = self.pace.run_us(job)
         offers = self._offers(job)
-        cheapest, best_kind = min(self._offers(job, blocked=True), default=(0.0, ("", "", False)))
+        cheapest, best_kind = min(self._offers(job, blocked=True), default=(0.0, NO_KIND))
         if job.spec.job_class in self.pace.urgent:
             self.cheapest_for_urgent[job.spec.job_class] = (best_kind[0], best_kind[2])
         if job.spec.same_zone and ask.zone is None and offers:
             ask.zone = offers[0][1][1]
-        bars: list[tuple[int, Kind]] = []
+        bars: list[tuple[int, MachineKind]] = []
         latest_us = self.pace.latest_start_us(job)
         for price, kind in offers:
             if ask.zone not in (None, kind[1]) or ask.zone_allows(kind[1]) <= 0:
                 continue
             dearer = max(price / cheapest - 1.0, 0.0) if cheapest else 0.0
             worth_us = int(self.pace.patience_s(job) * SECOND_US * dearer)
-            ready_us = wall_us + self.boots.expected_us(kind)
+            ready_us = wall_us + self.boot_times.expected_us(kind)
             bar_us = ready_us + worth_us + SECOND_US
             if latest_us is not None:
                 # What is there will do while the job can still be done in time: a machine that boots for one short
@@ -725,8 +727,8 @@
             best = next((kind for bar_us, kind in bars if at_us > bar_us), None)
             if best is not None and sum(wishes.values()) < MAX_WISHES:
                 wishes[best] = wishes.get(best, 0) + 1
-                room = self._room(f"wish-{len(forecast.fleet)}", best)
-                forecast.add(Future(room, wall_us + self.boots.expected_us(best), []), ask)
+                room = self._room(f"wish-{len(forecast.machines)}", best)
+                forecast.add(FutureMachine(room, wall_us + self.boot_times.expected_us(best), []), ask)
                 at_us = forecast.earliest(ask)
             if at_us >= NEVER_US:
                 break
@@ -770,7 +772,7 @@
                 return False
         return True
 
-    def _intend(self, wishes: dict[Kind, int], batch: list[Intent]) -> Txn | None:
+    def _intend(self, wishes: dict[MachineKind, int], batch: list[Intent]) -> Txn | None:
         """The record of what is on its way and about to be, under the term; settled intents are left out."""
         if not self._holds():
             return None
@@ -799,11 +801,11 @@
         kind = intent.kind
         if not self._holds():
             return False
-        body = rental(intent.request, *kind, intent.number)
+        body = rental(intent.request, kind, intent.number)
         reply = yield from self._cloud("POST", "/rentals", body, self._holds)
         if reply.status not in (200, 400, 503) or (reply.body or {}).get("error") == "trouble":
             return False
-        names = reply.body.get("berths", []) if reply.status == 200 else []
+        names = rented_names(reply.body) if reply.status == 200 else []
         if names:
             self.intents.answered(intent.request, names)
         else:
--- a/ashtray/standby/intents.py
+++ b/ashtray/standby/intents.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from ashtray.fleet.boots import Kind
+from ashtray.fleet.machine_kind import MachineKind
 
 
 class Intent(msgspec.Struct, array_like=True, frozen=True):
@@ -34,8 +34,8 @@
     """The machines that the cloud answered; None: no answer is known."""
 
     @property
-    def kind(self) -> Kind:
-        return self.type, self.zone, self.spot
+    def kind(self) -> MachineKind:
+        return MachineKind(self.type, self.zone, self.spot)
 
 
 class IntentsRecord(msgspec.Struct, omit_defaults=True):
--- a/tests/mutants/safety.py
+++ b/tests/mutants/safety.py
@@ -241,7 +241,7 @@
         "return name not in self.listed and name < self._newest",
         "return name not in self.listed",
     ),
-    "all-late-given-up": ("ashtray/fleet/boots.py", "LONGER = 3.0", "LONGER = 1.0"),
+    "all-late-given-up": ("ashtray/fleet/boot_times.py", "LONGER = 3.0", "LONGER = 1.0"),
     "mistakes-condemn": (PICTURE, "total += 0 if job.suspect else 1", "total += 1"),
     "done-may-be-cancelled": (
         SERVICE,
--- a/tests/test_bad_nights.py
+++ b/tests/test_bad_nights.py
@@ -6,7 +6,8 @@
 import pytest
 
 from ashtray.config.operators import Knobs
-from ashtray.fleet.boots import Boots
+from ashtray.fleet.boot_times import BootTimes
+from ashtray.fleet.machine_kind import MachineKind
 from ashtray.jobs.model import LIVE, OVER, JobRecord, JobSpec
 from ashtray.kernel import Answer
 from ashtray.placement.picture import GROUP, SICK, SPLIT, GroupRecord, HoldRecord, MachineRecord, MachineType, Picture
@@ -189,22 +190,22 @@
 def test_machines_that_are_late_together_are_waited_for_and_one_that_was_overtaken_is_not():
     picture = Picture()
     picture.types = {"small": MachineType("small", 8.0, 0.0, 16.0, 20.0, 1.0, 1.0, 0.4, 20 * SECOND, ("a",))}
-    kind = ("small", "a", False)
-    boots = Boots(picture, 2.5)
+    kind = MachineKind("small", "a", False)
+    boot_times = BootTimes(picture, 2.5)
     late = 70 * SECOND
-    assert boots.left_us(kind, 0, late) is None and not boots.hopeless(kind, 0, late)
+    assert boot_times.remaining_us(kind, 0, late) is None and not boot_times.hopeless(kind, 0, late)
     # Not for ever, though.
-    assert boots.hopeless(kind, 0, 4 * late)
+    assert boot_times.hopeless(kind, 0, 4 * late)
     # One asked for later has come up at the usual speed.
-    boots.came(kind, 40 * SECOND, 60 * SECOND)
-    assert boots.hopeless(kind, 0, late)
+    boot_times.record(kind, 40 * SECOND, 60 * SECOND)
+    assert boot_times.hopeless(kind, 0, late)
     # While they take long this is learnt, and forgotten when it is over.
     for n in range(20):
-        boots.came(kind, n * SECOND, (n + 80) * SECOND)
-    assert boots.expected_us(kind) > 60 * SECOND
+        boot_times.record(kind, n * SECOND, (n + 80) * SECOND)
+    assert boot_times.expected_us(kind) > 60 * SECOND
     for n in range(40):
-        boots.came(kind, n * SECOND, (n + 20) * SECOND)
-    assert boots.expected_us(kind) < 25 * SECOND
+        boot_times.record(kind, n * SECOND, (n + 20) * SECOND)
+    assert boot_times.expected_us(kind) < 25 * SECOND
 
 
 def test_a_late_list_condemns_nothing_newer_than_what_it_shows():
