--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -12,7 +12,7 @@
 from ashtray.config.settings import Settings
 from ashtray.estimates.keeping import Keeper
 from ashtray.estimates.operators import operate
-from ashtray.fleet.runner import Runner
+from ashtray.fleet.runner import FleetRunner
 from ashtray.jobs.model import JOB_ID, NOW, ROOT
 from ashtray.jobs.pace import Pace
 from ashtray.jobs.service import JobDesk
@@ -63,7 +63,7 @@
         self.desk = Desk(base, self.presence, self.peers, pace)
         self.placer = Placer(base, self.presence, self.grants, pace, planner, self.desk)
         self.jobs = JobDesk(base, self.presence, self.peers, planner, pace.estimates, self.placer.changed)
-        self.runner = Runner(base, self.presence, self.peers, pace, planner)
+        self.runner = FleetRunner(base, self.presence, self.peers, pace, planner)
         self.splitter = Splitter(base, self.presence)
         self.keeper = Keeper(base, self.presence, pace.estimates)
 
@@ -129,7 +129,7 @@
     def start(self, now_us: int, wall_us: int) -> list[Output]:
         kernel = self.kernel
         kernel.advance(now_us, wall_us)
-        for bucket in (self.store.requests.bucket, self.store.changes.bucket, self.runner.bucket):
+        for bucket in (self.store.requests.bucket, self.store.changes.bucket, self.runner.cloud.bucket):
             bucket.at_us = kernel.now_us
         kernel.forever(self.follower.run, 0)
         kernel.forever(self.presence.run, 0)
--- /dev/null
+++ b/ashtray/fleet/capacity_backoff.py
@@ -0,0 +1,46 @@
+"""How long not to ask the cloud again for a kind of machine of which it had no capacity."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ashtray.fleet.machine_kind import MachineKind
+from ashtray.kernel import SECOND_US, Kernel
+
+FIRST_PAUSE_S = 5
+MAX_DOUBLINGS = 4
+MAX_PAUSE_S = 40
+
+
+@dataclass
+class Refusal:
+    """The refusals in a row of one kind."""
+
+    until_us: int
+    """When the kind may be asked for again."""
+    times: int
+    """How often it was refused in a row."""
+
+
+class CapacityBackoff:
+    """Refused kinds with an exponentially growing pause; one successful request ends it."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.refusals: dict[MachineKind, Refusal] = {}
+
+    def waits(self, kind: MachineKind) -> bool:
+        """Whether the kind is not to be asked for yet."""
+        refusal = self.refusals.get(kind)
+        return refusal is not None and refusal.until_us > self.kernel.now_us
+
+    def refused(self, kind: MachineKind) -> None:
+        """The cloud had too few machines of a kind."""
+        before = self.refusals.get(kind)
+        times = 1 if before is None else before.times + 1
+        pause_s = min(FIRST_PAUSE_S * 2 ** min(times, MAX_DOUBLINGS), MAX_PAUSE_S)
+        self.refusals[kind] = Refusal(self.kernel.now_us + pause_s * SECOND_US, times)
+
+    def clear(self, kind: MachineKind) -> None:
+        """The kind may be asked for at once, and its next refusal counts as the first."""
+        self.refusals.pop(kind, None)
--- /dev/null
+++ b/ashtray/fleet/decommissioning.py
@@ -0,0 +1,212 @@
+"""Returning machines: they are drained, deleted in the cloud, and what was on them is freed.
+
+The order keeps safety points 1 and 2 of `docs/design.md`: a machine is marked in its group's record, so that nothing
+is placed there any more, then deleted, and its tasks are placed elsewhere only once the cloud has confirmed that.
+"""
+
+from __future__ import annotations
+
+from functools import partial
+
+from ashtray.base import Base
+from ashtray.fleet.cloud_client import CloudClient
+from ashtray.fleet.fleet_lease import FleetLease
+from ashtray.fleet.group_edits import GroupEdits
+from ashtray.fleet.machine_inventory import MachineInventory
+from ashtray.fleet.machine_review import MachineReview
+from ashtray.fleet.messages import deletion
+from ashtray.jobs.model import LIVE, Job
+from ashtray.kernel import Fiber
+from ashtray.placement.picture import Machine
+from ashtray.placement.preemption import Victims, orderly, stop_victims
+from ashtray.store.client import Txn, Urgency
+
+MAX_COMMITS = 12
+"""Commits in a row for one step: what is left then waits for the next round."""
+MAX_DELETED = 100
+"""Machines deleted with one request."""
+MAX_CHANGES = 8
+"""Changes that a freeing waits for at the most before it is built."""
+
+
+class Decommissioning:
+    """Takes machines out of service; `inventory.draining` has those that are to be deleted."""
+
+    def __init__(
+        self,
+        base: Base,
+        lease: FleetLease,
+        cloud: CloudClient,
+        inventory: MachineInventory,
+        review: MachineReview,
+    ) -> None:
+        self.base = base
+        self.kernel = base.kernel
+        self.lease = lease
+        self.cloud = cloud
+        self.inventory = inventory
+        self.review = review
+
+    # Draining
+
+    def drain_lost(self) -> Fiber[None]:
+        """Begin to return what never came up, what fell silent, what failed, and what is idle."""
+        lost = self.review.lost_pending() + self.review.lost_or_idle()
+        yield from self._save_gangs()
+        machines = self.base.picture.machines
+        self.inventory.draining.update(name for name in lost if name not in machines)
+        yield from self._drain([name for name in lost if name in machines])
+
+    def _save_gangs(self) -> Fiber[None]:
+        """Stop gangs that are about to lose a machine in the orderly way: all their tasks at once, so that they save.
+
+        A gang that cannot be stopped in one transaction is left to its last checkpoint, for a part would lose it all.
+        """
+        picture = self.base.picture
+        seen: set[str] = set()
+        for machine in list(picture.machines.values()):
+            if not machine.record.retiring or machine.name in self.inventory.draining:
+                continue
+            for hold in machine.holds:
+                job = picture.jobs.get(hold.job)
+                if job is None or job.id in seen or not orderly(job, hold):
+                    continue
+                seen.add(job.id)
+                yield from self._stop_gang(job, machine)
+
+    def _stop_gang(self, job: Job, machine: Machine) -> Fiber[None]:
+        victims: Victims = {}
+        for (name, _), hold in self.base.picture.held[job.id].items():
+            victims.setdefault(name, {}).setdefault((job.id, hold.attempt), set()).update(hold.tasks)
+        build = partial(stop_victims, self.base.picture, victims, self.base.limits, whole=True)
+        if (yield from self.base.follower.commit(build, len(victims), Urgency.FREE, "stop")):
+            self.kernel.log("info", f"{job.id} saves: {machine.name} goes")
+
+    def _drain(self, names: list[str]) -> Fiber[None]:
+        """Mark machines as being returned, so that nothing is placed on them any more; those of a group together."""
+        marked: list[str] = []
+        draining = self.inventory.draining
+        remaining = [name for name in names if name not in draining]
+        for _ in range(MAX_COMMITS):
+            machines = self.base.picture.machines
+            draining.update(name for name in remaining if name in machines and machines[name].record.retiring)
+            remaining = [name for name in remaining if name in machines and not machines[name].record.retiring]
+            if not remaining:
+                break
+            idle = {name for name in remaining if not machines[name].holds}
+            build = partial(self._drain_marks, remaining, idle, marked)
+            groups = min(len({machines[name].group for name in remaining}), self.base.limits.ops)
+            committed = yield from self.base.follower.commit(build, groups, Urgency.PLACE, "return")
+            if committed:
+                for name in marked:
+                    self.kernel.log("info", f"{name} is to be returned")
+                draining.update(marked)
+                remaining = [name for name in remaining if name not in marked]
+            elif committed is None or not (yield from self.base.follower.barrier()):
+                break
+
+    def _drain_marks(self, names: list[str], idle: set[str], marked: list[str]) -> Txn | None:
+        """Build the transaction that marks machines; `marked` is filled with those that it marks.
+
+        Machines that were idle when they were chosen may have got tasks meanwhile: these stay.
+        """
+        marked.clear()
+        if not self.lease.holds():
+            return None
+        edits = GroupEdits(self.base)
+        for name in names:
+            machine = self.base.picture.machines.get(name)
+            if machine is None or machine.record.retiring or (name in idle and machine.holds):
+                continue
+            if not edits.has_room(machine, 0):
+                continue
+            # Safety point 1: placement ends here before the machine is deleted.
+            edits.of(machine).machine(name).retiring = True
+            marked.append(name)
+        return edits.write(self.lease.under_term(Txn()), marked)
+
+    # Deletion
+
+    def delete_drained(self) -> Fiber[None]:
+        """Delete what is drained; when the cloud has confirmed it, free what was on it."""
+        names = sorted(self.inventory.draining)[:MAX_DELETED]
+        if not names:
+            return
+        # Safety point 1: nothing is freed before the cloud has confirmed the deletion.
+        reply = yield from self.cloud.request("POST", "/rentals/delete", deletion(names))
+        if reply.status != 200:
+            return
+        self.inventory.note_deleted(names)
+        yield from self._free(names)
+        self.inventory.forget_deleted()
+
+    # Freeing
+
+    def _free(self, names: list[str]) -> Fiber[None]:
+        """Take machines that are surely gone out of their groups, with all that they held."""
+        draining = self.inventory.draining
+        machines = self.base.picture.machines
+        removed: list[str] = []
+        for _ in range(MAX_COMMITS):
+            remaining = [name for name in names if name in machines]
+            if not remaining:
+                break
+            yield from self._drain_unmarked(remaining)
+            build = partial(self._removal, remaining, removed)
+            groups = {machines[name].group for name in remaining if name in machines}
+            changes = min(len(groups) + 1, MAX_CHANGES)
+            committed = yield from self.base.follower.commit(build, changes, Urgency.FREE, "remove")
+            if committed:
+                self._note_removed(removed)
+            elif committed is None or not (yield from self.base.follower.barrier()):
+                break
+            machines = self.base.picture.machines
+        machines = self.base.picture.machines
+        draining.difference_update(name for name in names if name not in machines)
+
+    def _drain_unmarked(self, names: list[str]) -> Fiber[None]:
+        """Mark deleted machines that were adopted after they were drained: placement on them must stop first."""
+        machines = self.base.picture.machines
+        unmarked = [name for name in names if not machines[name].record.retiring]
+        if unmarked:
+            self.inventory.draining.difference_update(unmarked)
+            yield from self._drain(unmarked)
+
+    def _note_removed(self, names: list[str]) -> None:
+        for name in names:
+            self.inventory.known_since.pop(name, None)
+            self.kernel.log("info", f"{name} is gone")
+
+    def _removal(self, names: list[str], removed: list[str]) -> Txn | None:
+        """Build the transaction that frees machines; `removed` is filled with those that it frees."""
+        edits = GroupEdits(self.base)
+        broken: dict[str, int] = {}
+        removed.clear()
+        for name in names:
+            machine = self.base.picture.machines.get(name)
+            if machine is None or not machine.record.retiring:
+                continue
+            gangs = {**broken, **self._broken_gangs(machine)}
+            if not edits and len(gangs) >= self.base.limits.ops:
+                # More gangs than a transaction takes: some are marked first, and the machine goes in a later turn.
+                broken = dict(list(gangs.items())[: self.base.limits.ops])
+                break
+            if not edits.has_room(machine, len(gangs)):
+                continue
+            edits.of(machine).remove(name)
+            broken = gangs
+            removed.append(name)
+        txn = Txn()
+        for job_id, attempt in broken.items():
+            job = self.base.picture.jobs[job_id]
+            txn.guard(LIVE + job_id, job.version).put(LIVE + job_id, job.value(broken=attempt))
+        return edits.write(txn, removed)
+
+    def _broken_gangs(self, machine: Machine) -> dict[str, int]:
+        """The gangs that lose tasks with a machine, and the attempt that ends with it."""
+        broken = {}
+        for hold in machine.holds:
+            job = self.base.picture.jobs.get(hold.job)
+            if job is not None and job.spec.kind == "gang" and hold.attempt > job.record.broken:
+                broken[job.id] = hold.attempt
+        return broken
--- /dev/null
+++ b/ashtray/fleet/demand.py
@@ -0,0 +1,229 @@
+"""Which machines are to be rented: those without which tasks would wait longer than renting is worth.
+
+The queue is served in a forecast on the machines that are present and pending.  A task that would start later than a
+new machine of some kind could take it, and later by more than that kind's price is worth, calls for such a machine.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from typing import NamedTuple
+
+from ashtray.base import Base
+from ashtray.fleet.boot_times import BootTimes
+from ashtray.fleet.capacity_backoff import CapacityBackoff
+from ashtray.fleet.forecast import NEVER_US, Forecast, FutureMachine, future_machines
+from ashtray.fleet.machine_inventory import MachineInventory
+from ashtray.fleet.machine_kind import NO_KIND, MachineKind
+from ashtray.jobs.model import Job, JobSpec
+from ashtray.jobs.pace import Pace
+from ashtray.kernel import SECOND_US
+from ashtray.placement.picture import Machine, MachineType
+from ashtray.placement.plan import Plan, Planner
+from ashtray.placement.rules import Ask, Room
+
+DEARER = 0.2
+"""A kind of machine that costs so much more than the cheapest is taken only when time runs out."""
+MAX_DEMAND = 300
+"""Machines called for by one forecast."""
+MIN_HEDGE = 2
+HEDGE_PART = 3
+"""Of the pending machines of a kind, one in so many may be requested a second time when it is overdue."""
+
+
+class Candidate(NamedTuple):
+    """A kind of machine that a job may use.  Candidates sort by price."""
+
+    price: float
+    """The price for each task of the job that it can run, an hour."""
+    kind: MachineKind
+
+
+@dataclass(frozen=True)
+class Threshold:
+    """A machine of this kind is called for where a task would start later than this time of day."""
+
+    start_us: int
+    kind: MachineKind
+
+
+@dataclass(frozen=True)
+class Part:
+    """Tasks of a job that are served together."""
+
+    ask: Ask
+    tasks: int
+
+
+class DemandForecaster:
+    """Computes the demand for machines, and keeps what returning machines needs to know of it."""
+
+    def __init__(
+        self,
+        base: Base,
+        pace: Pace,
+        planner: Planner,
+        inventory: MachineInventory,
+        boot_times: BootTimes,
+        backoff: CapacityBackoff,
+    ) -> None:
+        self.base = base
+        self.kernel = base.kernel
+        self.pace = pace
+        self.planner = planner
+        self.inventory = inventory
+        self.boot_times = boot_times
+        self.backoff = backoff
+        self.needed: set[str] = set()
+        """Machines that the last forecast gives to tasks that wait.
+
+        A gang's machines come up one after the other: returned as idle before the last one is up, they would
+        never be present together.
+        """
+        self.cheapest_for_urgent: dict[str, MachineKind] = {}
+        """For each class with an aim on waiting, the kind that serves it at the least price."""
+
+    def compute(self) -> dict[MachineKind, int]:
+        """How many machines of each kind are to be rented now."""
+        wall_us = self.kernel.wall_us
+        plan = self.planner.plan()
+        jobs, _ = self.planner.queue()
+        ready_us = self._add_pending(plan)
+        if not jobs:
+            self.needed = set()
+            return {}
+        machines = future_machines(self.base.picture, plan.rooms, wall_us, ready_us, self.pace.run_us)
+        forecast = Forecast(machines)
+        demand: dict[MachineKind, int] = {}
+        for job in jobs:
+            tasks = len(plan.wanted(job, wall_us))
+            if not tasks:
+                continue
+            plan.count(job, tasks)
+            for part in self._parts(plan.ask(job), tasks):
+                self._serve(job, part, forecast, demand)
+        self.needed = {machine.room.machine.name for machine in forecast.machines if machine.used}
+        return demand
+
+    def _add_pending(self, plan: Plan) -> dict[str, int]:
+        """Add the pending machines to a plan; returns when each may be expected, as the time of day."""
+        ready_us: dict[str, int] = {}
+        pending_by_kind = Counter(pending.kind for pending in self.inventory.pending.values())
+        # At the worst a third as many machines again are paid for.
+        hedges = {kind: max(number // HEDGE_PART, MIN_HEDGE) for kind, number in pending_by_kind.items()}
+        for name, pending in self.inventory.pending.items():
+            kind = pending.kind
+            machine_type: MachineType | None = self.base.picture.types.get(kind.type)
+            leaves = name in self.inventory.draining or name in self.base.picture.machines
+            if machine_type is None or leaves:
+                continue
+            remaining_us = self.boot_times.remaining_us(kind, pending.requested_us, self.kernel.now_us)
+            if remaining_us is None and hedges[kind] > 0:
+                # Overdue: another one is called for, and this one is used all the same should it come.
+                hedges[kind] -= 1
+                continue
+            plan.rooms.append(self._empty_room(name, kind))
+            wait_us = machine_type.boot_us if remaining_us is None else remaining_us
+            ready_us[name] = self.kernel.wall_us + wait_us
+        return ready_us
+
+    def _empty_room(self, name: str, kind: MachineKind) -> Room:
+        """The room of a machine that is not present yet."""
+        spec = self.base.picture.types[kind.type]
+        machine = Machine(name, name, kind.type, kind.zone, {"address": "", "spot": kind.spot})
+        return Room(machine, spec, spec.cpus, spec.gpus, spec.memory_gb)
+
+    def _parts(self, ask: Ask, tasks: int) -> list[Part]:
+        """The tasks of a job that must be spread, zone by zone; the tasks of any other job are one part."""
+        cluster = self.base.settings.cluster
+        zones = [zone for zone in cluster.zones if ask.spec.zone in (None, zone) and ask.zone in (None, zone)]
+        if not ask.spec.spread or len(zones) < 2:
+            return [Part(ask, tasks)]
+        parts = []
+        for n, zone in enumerate(zones):
+            even_share = -(-tasks // (len(zones) - n))
+            number = min(even_share, ask.zone_allows(zone))
+            tasks -= number
+            parts.append(Part(replace(ask, zone=zone), number))
+        return [part for part in parts if part.tasks > 0]
+
+    def _serve(self, job: Job, part: Part, forecast: Forecast, demand: dict[MachineKind, int]) -> None:
+        """Give tasks their places in the forecast, and add to the demand the machines that they call for."""
+        ask, remaining = part.ask, part.tasks
+        run_us = self.pace.run_us(job)
+        thresholds = self._thresholds(job, ask)
+        while remaining > 0 and forecast.steps > 0:
+            start_us = forecast.earliest(ask)
+            kind = next((threshold.kind for threshold in thresholds if start_us > threshold.start_us), None)
+            if kind is not None and sum(demand.values()) < MAX_DEMAND:
+                demand[kind] = demand.get(kind, 0) + 1
+                room = self._empty_room(f"demand-{len(forecast.machines)}", kind)
+                ready_us = self.kernel.wall_us + self.boot_times.expected_us(kind)
+                forecast.add(FutureMachine(room, ready_us, []), ask)
+                start_us = forecast.earliest(ask)
+            if start_us >= NEVER_US:
+                break
+            remaining -= forecast.take(ask, remaining, run_us)
+        forecast.served(ask)
+
+    def _thresholds(self, job: Job, ask: Ask) -> list[Threshold]:
+        """The kinds that may be rented for a job, the cheapest first.
+
+        Chooses the zone for a job whose tasks must share one, where none of them has a place yet.
+        """
+        suitable = self._candidates(job.spec)
+        cheapest = suitable[0] if suitable else Candidate(0.0, NO_KIND)
+        candidates = [candidate for candidate in suitable if not self.backoff.waits(candidate.kind)]
+        if job.spec.job_class in self.pace.urgent:
+            self.cheapest_for_urgent[job.spec.job_class] = cheapest.kind
+        if job.spec.same_zone and ask.zone is None and candidates:
+            ask.zone = candidates[0].kind.zone
+        patience_s = self.pace.patience_s(job)
+        latest_us = self.pace.latest_start_us(job)
+        return [
+            self._threshold(candidate, cheapest.price, patience_s, latest_us)
+            for candidate in candidates
+            if ask.zone in (None, candidate.kind.zone) and ask.zone_allows(candidate.kind.zone) > 0
+        ]
+
+    def _candidates(self, spec: JobSpec) -> list[Candidate]:
+        """The kinds of machine that a job may use, the cheapest for each of its tasks first."""
+        found = []
+        for machine_type in self.base.picture.types.values():
+            fits = machine_type.fits(spec.cpus, spec.gpus, spec.memory_gb)
+            if not fits or (spec.types and machine_type.name not in spec.types):
+                continue
+            for kind in _kinds(machine_type, spec):
+                price = machine_type.spot_price if kind.spot else machine_type.price
+                found.append(Candidate(price / min(fits, spec.tasks), kind))
+        return sorted(found)
+
+    def _threshold(
+        self, candidate: Candidate, cheapest_price: float, patience_s: float, latest_us: int | None
+    ) -> Threshold:
+        """From which start time on a candidate is worth its price.
+
+        `patience_s`: how long the job may wait rather than pay the cheapest price once more; `latest_us`: by when it
+        should start to be done in time, if that is stated.
+        """
+        dearer = max(candidate.price / cheapest_price - 1.0, 0.0) if cheapest_price else 0.0
+        worth_us = int(patience_s * SECOND_US * dearer)
+        wall_us = self.kernel.wall_us
+        ready_us = wall_us + self.boot_times.expected_us(candidate.kind)
+        start_us = ready_us + worth_us + SECOND_US
+        if latest_us is not None:
+            # Machines that are present will do while the job can still be done in time: a machine that boots for one
+            # short task costs more than the task does.
+            start_us = max(start_us, latest_us if dearer > DEARER else (wall_us + latest_us) // 2)
+        return Threshold(start_us, candidate.kind)
+
+
+def _kinds(machine_type: MachineType, spec: JobSpec) -> Iterator[MachineKind]:
+    """The kinds of a machine type that a job allows."""
+    for zone in machine_type.zones:
+        if spec.zone in (None, zone):
+            if spec.spot:
+                yield MachineKind(machine_type.name, zone, True)
+            yield MachineKind(machine_type.name, zone, False)
--- /dev/null
+++ b/ashtray/fleet/group_edits.py
@@ -0,0 +1,43 @@
+"""Changes of machines' records for one transaction, as many as it takes."""
+
+from __future__ import annotations
+
+from ashtray.base import Base
+from ashtray.placement.picture import Edit, Machine
+from ashtray.store.client import Txn
+
+
+class GroupEdits:
+    """Records of groups that are being changed, each of which is written whole."""
+
+    def __init__(self, base: Base) -> None:
+        self.base = base
+        self.picture = base.picture
+        self._edits: dict[str, Edit] = {}
+
+    def __bool__(self) -> bool:
+        return bool(self._edits)
+
+    def has_room(self, machine: Machine, other_changes: int) -> bool:
+        """Whether the transaction has room for a machine's group, beside other changes; the first always has."""
+        limits = self.base.limits
+        if machine.group in self._edits:
+            return len(self._edits) + other_changes <= limits.ops
+        size = self.picture.groups[machine.group].size + sum(edit.group.size for edit in self._edits.values())
+        fits = len(self._edits) + 1 + other_changes <= limits.ops and size <= limits.txn_bytes
+        return fits or not self._edits
+
+    def of(self, machine: Machine) -> Edit:
+        """The record of a machine's group, to be changed."""
+        return self._edits.setdefault(machine.group, Edit(self.picture.groups[machine.group]))
+
+    def write(self, txn: Txn, names: list[str]) -> Txn | None:
+        """Put the changed records into a transaction; None if nothing is changed.
+
+        Takes out of `names` the machines in records that are too large, which cannot be written before they have been
+        split (safety point 16).
+        """
+        for key, edit in self._edits.items():
+            if not edit.write(txn, self.base.limits, self.picture.is_live):
+                names[:] = [name for name in names if name not in self.picture.groups[key].machines]
+        return txn if txn.changes() else None
--- /dev/null
+++ b/ashtray/fleet/handover.py
@@ -0,0 +1,147 @@
+"""Taking the fleet over from a predecessor, and telling successors what they cannot read from the records."""
+
+from __future__ import annotations
+
+from ashtray.base import Base
+from ashtray.fleet.boot_times import BootTimes
+from ashtray.fleet.capacity_backoff import CapacityBackoff, Refusal
+from ashtray.fleet.fleet_lease import FleetLease, NewTerm
+from ashtray.fleet.machine_inventory import MachineInventory
+from ashtray.fleet.machine_kind import MachineKind
+from ashtray.fleet.provisioning import Provisioning
+from ashtray.kernel import Fiber
+from ashtray.peers.presence import INTENTS, Peers
+from ashtray.standby.book import OLD_US, Book, latest
+from ashtray.standby.takeover import Check, Takeover
+
+
+class Handover:
+    """The checks before the first decision of a term (safety point 24), and the predecessor's knowledge."""
+
+    def __init__(
+        self,
+        base: Base,
+        peers: Peers,
+        lease: FleetLease,
+        inventory: MachineInventory,
+        provisioning: Provisioning,
+        boot_times: BootTimes,
+        backoff: CapacityBackoff,
+    ) -> None:
+        self.base = base
+        self.kernel = base.kernel
+        self.peers = peers
+        self.lease = lease
+        self.inventory = inventory
+        self.provisioning = provisioning
+        self.boot_times = boot_times
+        self.backoff = backoff
+        self.takeover = Takeover(0)
+        self._began_us = 0
+        """When this term began here."""
+        peers.write_book = self.write_book
+
+    def begin(self, term: NewTerm) -> None:
+        """Begin a term: nothing is known but what the records, the predecessor and the cloud's list say."""
+        now_us = self.kernel.now_us
+        self._began_us = now_us
+        self.takeover = Takeover(now_us)
+        self.takeover.ok(Check.TERM, now_us)
+        self.inventory.begin_term()
+        self.kernel.log("info", "runs the fleet")
+        self._read_book(term)
+
+    # What successors are told
+
+    def write_book(self) -> Book | None:
+        """What a successor cannot read from the records; None where this controller does not run the fleet."""
+        if not self.lease.running or not self.takeover.ready():
+            return None
+        now_us = self.kernel.now_us
+        return Book(
+            self.lease.term,
+            latest({name: now_us - at_us for name, at_us in self.inventory.deleted.items()}),
+            latest({name: now_us - at_us for name, at_us in self.inventory.idle_since.items()}),
+            [
+                (*kind, refusal.until_us - now_us, refusal.times)
+                for kind, refusal in self.backoff.refusals.items()
+                if refusal.until_us > now_us
+            ],
+            [(*kind, ratio) for kind, ratio in sorted(self.boot_times.ratios().items())],
+        )
+
+    def _read_book(self, term: NewTerm) -> None:
+        """Take over what the predecessor told, unless this controller has run the fleet since."""
+        if self.peers.book is None or self.kernel.now_us - self.peers.book[1] > OLD_US:
+            return
+        book, at_us = self.peers.book
+        if not term.previous < book.term < term.term:
+            return
+        self.inventory.deleted.update((name, at_us - age_us) for name, age_us in book.gone.items())
+        self.inventory.idle_since.update((name, at_us - age_us) for name, age_us in book.idle.items())
+        for name, zone, spot, pause_us, times in book.blocked:
+            self.backoff.refusals[MachineKind(name, zone, spot)] = Refusal(at_us + pause_us, times)
+        for name, zone, spot, ratio in book.boots:
+            self.boot_times.set_ratio(MachineKind(name, zone, spot), ratio)
+
+    # The checks
+
+    def run_checks(self) -> Fiber[None]:
+        """Make the checks that are missing, as far as they pass now: see `standby/takeover.py`."""
+        takeover = self.takeover
+        if takeover.missing(Check.READ):
+            # Safety point 22: this reading began after the term, so it has all that the predecessor committed.
+            if not (yield from self.base.follower.barrier()):
+                return
+            takeover.ok(Check.READ, self.kernel.now_us)
+        if takeover.missing(Check.INTENTS):
+            if not (yield from self._repeat_intents()):
+                return
+            takeover.ok(Check.INTENTS, self.kernel.now_us)
+        if takeover.missing(Check.LIST):
+            yield from self.inventory.read_list()
+            if not self.inventory.listed_us or not self._list_complete():
+                return
+            takeover.ok(Check.LIST, self.kernel.now_us)
+        if self.kernel.awake_us > takeover.began_us or not self.lease.holds():
+            self._check_again()
+            return
+        takeover.ok(Check.AWAKE, self.kernel.now_us)
+        self.kernel.log("info", f"the fleet was taken over: {takeover.stages()} s")
+
+    def _check_again(self) -> None:
+        """Set all checks back: the process stood still, or the key was lost."""
+        self.takeover.again(self.kernel.now_us)
+        self.takeover.ok(Check.TERM, self.kernel.now_us)
+        self.inventory.listed_us = 0
+
+    def _list_complete(self) -> bool:
+        """Whether the list shows all that nobody wrote down.
+
+        While a version that writes nothing down may have run the fleet, that takes until the list has caught up; the
+        first runner of all need not wait.
+        """
+        others = self.base.picture.machines or self.inventory.listed
+        written = self.provisioning.intents.all or self.lease.presence.upgraded(INTENTS)
+        caught_up = self.kernel.now_us - self._began_us >= self.inventory.list_lag_us()
+        return bool(written or not others or caught_up)
+
+    def _repeat_intents(self) -> Fiber[bool]:
+        """Learn what the predecessor has on its way, asking again under its names (safety point 22).
+
+        False if the cloud gives no answer.
+        """
+        intents = self.provisioning.intents
+        if not intents.load(self.base.picture.rentals):
+            self.kernel.log("error", "the record of rentals cannot be read: waiting for the list instead")
+            intents.all = False
+            return True
+        self.provisioning.settle(self.base.picture.machines)
+        asked = len(intents.unanswered())
+        if not (yield from self.provisioning.request_unanswered()):
+            return False
+        for intent in intents.open.values():
+            self.inventory.expect(intent, intent.names or ())
+        if asked:
+            self.kernel.log("info", f"asked again for {asked} rentals of the former runner")
+        return True
--- /dev/null
+++ b/ashtray/fleet/machine_inventory.py
@@ -0,0 +1,156 @@
+"""The machines of the fleet: rented, listed by the cloud, heard by controllers, being deleted."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from ashtray.base import Base
+from ashtray.fleet.cloud_client import CloudClient
+from ashtray.fleet.machine_kind import MachineKind
+from ashtray.fleet.messages import ListedMachine, MachineList
+from ashtray.kernel import SECOND_US, Fiber
+from ashtray.peers.presence import Peers, Presence
+from ashtray.standby.intents import Intent
+
+LIST_US = 2 * SECOND_US
+"""The pause between two readings of the cloud's list."""
+PAGE_SIZE = 500
+RUNNING, FAILED = "running", "failed"
+"""States of a machine in the cloud's list."""
+DELETED_LAGS = 10
+"""For how many times the list's lag a deleted machine is remembered."""
+
+
+@dataclass
+class PendingMachine:
+    """A machine that was rented or listed and has not reported yet."""
+
+    kind: MachineKind
+    requested_us: int
+    running: bool = False
+    """The cloud's list shows it as running."""
+    running_us: int = 0
+    """When the list first showed that."""
+
+
+class MachineInventory:
+    """What is known of each machine beside the groups' records.  Names sort in the order of creation."""
+
+    def __init__(self, base: Base, presence: Presence, peers: Peers, cloud: CloudClient) -> None:
+        self.base = base
+        self.kernel = base.kernel
+        self.presence = presence
+        self.peers = peers
+        self.cloud = cloud
+        self.pending: dict[str, PendingMachine] = {}
+        self.listed: dict[str, str] = {}
+        """The state of each machine in the cloud's last list."""
+        self.listed_us = 0
+        """When the reading of that list began; 0: none was read in this term."""
+        self.deleted: dict[str, int] = {}
+        """Machines that were deleted, and when: a late list may still show them."""
+        self.draining: set[str] = set()
+        """Machines on which nothing is placed any more and which are to be deleted."""
+        self.idle_since: dict[str, int] = {}
+        self.known_since: dict[str, int] = {}
+        """When each machine with a record was first seen in this term."""
+        self._newest = ""
+        """The last name that was ever listed."""
+
+    def begin_term(self) -> None:
+        """Forget what may have changed while another controller ran the fleet."""
+        self.pending.clear()
+        self.listed_us = 0
+        self.idle_since.clear()
+        self.known_since.clear()
+
+    def list_lag_us(self) -> int:
+        """How far the cloud's list may be behind, with a reserve."""
+        return int((2 * self.base.settings.cluster.cloud.list_lag_s + 5) * SECOND_US)
+
+    def list_due(self) -> bool:
+        """Whether the cloud's list is to be read again."""
+        return self.kernel.now_us - self.listed_us >= LIST_US
+
+    def read_list(self) -> Fiber[None]:
+        """Read all pages of the cloud's list; without an answer for one of them, the last list stays."""
+        began_us = self.kernel.now_us
+        after = ""
+        states: dict[str, str] = {}
+        while True:
+            reply = yield from self.cloud.request("GET", f"/rentals?after={after}&page={PAGE_SIZE}")
+            if reply.status != 200:
+                return
+            try:
+                page = msgspec.convert(reply.body, MachineList)
+            except msgspec.ValidationError:
+                return
+            for machine in page.machines:
+                states[machine.name] = machine.state
+                after = machine.name
+                self._note_listed(machine, began_us)
+            if not page.truncated or not page.machines:
+                break
+        self.listed = states
+        self.listed_us = began_us
+        self._newest = max(self._newest, max(states, default=""))
+
+    def _note_listed(self, machine: ListedMachine, began_us: int) -> None:
+        """Take a listed machine without a record into the pending ones, and note since when it runs."""
+        name = machine.name
+        if name in self.deleted:
+            return
+        pending = self.pending.get(name)
+        if pending is None and name not in self.base.picture.machines:
+            pending = PendingMachine(machine.kind, began_us - int(machine.age_s * SECOND_US))
+            self.pending[name] = pending
+        if pending is not None and machine.state == RUNNING and not pending.running:
+            pending.running, pending.running_us = True, began_us
+
+    def unlisted(self, name: str) -> bool:
+        """Whether the list should show a machine and does not.
+
+        A list that lags may lack all the newest machines, for longer than the settings say: only a machine older
+        than one that was listed counts.
+        """
+        return name not in self.listed and name < self._newest
+
+    def expect(self, intent: Intent, names: Iterable[str]) -> None:
+        """Take machines that were rented for an intent into the pending ones, unless more is known of them."""
+        age_us = max(self.kernel.wall_us - intent.at_us, 0)
+        for name in names:
+            if name not in self.deleted and name not in self.base.picture.machines:
+                self.pending.setdefault(name, PendingMachine(intent.kind, self.kernel.now_us - age_us))
+
+    def note_deleted(self, names: Iterable[str]) -> None:
+        """The cloud has confirmed the deletion of machines."""
+        for name in names:
+            self.deleted[name] = self.kernel.now_us
+            self.pending.pop(name, None)
+            self.idle_since.pop(name, None)
+
+    def forget_deleted(self) -> None:
+        """Drop deleted machines that no list can show any more."""
+        horizon_us = self.kernel.now_us - DELETED_LAGS * self.list_lag_us()
+        self.deleted = {name: at_us for name, at_us in self.deleted.items() if at_us > horizon_us}
+
+    def silences(self) -> dict[str, int]:
+        """For how long (us) no controller has heard each worker, as far as this one can tell (safety points 12, 28).
+
+        Silence counts only over time in which this process ran itself and had messages from its peers.  Workers that
+        report to a live controller that sends none are not silent: it cannot say that it hears them.
+        """
+        now = self.kernel.now_us
+        presence = self.presence
+        mute = self.peers.mute()
+        until = min(now, self.peers.all_word_us(mute))
+        heard = self.peers.last_heard()
+        awake_us = self.kernel.awake_us
+        found = {}
+        for name, machine in self.base.picture.machines.items():
+            last = max(heard.get(name, 0), self.known_since.setdefault(name, now), awake_us)
+            found[name] = 0 if mute and presence.foreman(machine.group) in mute else max(until - last, 0)
+        return found
--- /dev/null
+++ b/ashtray/fleet/machine_review.py
@@ -0,0 +1,165 @@
+"""Which machines are to be returned: those that never came up, fell silent, failed or are idle."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from ashtray.base import Base
+from ashtray.fleet.boot_times import BootTimes
+from ashtray.fleet.capacity_backoff import CapacityBackoff
+from ashtray.fleet.demand import DemandForecaster
+from ashtray.fleet.machine_inventory import FAILED, MachineInventory, PendingMachine
+from ashtray.fleet.machine_kind import MachineKind
+from ashtray.kernel import SECOND_US
+from ashtray.placement.picture import SICK, Machine
+
+SILENT_US = 4 * SECOND_US
+"""A worker is silent after its lease and this reserve."""
+MISSING_US = 6 * SECOND_US
+"""A machine that the list lacks is missing only once its worker has not been heard for so long."""
+FEW_MACHINES = 2
+"""So many silent machines are believed without a doubt about this controller's own view."""
+UNSURE_LEASES = 3
+"""For how many leases machines must be silent when most of the fleet is."""
+URGENT_FACTOR = 6
+"""The cheapest kind for an urgent class is kept idle so many times as long."""
+UNKNOWN_BOOT_US = 30 * SECOND_US
+
+
+class Loss(Enum):
+    """Why a machine that had come up is given up, in the words of the log."""
+
+    FAILED = "failed"
+    MISSING = "missing"
+    SILENT = "silent"
+
+
+class MachineReview:
+    """Judges every machine once a round."""
+
+    def __init__(
+        self,
+        base: Base,
+        inventory: MachineInventory,
+        forecaster: DemandForecaster,
+        boot_times: BootTimes,
+        backoff: CapacityBackoff,
+    ) -> None:
+        self.base = base
+        self.kernel = base.kernel
+        self.inventory = inventory
+        self.forecaster = forecaster
+        self.boot_times = boot_times
+        self.backoff = backoff
+        self._lease_us = int(base.settings.cluster.workers.lease_s * SECOND_US)
+
+    def lost_pending(self) -> list[str]:
+        """The pending machines that are given up; those that have reported are pending no longer."""
+        now_us = self.kernel.now_us
+        pending_machines = self.inventory.pending
+        lost: list[str] = []
+        freed: set[MachineKind] = set()
+        for name, pending in list(pending_machines.items()):
+            if name in self.base.picture.machines:
+                self.boot_times.record(pending.kind, pending.requested_us, now_us)
+                del pending_machines[name]
+                continue
+            late = self.boot_times.hopeless(pending.kind, pending.requested_us, now_us)
+            if not late and pending.kind not in freed and self._blocks_replacement(pending):
+                late = True
+                freed.add(pending.kind)
+            if not self._given_up(name, pending, late):
+                continue
+            self.kernel.log("info", f"{name} never reported: given up")
+            lost.append(name)
+            if pending.kind in freed:
+                # The capacity that it took can be asked for again.
+                self.backoff.clear(pending.kind)
+        return lost
+
+    def _given_up(self, name: str, pending: PendingMachine, late: bool) -> bool:
+        """Whether a pending machine is too late, runs without reporting, or is gone in the cloud."""
+        now_us = self.kernel.now_us
+        too_late = late and not pending.running
+        mute = pending.running and now_us - pending.running_us > self._lease_us
+        old = now_us - pending.requested_us > self.inventory.list_lag_us()
+        vanished = self.inventory.unlisted(name) and old
+        return too_late or mute or vanished or self.inventory.listed.get(name) == FAILED
+
+    def _blocks_replacement(self, pending: PendingMachine) -> bool:
+        """Whether a machine that is overdue takes up the capacity for the one that would replace it.
+
+        Found in a recorded day: the only machine of its type never came up, and the urgent gang that needed it waited
+        for four minutes until it was given up.  Only where none of its kind is up: what is late by a little comes
+        sooner than its replacement, and with others up nobody waits for it alone.
+        """
+        kind = pending.kind
+        overdue = self.boot_times.remaining_us(kind, pending.requested_us, self.kernel.now_us) is None
+        if not overdue or pending.running or not self.backoff.waits(kind):
+            return False
+        machines = self.base.picture.machines.values()
+        return kind not in (MachineKind(m.type, m.zone, m.record.spot) for m in machines)
+
+    def lost_or_idle(self) -> list[str]:
+        """The machines with a record that are to be returned."""
+        silence_us = self.inventory.silences()
+        silent = self._silent(silence_us)
+        lost: list[str] = []
+        for name, machine in self.base.picture.machines.items():
+            if self._fails_tasks(machine) and not machine.record.retiring:
+                self.kernel.log("info", f"{name} fails its tasks")
+                lost.append(name)
+                continue
+            loss = self._loss(name, silence_us[name], name in silent)
+            if loss is not None:
+                if name not in self.inventory.draining:
+                    self.kernel.log("info", f"{name} is {loss.value}")
+                lost.append(name)
+            elif self._unused(machine):
+                lost.append(name)
+        return lost
+
+    def _silent(self, silence_us: dict[str, int]) -> set[str]:
+        """The machines whose workers are silent, beyond what a fault of this controller would explain."""
+        silent = {name for name, us in silence_us.items() if us > self._lease_us + SILENT_US}
+        # When most of the fleet falls silent at once, the fault is likelier on this side.
+        if len(silent) > max(FEW_MACHINES, len(self.base.picture.machines) // 2):
+            return {name for name in silent if silence_us[name] > UNSURE_LEASES * self._lease_us}
+        return silent
+
+    def _fails_tasks(self, machine: Machine) -> bool:
+        return bool(machine.record.failed) and self.base.picture.blame(machine) >= SICK
+
+    def _loss(self, name: str, silence_us: int, silent: bool) -> Loss | None:
+        """Why a machine is given up, or None."""
+        if self.inventory.listed.get(name) == FAILED:
+            return Loss.FAILED
+        known_us = self.kernel.now_us - self.inventory.known_since[name]
+        unlisted = self.inventory.unlisted(name) and known_us > self.inventory.list_lag_us()
+        if unlisted and silence_us > MISSING_US:
+            return Loss.MISSING
+        return Loss.SILENT if silent else None
+
+    def _unused(self, machine: Machine) -> bool:
+        """Whether a machine is idle and is not to be kept any longer; notes since when it is idle."""
+        retiring = machine.record.retiring
+        idle = not machine.holds and (machine.name not in self.forecaster.needed or retiring)
+        if not idle:
+            self.inventory.idle_since.pop(machine.name, None)
+            return False
+        since_us = self.inventory.idle_since.setdefault(machine.name, self.kernel.now_us)
+        return retiring or self.kernel.now_us - since_us > self._idle_limit_us(machine)
+
+    def _idle_limit_us(self, machine: Machine) -> int:
+        """How long an idle machine is kept: about as long as having it back would cost.
+
+        One that is the cheapest for a class with an aim on waiting is kept longer, for no machine that is rented
+        when such a job comes is up in time.
+        """
+        machine_type = self.base.picture.types.get(machine.type)
+        boot_us = machine_type.boot_us if machine_type is not None else UNKNOWN_BOOT_US
+        times = self.base.knobs.idle_boots
+        cheapest = self.forecaster.cheapest_for_urgent.values()
+        if any(machine.type == kind.type and machine.record.spot == kind.spot for kind in cheapest):
+            times *= URGENT_FACTOR
+        return int(boot_us * times)
--- /dev/null
+++ b/ashtray/fleet/provisioning.py
@@ -0,0 +1,159 @@
+"""Renting: the demand is written down as intents, and then requested from the cloud.
+
+What is to be rented is committed under the term before the cloud hears of it (safety point 22), so the successor of
+a runner that failed asks for the same machines under the same names: see `standby/intents.py`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Container
+from functools import partial
+
+from ashtray.base import Base
+from ashtray.fleet.capacity_backoff import CapacityBackoff
+from ashtray.fleet.cloud_client import NO_CAPACITY, TROUBLE, CloudClient, error_of
+from ashtray.fleet.demand import DemandForecaster
+from ashtray.fleet.fleet_lease import FleetLease
+from ashtray.fleet.machine_inventory import MachineInventory
+from ashtray.fleet.machine_kind import MachineKind
+from ashtray.fleet.messages import rental, rented_names
+from ashtray.kernel import SECOND_US, Fiber, Reply
+from ashtray.peers.presence import INTENTS
+from ashtray.placement.picture import RENTALS
+from ashtray.standby.intents import Intent, Intents
+from ashtray.standby.takeover import Takeover
+from ashtray.store.client import VALUE_SHARE, Txn, Urgency
+
+FORECAST_US = 3_500
+"""The pause between two forecasts, for each machine that they go through."""
+MAX_PER_REQUEST = 50
+"""Machines asked for in one request."""
+RECORD_SHARE = 0.5
+"""Of the bytes of a value, what the record of intents may take."""
+CLOCK_US = 2 * SECOND_US
+"""How far two controllers' times of day may differ, with a reserve."""
+
+
+class Provisioning:
+    """Rents the machines that the demand calls for, each request under a name of its own."""
+
+    def __init__(
+        self,
+        base: Base,
+        lease: FleetLease,
+        cloud: CloudClient,
+        inventory: MachineInventory,
+        forecaster: DemandForecaster,
+        backoff: CapacityBackoff,
+    ) -> None:
+        self.base = base
+        self.kernel = base.kernel
+        self.lease = lease
+        self.cloud = cloud
+        self.inventory = inventory
+        self.forecaster = forecaster
+        self.backoff = backoff
+        self.intents = Intents()
+        self._sequence = 0
+        """The number of the last request of this process."""
+        self._forecast_us = 0
+        """When the last forecast was made."""
+        self._had_demand = True
+        """The last forecast called for machines: the next one is made sooner."""
+
+    def run(self, takeover: Takeover) -> Fiber[None]:
+        """Compute the demand, if it is time for that, and rent what it calls for."""
+        if takeover.decided and not self._forecast_due():
+            return
+        self._forecast_us = self.kernel.now_us
+        self.settle(())
+        if not (yield from self.request_unanswered()):
+            # What has no answer may be on its way: the same need would be met twice (safety point 22).
+            return
+        demand = self.forecaster.compute()
+        self._had_demand = bool(demand)
+        if not takeover.decided:
+            takeover.decided = True
+            self.kernel.log("info", f"first decision of the fleet: {sum(demand.values())} machines are wanted")
+        if demand:
+            yield from self._rent(demand)
+
+    def _forecast_due(self) -> bool:
+        """Whether to make the next forecast: each goes through the whole fleet and queue, so not in each round."""
+        pause_us = FORECAST_US * len(self.base.picture.machines) * (1 if self._had_demand else 2)
+        return self.kernel.now_us - self._forecast_us >= pause_us
+
+    def _rent(self, demand: dict[MachineKind, int]) -> Fiber[None]:
+        batch: list[Intent] = []
+        build = partial(self._record_of, demand, batch)
+        # Safety point 22: the cloud hears of a request only once its name is committed.
+        if not (yield from self.base.follower.commit(build, 1, Urgency.ACCEPT, "intent")):
+            # It may be written all the same: what nobody has asked for is dropped with the next change.
+            return
+        self.intents.begin(batch)
+        yield from self.request_unanswered()
+
+    def _record_of(self, demand: dict[MachineKind, int], batch: list[Intent]) -> Txn | None:
+        """Build the transaction that writes down, under the term, what is on its way and about to be.
+
+        `batch` is filled with the new intents; settled ones are left out.  None if the fleet's key was lost.
+        """
+        if not self.lease.holds():
+            return None
+        batch[:] = [self._intent(kind, number) for kind, number in demand.items()]
+        inventory = self.inventory
+        self.settle(self.base.picture.machines.keys() | inventory.listed.keys() | inventory.deleted.keys())
+        self.intents.all = self.intents.all or self.lease.presence.upgraded(INTENTS)
+        max_bytes = self.base.limits.value_bytes * VALUE_SHARE * RECORD_SHARE
+        value = self.intents.value(self.base.settings.host_name, max_bytes, batch)
+        txn = Txn().guard(RENTALS, self.base.picture.version(RENTALS)).put(RENTALS, value)
+        return self.lease.under_term(txn)
+
+    def _intent(self, kind: MachineKind, number: int) -> Intent:
+        """An intent under a request name that was never used before."""
+        self._sequence += 1
+        request = f"{self.base.settings.host_name}-{self.lease.presence.incarnation}-{self._sequence}"
+        number = min(number, MAX_PER_REQUEST)
+        return Intent(request, kind.type, kind.zone, kind.spot, number, self.kernel.wall_us)
+
+    def settle(self, seen: Container[str]) -> None:
+        """Drop intents whose machines were seen, or that are so old that the list must show them."""
+        self.intents.settle(seen, self.kernel.wall_us - self.inventory.list_lag_us() - CLOCK_US)
+
+    def request_unanswered(self) -> Fiber[bool]:
+        """Ask the cloud for what has no answer yet; False where it gives none."""
+        for intent in self.intents.unanswered():
+            # A request without an answer may have been executed: whoever asks again gets the same machines.
+            if not (yield from self._request(intent)) and not (yield from self._request(intent)):
+                return False
+        return True
+
+    def _request(self, intent: Intent) -> Fiber[bool]:
+        """Ask the cloud for what was written down; False if it gave no answer, or this controller may not ask."""
+        if not self.lease.holds():
+            return False
+        body = rental(intent.request, intent.kind, intent.number)
+        # Safety point 22: the term is looked at once more, immediately before the request is sent.
+        reply = yield from self.cloud.request("POST", "/rentals", body, self.lease.holds)
+        if reply.status not in (200, 400, 503) or error_of(reply) == TROUBLE:
+            return False
+        names = rented_names(reply.body) if reply.status == 200 else []
+        if names:
+            self.intents.answered(intent.request, names)
+        else:
+            self.intents.refused(intent.request)
+        self.inventory.expect(intent, names)
+        self._note_capacity(intent, reply, names)
+        return True
+
+    def _note_capacity(self, intent: Intent, reply: Reply, names: list[str]) -> None:
+        """Log what the cloud rented, and stop asking for a while for what it could not rent."""
+        kind = intent.kind
+        if reply.status == 200:
+            self.kernel.log("info", f"rented {len(names)} of {intent.number} {kind.describe()}")
+        short = reply.status == 200 and len(names) < intent.number
+        if short or (reply.status == 503 and error_of(reply) == NO_CAPACITY):
+            self.backoff.refused(kind)
+            self.kernel.log("info", f"no capacity for {kind.describe()}")
+        elif names:
+            self.backoff.clear(kind)
--- a/tests/mutants/safety.py
+++ b/tests/mutants/safety.py
@@ -25,7 +25,9 @@
     )
 ]
 FOLDING, DESK = "ashtray/workers/folding.py", "ashtray/workers/desk.py"
-RUNNER, PLACER = "ashtray/fleet/runner.py", "ashtray/placement/placer.py"
+FLEET_LEASE, HANDOVER = "ashtray/fleet/fleet_lease.py", "ashtray/fleet/handover.py"
+INVENTORY, PROVISIONING = "ashtray/fleet/machine_inventory.py", "ashtray/fleet/provisioning.py"
+DECOMMISSIONING, PLACER = "ashtray/fleet/decommissioning.py", "ashtray/placement/placer.py"
 FOLLOWER, GRANTS = "ashtray/store/follower.py", "ashtray/teams/grants.py"
 NEEDS, ORDER = "ashtray/jobs/needs.py", "ashtray/placement/order.py"
 SERVICE, PICTURE = "ashtray/jobs/service.py", "ashtray/placement/picture.py"
@@ -33,11 +35,11 @@
 MUTANTS: dict[str, tuple[str, str, str]] = {
     "absence-is-proof": (FOLDING, "sure = evidence.exact and record.token == evidence.token", "sure = True"),
     "free-before-deletion": (
-        RUNNER,
-        "        if reply.status != 200:\n            return\n        for name in names:",
-        "        for name in names:",
+        DECOMMISSIONING,
+        "        if reply.status != 200:\n            return\n        self.inventory.note_deleted(names)",
+        "        self.inventory.note_deleted(names)",
     ),
-    "place-while-deleting": (RUNNER, ".machine(name).retiring = True", ".machine(name)"),
+    "place-while-deleting": (DECOMMISSIONING, ".machine(name).retiring = True", ".machine(name)"),
     "clear-before-commit": (
         DESK,
         '                elif over and seen.state == "saving":',
@@ -107,23 +109,24 @@
         "",
     ),
     "rented-without-a-record": (
-        RUNNER,
+        PROVISIONING,
         '        if not (yield from self.base.follower.commit(build, 1, Urgency.ACCEPT, "intent")):',
         "        if build() is None:",
     ),
     "heir-does-not-ask-again": (
-        RUNNER,
-        "        asked = len(self.intents.unanswered())\n        if not (yield from self._ask_for_all()):",
+        HANDOVER,
+        "        asked = len(intents.unanswered())\n"
+        "        if not (yield from self.provisioning.request_unanswered()):",
         "        asked = 0\n        if False:",
     ),
     "heir-forgets-what-is-coming": (
-        RUNNER,
-        "            self._expect(intent, intent.names or ())",
+        HANDOVER,
+        "            self.inventory.expect(intent, intent.names or ())",
         "            pass",
     ),
-    "rents-without-the-term": (RUNNER, "        return txn.guard(FLEET, self._term)", "        return txn"),
+    "rents-without-the-term": (FLEET_LEASE, "        return txn.guard(FLEET, self.term)", "        return txn"),
     "read-before-the-term": (
-        RUNNER,
+        HANDOVER,
         "            if not (yield from self.base.follower.barrier()):\n                return\n"
         "            takeover.ok(Check.READ",
         "            takeover.ok(Check.READ",
@@ -226,18 +229,18 @@
         "self.held.setdefault(hold.job, {})[(name, hold.attempt)] = hold",
     ),
     "silence-while-halted": (
-        RUNNER,
+        INVENTORY,
         "self.known_since.setdefault(name, now), awake_us)",
         "self.known_since.setdefault(name, now))",
     ),
     "mute-is-silent": (
-        RUNNER,
+        INVENTORY,
         "found[name] = 0 if mute and presence.foreman(machine.group) in mute else max(until - last, 0)",
         "found[name] = max(until - last, 0)",
     ),
-    "term-outlives-lease": (RUNNER, "if self.running and not self._holds():", "if False:"),
+    "term-outlives-lease": (FLEET_LEASE, "if self.running and not self.holds():", "if False:"),
     "late-list-condemns": (
-        RUNNER,
+        INVENTORY,
         "return name not in self.listed and name < self._newest",
         "return name not in self.listed",
     ),
--- a/tests/test_bad_nights.py
+++ b/tests/test_bad_nights.py
@@ -209,10 +209,10 @@
 
 
 def test_a_late_list_condemns_nothing_newer_than_what_it_shows():
-    runner = Model(1).hosts[0].core.runner
-    runner.listed, runner._newest = {"vm-000001": "running", "vm-000003": "running"}, "vm-000003"
-    assert runner._unlisted("vm-000002")
-    assert not runner._unlisted("vm-000004")
+    inventory = Model(1).hosts[0].core.runner.inventory
+    inventory.listed, inventory._newest = {"vm-000001": "running", "vm-000003": "running"}, "vm-000003"
+    assert inventory.unlisted("vm-000002")
+    assert not inventory.unlisted("vm-000004")
 
 
 def test_late_joiners_are_used_not_rented_anew():
@@ -273,9 +273,9 @@
     core.kernel.now_us = later
     for peer in core.peers.peers.values():
         peer.word_us = later
-    assert min(core.runner._silences().values()) > 50 * SECOND
+    assert min(core.runner.inventory.silences().values()) > 50 * SECOND
     core.kernel.awake_us = later
-    assert max(core.runner._silences().values()) == 0
+    assert max(core.runner.inventory.silences().values()) == 0
 
 
 def test_the_only_machine_of_a_type_that_never_comes_up_is_replaced() -> None:
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -113,12 +113,12 @@
 def test_the_runner_that_is_back_within_its_own_term_passes_all_checks() -> None:
     model = busy(6)
     number = next(n for n, host in enumerate(model.hosts) if host.core.runner.running)
-    term = model.hosts[number].core.runner._term
+    term = model.hosts[number].core.runner.lease.term
     model.crash(number, 0.05)
     model.run(6)
     core = next(host.core for host in model.hosts if host.core.runner.running)
-    assert core.runner._term > term
-    assert all(check in core.runner.takeover.passed for check in Check)
+    assert core.runner.lease.term > term
+    assert all(check in core.runner.handover.takeover.passed for check in Check)
     # The old process's key is not taken for the new one's.
     fleet, _ = core.picture.fleet
     assert fleet["incarnation"] == core.presence.incarnation
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -162,7 +162,7 @@
     model.checks()
     model.run(8)
     for host in model.hosts:
-        host.core.runner.intents.all = False
+        host.core.runner.provisioning.intents.all = False
         host.core.presence._upgraded = 1
         for seen in host.core.picture.controllers.values():
             seen["form"] = 1
