--- a/ashtray/__main__.py
+++ b/ashtray/__main__.py
@@ -1,3 +1,5 @@
+"""`python -m ashtray`: the command line."""
+
 from ashtray.cli import entry
 
 entry()
--- a/ashtray/cli.py
+++ b/ashtray/cli.py
@@ -196,6 +196,7 @@
 
 
 def parser() -> argparse.ArgumentParser:
+    """The parser of the command line; each command sets `call` to the function that runs it."""
     top = argparse.ArgumentParser(
         prog="ashtray",
         description="A cluster scheduler: run a controller, check its settings, or use the service.",
@@ -261,6 +262,7 @@
 
 
 def main(argv: Sequence[str] | None = None) -> int:
+    """Run one command and return the exit code; `argv` is without the program's name."""
     args = parser().parse_args(argv)
     try:
         return int(args.call(args))
@@ -271,4 +273,5 @@
 
 
 def entry() -> None:
+    """The entry point of the installed program `ashtray`."""
     sys.exit(main())
--- a/ashtray/client.py
+++ b/ashtray/client.py
@@ -14,6 +14,8 @@
 
 
 class Client:
+    """Sends requests to one controller, or to a load balancer before several."""
+
     def __init__(self, server: str, timeout_s: float) -> None:
         host, colon, port = server.rpartition(":")
         if not (colon and host and port.isdigit()):
--- a/ashtray/config/operators.py
+++ b/ashtray/config/operators.py
@@ -43,6 +43,8 @@
 
 @dataclass(frozen=True)
 class Setting:
+    """One entry of the operators' file: the field that it sets, its meaning, and how it is read and checked."""
+
     field: str
     meaning: str
     read: Callable[[list[Any]], Any]
--- a/ashtray/config/settings.py
+++ b/ashtray/config/settings.py
@@ -17,12 +17,16 @@
 
 
 class Peer(msgspec.Struct, frozen=True):
+    """Another controller."""
+
     host_name: str
     peer_addr: str
     domain: str = ""
 
 
 class Services(msgspec.Struct, frozen=True):
+    """The addresses of the cloud and of the state service, as HOST:PORT."""
+
     cloud: str
     state: str
 
@@ -38,6 +42,8 @@
 
 
 class Objective(msgspec.Struct, frozen=True):
+    """An aim that the users state for a class of jobs: its kind, a time, and the share of jobs that is to meet it."""
+
     kind: str
     job_class: str | None = msgspec.field(default=None, name="class")
     within_s: float | None = None
@@ -45,6 +51,8 @@
 
 
 class WorkerTimes(msgspec.Struct, frozen=True):
+    """The times of the workers' protocol, in seconds."""
+
     report_s: Share
     lease_s: Share
     gang_wait_s: Share
@@ -61,6 +69,8 @@
 
 
 class StateLimits(msgspec.Struct, frozen=True):
+    """What the state service takes: requests and changes a second, a value's KiB, a transaction's operations."""
+
     rps: Share
     write_rps: Share
     value_kb: Share
@@ -69,17 +79,23 @@
 
 
 class CloudLimits(msgspec.Struct, frozen=True):
+    """The cloud's requests a second, and by how many seconds its list may lag."""
+
     rps: Share
     list_lag_s: Amount
 
 
 class Quota(msgspec.Struct, frozen=True):
+    """What a controller's process may use: a share of the processor, memory in MiB, sockets."""
+
     cpu_share: Share = 1.0
     ram_mb: Share = 1024.0
     sockets: Annotated[int, msgspec.Meta(gt=0)] = 1024
 
 
 class Cluster(msgspec.Struct, frozen=True):
+    """What all controllers of a deployment share."""
+
     zones: list[str]
     workers: WorkerTimes
     state: StateLimits
@@ -92,6 +108,8 @@
 
 
 class Settings(msgspec.Struct, frozen=True):
+    """The settings file of one controller."""
+
     host_name: str
     api_addr: str
     cluster_listen: str
--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -36,6 +36,12 @@
 
 
 class Controller:
+    """The deterministic core of one controller.
+
+    Each method that takes an input is given the monotonic time and the time of day in microseconds, and returns what
+    is to be sent, answered and logged.
+    """
+
     def __init__(self, settings: Settings, knobs: Knobs, rng: random.Random, verbose: bool = False) -> None:
         self.settings = settings
         self.knobs = knobs
@@ -127,6 +133,7 @@
         yield
 
     def start(self, now_us: int, wall_us: int) -> list[Output]:
+        """Begin all fibers; to be called once, before any other input."""
         kernel = self.kernel
         kernel.advance(now_us, wall_us)
         for bucket in (self.store.requests.bucket, self.store.changes.bucket, self.runner.cloud.bucket):
@@ -150,6 +157,7 @@
         return kernel.run()
 
     def wake(self, now_us: int, wall_us: int) -> list[Output]:
+        """A timer has fired: let pass the time until now."""
         self.kernel.advance(now_us, wall_us)
         return self.kernel.run()
 
@@ -166,6 +174,7 @@
         self.ended = True
 
     def reply(self, now_us: int, wall_us: int, call_id: int, reply: Reply) -> list[Output]:
+        """The reply to a call that the core has sent."""
         self.kernel.advance(now_us, wall_us)
         self.kernel.reply(call_id, reply)
         return self.kernel.run()
--- a/ashtray/daemon/server.py
+++ b/ashtray/daemon/server.py
@@ -65,6 +65,8 @@
 
 
 class Daemon:
+    """The process around a core: its sockets, its timers and its log."""
+
     def __init__(self, settings: Settings, knobs: Knobs, token: str | None = None) -> None:
         """`token` is the operators': without one their paths are off."""
         self.settings = settings
@@ -94,11 +96,13 @@
         )
 
     def now(self) -> tuple[int, int]:
+        """The monotonic time and the time of day, in microseconds."""
         # Not the loop's time, which is taken once a turn: after a halt in the middle of one, inputs would carry a
         # time from before it, and what was read long ago would count as read lately.
         return time.monotonic_ns() // 1000, time.time_ns() // 1000
 
     def carry_out(self, outputs: list[Output]) -> None:
+        """Send, answer and log what the core has put out, and set the timer for its next wake."""
         for output in outputs:
             if isinstance(output, Send):
                 task = self.loop.create_task(self._send(output.call_id, output.call))
@@ -227,6 +231,7 @@
             return Reply(0)
 
     async def handle(self, request: web.BaseRequest, from_peer: bool) -> web.StreamResponse:
+        """Answer one HTTP request, from another controller or from anybody else."""
         readable, body = True, None
         if request.can_read_body:
             if request.content_length is not None and request.content_length > MAX_BODY and not from_peer:
@@ -288,6 +293,8 @@
             await asyncio.sleep(ADDRESS_AGAIN_S)
 
     async def serve(self) -> None:
+        """Listen on both addresses until the process is told to end."""
+
         async def public(request: web.BaseRequest) -> web.StreamResponse:
             return await self.handle(request, from_peer=False)
 
@@ -317,6 +324,7 @@
 
 
 def run(settings: Settings, knobs: Knobs, token: str | None = None) -> Any:
+    """Run a controller until it is told to end."""
     # Records are decoded into thousands of small objects, which nearly all live on or go by themselves: looking for
     # circles among them after each 700 took a tenth of the time of reading a record.
     gc.freeze()
--- a/ashtray/estimates/learned.py
+++ b/ashtray/estimates/learned.py
@@ -67,6 +67,7 @@
         """Of the factors, by what ran: what all machines share belongs to the classes."""
 
     def factor(self, name: str) -> float:
+        """By how much (as a logarithm) tasks run longer on a machine than on the average one."""
         return self._own(name) - self._average
 
     def _own(self, name: str) -> float:
@@ -74,6 +75,7 @@
         return mean * weight / (weight + MACHINE_PRIOR)
 
     def observe(self, name: str, residual: float, sigma: float) -> None:
+        """Take in how far a run time on a machine was from what was expected (as a logarithm)."""
         weight, mean = self._seen.pop(name, (0.0, 0.0))
         weight = min(weight + 1.0, MACHINE_MOST)
         step = min(max(residual, -2 * sigma), 2 * sigma)
@@ -149,6 +151,7 @@
         return known
 
     def estimate(self, job: Job) -> Estimate:
+        """The distribution of the run time of a job's tasks."""
         x = stated(job.spec)
         belief, weight, curve = self._known(levels(job.spec), x)
         middle = x + belief.at(x)
@@ -156,6 +159,7 @@
         return Estimate(p50, p10, p90, p95, weight)
 
     def median_us(self, job: Job) -> int:
+        """The median of the run time of a job's tasks, in microseconds."""
         # Asked for each job that waits in each round of the queue: what a job's description says does not change.
         names, x, before, median_us = self._medians.get(job.id) or (levels(job.spec), stated(job.spec), None, 0)
         known = self._known(names, x)
--- a/ashtray/estimates/model.py
+++ b/ashtray/estimates/model.py
@@ -60,10 +60,12 @@
     var: float = FIRST_VAR
 
     def at(self, x: float) -> float:
+        """The expected logarithm of run time over estimate, for the logarithm of an estimate."""
         return self.bias + self.slope * (x - self.centre)
 
 
 def new_row() -> array[float]:
+    """The numbers of a level of which nothing is known."""
     return array("f", bytes(4 * WIDTH))
 
 
@@ -123,6 +125,7 @@
 
 
 def bin_of(residual: float) -> int:
+    """The bin of the histogram in which a residual lies."""
     return min(max(math.floor(residual / BIN + ZERO), 0), BINS - 1)
 
 
@@ -192,6 +195,7 @@
         self._below = below
 
     def cdf(self, residual: float) -> float:
+        """The share of residuals up to this one."""
         edges = self._edges
         if residual <= edges[0]:
             return 0.0
@@ -202,6 +206,7 @@
         return self._below[n - 1] + part * (self._below[n] - self._below[n - 1])
 
     def quantile(self, share: float) -> float:
+        """The residual up to which this share of them lies."""
         below = self._below
         n = min(max(bisect_left(below, share), 1), len(below) - 1)
         step = below[n] - below[n - 1]
--- a/ashtray/inbox.py
+++ b/ashtray/inbox.py
@@ -60,6 +60,8 @@
 
 @dataclass(slots=True)
 class Entry:
+    """An input that waits."""
+
     take: Callable[[], list[Output]]
     """Hands the input to the core."""
     refuse: Callable[[], list[Output]] | None
@@ -69,6 +71,8 @@
 
 
 class Inbox:
+    """The inputs that wait for the core, by rank and then in the order in which they came."""
+
     def __init__(self) -> None:
         self._waiting: dict[Rank, deque[Entry]] = {rank: deque() for rank in Rank}
         self._turn = 0
--- a/ashtray/kernel.py
+++ b/ashtray/kernel.py
@@ -49,6 +49,8 @@
 
 @dataclass(slots=True)
 class Sleep:
+    """Wait for so many microseconds."""
+
     us: int
 
 
@@ -142,6 +144,7 @@
         self.spawn(loop())
 
     def fire(self, signal: Signal, value: Any = True) -> None:
+        """Resume all fibers that wait for a signal, each with `value`, when the current one next waits."""
         waiters, signal.waiters = signal.waiters, []
         for fid in waiters:
             if fid in self._waits:
@@ -149,6 +152,7 @@
                 self._ready.append((fid, value))
 
     def log(self, level: str, line: str) -> None:
+        """Put out a log line of level error, info or debug; the last only if the kernel is verbose."""
         if level != "debug" or self.verbose:
             self.out.append(Log(level, line))
 
@@ -159,9 +163,11 @@
         self.log("error", "unforeseen: " + traceback.format_exc().strip().replace("\n", " | "))
 
     def answer(self, request_id: int, status: int, body: Any = None, retry_after_s: int | None = None) -> None:
+        """Put out the answer to a request; `retry_after_s` asks its sender to try again."""
         self.out.append(Answer(request_id, status, body, retry_after_s))
 
     def reply(self, call_id: int, reply: Reply) -> None:
+        """Resume the fiber that waits for the reply to a call."""
         fid = self._calls.pop(call_id, None)
         if fid is not None:
             self._ready.append((fid, reply))
@@ -182,6 +188,7 @@
                 self._ready.append((fid, None))
 
     def next_wake_us(self) -> int | None:
+        """When the next timer is due, by the monotonic time; None if there is none."""
         while self._timers and self._waits.get(self._timers[0][2]) != self._timers[0][1]:
             heapq.heappop(self._timers)
         return self._timers[0][0] if self._timers else None
--- a/ashtray/lab/replay.py
+++ b/ashtray/lab/replay.py
@@ -30,18 +30,24 @@
 
 
 class Learner(Protocol):
-    def learn(self, run: Run) -> None: ...
+    """Something that predicts run times and learns from them."""
 
-    def say(self, run: Run) -> tuple[float, float]: ...
+    def learn(self, run: Run) -> None:
+        """Take in a run that has ended."""
+
+    def say(self, run: Run) -> tuple[float, float]:
+        """Predict a run: its median and its 90th percentile, in seconds."""
+        ...
 
 
 class Owner:
     """The owner's estimate, as it stands."""
 
     def learn(self, run: Run) -> None:
-        pass
+        """Take in a run that has ended."""
 
     def say(self, run: Run) -> tuple[float, float]:
+        """Predict a run: its median and its 90th percentile, in seconds."""
         return run.expect_s, run.expect_s
 
 
@@ -52,11 +58,13 @@
         self._ratios: dict[str, float] = {}
 
     def learn(self, run: Run) -> None:
+        """Take in a run that has ended."""
         ratio = min(run.run_s / run.expect_s, 5.0)
         old = self._ratios.get(run.job_class, ratio)
         self._ratios[run.job_class] = old + 0.05 * (ratio - old)
 
     def say(self, run: Run) -> tuple[float, float]:
+        """Predict a run: its median and its 90th percentile, in seconds."""
         found = run.expect_s * self._ratios.get(run.job_class, 1.2)
         return found, found
 
@@ -68,9 +76,11 @@
         self._last: dict[str, float] = {}
 
     def learn(self, run: Run) -> None:
+        """Take in a run that has ended."""
         self._last[run.job_class] = run.run_s
 
     def say(self, run: Run) -> tuple[float, float]:
+        """Predict a run: its median and its 90th percentile, in seconds."""
         found = self._last.get(run.job_class, run.expect_s)
         return found, found
 
@@ -82,9 +92,11 @@
         self.estimates = Estimates()
 
     def learn(self, run: Run) -> None:
+        """Take in a run that has ended."""
         self.estimates.ran(job_of(run), int(run.run_s * SECOND_US), run.machine)
 
     def say(self, run: Run) -> tuple[float, float]:
+        """Predict a run: its median and its 90th percentile, in seconds."""
         found = self.estimates.estimate(job_of(run))
         return found.median_us / SECOND_US, found.p90_us / SECOND_US
 
@@ -93,6 +105,7 @@
 
 
 def job_of(run: Run) -> Job:
+    """The job of one task that a run of a trace stands for."""
     spec = JobSpec(
         run.job_class,
         run.team,
@@ -159,6 +172,7 @@
 
 
 def main(argv: list[str] | None = None) -> int:
+    """Replay traces to all learners and print how far off they were; the exit code."""
     parser = argparse.ArgumentParser(
         prog="ashtray.lab.replay", description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
     )
--- a/ashtray/lab/traces.py
+++ b/ashtray/lab/traces.py
@@ -129,6 +129,7 @@
 
 
 def make(kind: str, seed: int, n: int) -> list[Run]:
+    """A trace of `n` runs; the same kind and seed give the same trace."""
     return list(KINDS[kind](random.Random(f"{kind}/{seed}"), n))
 
 
@@ -142,6 +143,7 @@
 
 
 def load(path: Path) -> list[Run]:
+    """Read a trace from a Parquet file; needs the extra `lab`."""
     import pyarrow.parquet as pq
 
     return [Run(**row) for row in pq.read_table(path).to_pylist()]
--- a/ashtray/standby/intents.py
+++ b/ashtray/standby/intents.py
@@ -35,6 +35,7 @@
 
     @property
     def kind(self) -> MachineKind:
+        """The kind of machine that is requested."""
         return MachineKind(self.type, self.zone, self.spot)
 
 
@@ -69,6 +70,7 @@
         return True
 
     def begin(self, batch: Iterable[Intent]) -> None:
+        """Requests have been written down: they may be sent now."""
         self.open.update((intent.request, intent) for intent in batch)
 
     def answered(self, request: str, names: list[str]) -> None:
@@ -82,6 +84,7 @@
         self.open.pop(request, None)
 
     def unanswered(self) -> list[Intent]:
+        """The requests of which no answer is known, the oldest first."""
         return [intent for intent in self.open.values() if intent.names is None]
 
     def settle(self, seen: Container[str], before_us: int) -> None:
--- a/ashtray/standby/takeover.py
+++ b/ashtray/standby/takeover.py
@@ -33,12 +33,15 @@
     """The first decision was made."""
 
     def ok(self, check: Check, now_us: int) -> None:
+        """A check has passed; the first time counts."""
         self.passed.setdefault(check, now_us)
 
     def missing(self, check: Check) -> bool:
+        """Whether a check has not passed yet."""
         return check not in self.passed
 
     def ready(self) -> bool:
+        """Whether all checks have passed."""
         return all(check in self.passed for check in Check)
 
     def again(self, now_us: int) -> None:
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, the stand-ins that they use, and the mutation check."""
--- a/tests/fakes/cloud.py
+++ b/tests/fakes/cloud.py
@@ -12,6 +12,8 @@
 
 @dataclass
 class Rented:
+    """A machine that was rented, also after its end."""
+
     name: str
     type: str
     zone: str
@@ -24,6 +26,8 @@
 
 @dataclass
 class Cloud:
+    """A cloud in memory: rents up to `capacity` machines, and lists them as they were `lag_us` ago."""
+
     types: list[dict[str, Any]]
     capacity: int = 12
     lag_us: int = 3_000_000
@@ -36,9 +40,11 @@
     deleted: set[str] = field(default_factory=set)
 
     def alive(self) -> list[Rented]:
+        """The machines that have not ended."""
         return [m for m in self.machines.values() if m.ended_us is None]
 
     def handle(self, now_us: int, method: str, path: str, body: Any) -> Answer:
+        """The status and the body of the answer to a request."""
         if self.down:
             return 503, {"error": "trouble"}
         url = urlsplit(path)
@@ -58,6 +64,7 @@
         return 400, {"error": "malformed"}
 
     def end(self, now_us: int, name: str, status: str) -> None:
+        """A machine ends, with the status that the list shows of it from then on."""
         machine = self.machines[name]
         if machine.ended_us is None:
             machine.ended_us = now_us
--- a/tests/fakes/serve.py
+++ b/tests/fakes/serve.py
@@ -71,6 +71,7 @@
 
 
 def now_us() -> int:
+    """The monotonic time in microseconds."""
     return time.monotonic_ns() // 1000
 
 
@@ -90,6 +91,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
 
     def write_settings(self) -> list[Path]:
+        """Write a settings file for each controller, and return their paths."""
         files = []
         for n, api in enumerate(self.apis):
             others = "".join(
@@ -113,11 +115,13 @@
         return files
 
     async def start(self) -> None:
+        """Listen as the state service and as the cloud."""
         self.client = aiohttp.ClientSession()
         await self._serve(self.port, self.state.handle)
         await self._serve(self.port + 1, self.cloud.handle)
 
     async def stop(self) -> None:
+        """End all workers."""
         for task in self.tasks:
             task.cancel()
         await self.client.close()
--- a/tests/fakes/state.py
+++ b/tests/fakes/state.py
@@ -11,6 +11,8 @@
 
 
 class State:
+    """A state service in memory."""
+
     def __init__(self, value_kb: float = 32.0, txn_ops: int = 16) -> None:
         self.value_kb = value_kb
         self.txn_ops = txn_ops
@@ -29,6 +31,7 @@
         """Changes that were asked for, and those of them that were refused for the rate."""
 
     def handle(self, now_us: int, method: str, path: str, body: Any) -> Answer:
+        """The status and the body of the answer to a request."""
         if self.down:
             return 503, {"error": "trouble"}
         self.expire(now_us)
@@ -66,6 +69,7 @@
         return False
 
     def expire(self, now_us: int) -> None:
+        """Remove the leases that have run out, and the keys under them."""
         for lease in [n for n, (_, until_us) in self.leases.items() if until_us <= now_us]:
             del self.leases[lease]
             gone = [k for k, (_, _, held) in self.keys.items() if held == lease]
--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -13,6 +13,8 @@
 
 @dataclass
 class Task:
+    """A task on a worker."""
+
     key: Key
     state: str = "fetching"
     cause: str | None = None
@@ -23,6 +25,7 @@
 
     @property
     def on_machine(self) -> bool:
+        """Whether it has been let onto the machine and has not ended."""
         return self.state in ("waiting", "running", "saving")
 
 
@@ -44,6 +47,8 @@
 
 @dataclass
 class Worker:
+    """A worker in memory: reports, obeys orders of the newest token, ends its tasks when its lease runs out."""
+
     name: str
     type: str
     zone: str
@@ -64,6 +69,7 @@
     cached: set[str] = field(default_factory=set)
 
     def report(self) -> dict[str, Any]:
+        """The next report."""
         self.tick += 1
         pieces = []
         for (job, attempt, number), task in self.tasks.items():
@@ -154,6 +160,7 @@
         return new
 
     def orders(self, now_us: int, body: Any) -> Answer:
+        """Take orders that were sent directly; the status and the body of the answer."""
         self.advance(now_us)
         if "baton" not in body or "shift" not in body:
             return 400, {"error": "baton or shift is missing"}
@@ -164,6 +171,7 @@
         return 200, self.report()
 
     def execute(self, now_us: int, orders: list[dict[str, Any]]) -> None:
+        """Launch, kill and clear tasks as ordered."""
         for order in orders:
             job, _, number = order["piece"].partition("/")
             key = (job, order["try"], int(number))
--- a/tools/accept.py
+++ b/tools/accept.py
@@ -91,6 +91,7 @@
     tasks_done: int | None = None
 
     def share(self) -> float:
+        """The share of the jobs that were done or, where their ends are not counted, that were started."""
         return (self.started if self.done is None else self.done) / self.jobs
 
 
@@ -343,6 +344,7 @@
 
 
 def main() -> int:
+    """Play the chosen rows and print the report; the exit code."""
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--bench", type=Path, help="the bench's program")
     parser.add_argument("--sites", type=Path, nargs="*", default=[], help="site files; `wire.json` lies beside them")
@@ -379,6 +381,7 @@
 
 
 def run_all(args: argparse.Namespace) -> list[Played]:
+    """Play all days that the arguments choose, several at one time."""
     git = ["git", "-C", str(ROOT), "rev-parse", "--short", "HEAD:ashtray"]
     sources = subprocess.run(git, check=True, capture_output=True, text=True).stdout.strip()
     work = []
--- a/tools/bounds.py
+++ b/tools/bounds.py
@@ -136,6 +136,7 @@
 
 
 def main() -> None:
+    """Print the bound that the command line asks for."""
     parser = argparse.ArgumentParser(description="Bounds on the best that could be done.")
     bounds = parser.add_subparsers(dest="bound", required=True)
     for name, call, numbers in (
--- a/tools/ledger.py
+++ b/tools/ledger.py
@@ -227,6 +227,7 @@
 
 
 def main() -> int:
+    """Run the model and print where the time of one core goes; the exit code."""
     if os.environ.get("PYTHONHASHSEED") != "0":
         # Somewhere the order of a set matters: without this the counts do not repeat.
         os.execve(sys.executable, [sys.executable, *sys.argv], {**os.environ, "PYTHONHASHSEED": "0"})
--- a/tools/regress.py
+++ b/tools/regress.py
@@ -51,10 +51,12 @@
 
 
 def load_table() -> dict[str, dict[str, dict[str, Any]]]:
+    """The best figures by site and day, from `docs/figures.toml`."""
     return tomllib.loads(TABLE.read_text(encoding="utf-8")) if TABLE.exists() else {}
 
 
 def save_table(table: dict[str, dict[str, dict[str, Any]]]) -> None:
+    """Write the best figures to `docs/figures.toml`."""
     lines = [
         "# The best figure of each standard day (simulated machines), and the journal's entry that it is from.",
         "# Written by tools/regress.py --keep.",
@@ -67,6 +69,7 @@
 
 
 def entries() -> list[Path]:
+    """The journal's entries, by name."""
     return sorted((ROOT / "journal").glob("*.json"))
 
 
@@ -98,6 +101,7 @@
 
 
 def main() -> int:
+    """Score the sites and compare with the best figures; the exit code."""
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--bench", type=Path, help="the bench's program")
     parser.add_argument("--sites", nargs="*", default=[], help="site files that are always scored")
--- a/tools/takeover.py
+++ b/tools/takeover.py
@@ -44,6 +44,8 @@
 
 @dataclass
 class Fall:
+    """The end, halt or cut of a controller, and when what followed it happened (seconds)."""
+
     at_s: float
     host: str
     kind: str
@@ -57,6 +59,7 @@
 
 
 def read(text: str) -> tuple[list[tuple[float, str, str]], list[Fall]]:
+    """The log lines by time, and the falls that are noted between them."""
     lines, falls = [], []
     for raw in text.splitlines():
         if found := LINE.match(raw):
@@ -174,6 +177,7 @@
 
 
 def show_starts(found: list[Start], full: list[FullStart]) -> None:
+    """Print the stages of each start and of each start of all controllers."""
     row = "{:>8} {:9} {:>8}" + " {:>9}" * 4
     print(row.format("end", "host", "together", "listens", "signed in", "places", "accepts"))
     for one in found:
@@ -194,10 +198,12 @@
 
 
 def shown(value: float | None) -> str:
+    """A time in seconds with one decimal; `-` for None."""
     return "-" if value is None else f"{value:.1f}"
 
 
 def main() -> int:
+    """Print what the logs say of falls or starts; the exit code."""
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("logs", nargs="+", type=Path, metavar="LOG")
     parser.add_argument("--json", action="store_true", help="one object for each fall, for programs")
