--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -290,7 +290,7 @@
         finally:
             del self._looking[job_id]
         if reply.status == 200:
-            picture.note_over(job_id, reply.body["value"])
+            picture.note_over(job_id, reply.body["value"], reply.body["stamp"])
         elif reply.status == 404 and picture.loads == loads:
             picture.note_absent(job_id)
         self.kernel.fire(signal)
@@ -363,6 +363,7 @@
                 break
             if (yield from self.base.follower.commit(cancellation, 2, Urgency.CANCEL, "cancel")):
                 self.kernel.log("info", f"{job_id} cancelled")
+                yield from self.peers.announcer.announce(job_id)
                 self.kernel.answer(request_id, 200, state_body(job_id, "cancelled"))
                 return
         else:
