--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -14,7 +14,7 @@
 from ashtray.config.settings import Settings
 from ashtray.estimates.keeping import Keeper
 from ashtray.estimates.operators import operate
-from ashtray.fleet.runner import Runner
+from ashtray.fleet.runner import FleetRunner
 from ashtray.jobs.model import JOB_ID, NOW, ROOT
 from ashtray.jobs.pace import Pace
 from ashtray.jobs.service import JobDesk
@@ -41,6 +41,12 @@
 
 
 class Controller:
+    """The deterministic core of one controller.
+
+    Each method that takes an input is given the monotonic time and the time of day in microseconds, and returns what
+    is to be sent, answered and logged.
+    """
+
     def __init__(self, settings: Settings, knobs: Knobs, rng: random.Random, verbose: bool = False) -> None:
         self.settings = settings
         self.knobs = knobs
@@ -71,7 +77,7 @@
         self.desk = Desk(base, self.presence, self.peers, pace, self.renewal)
         self.placer = Placer(base, self.presence, self.grants, pace, planner, self.desk)
         self.jobs = JobDesk(base, self.presence, self.peers, planner, pace.estimates, self.placer.changed)
-        self.runner = Runner(base, self.presence, self.peers, pace, planner)
+        self.runner = FleetRunner(base, self.presence, self.peers, pace, planner)
         self.splitter = Splitter(base, self.presence)
         self.keeper = Keeper(base, self.presence, pace.estimates)
 
@@ -156,9 +162,10 @@
         yield
 
     def start(self, now_us: int, wall_us: int) -> list[Output]:
+        """Begin all fibers; to be called once, before any other input."""
         kernel = self.kernel
         kernel.advance(now_us, wall_us)
-        for bucket in (self.store.requests.bucket, self.store.changes.bucket, self.runner.bucket):
+        for bucket in (self.store.requests.bucket, self.store.changes.bucket, self.runner.cloud.bucket):
             bucket.at_us = kernel.now_us
         kernel.forever(self.follower.run, 0)
         kernel.forever(self.presence.run, 0)
@@ -179,6 +186,7 @@
         return kernel.run()
 
     def wake(self, now_us: int, wall_us: int) -> list[Output]:
+        """A timer has fired: let pass the time until now."""
         self.kernel.advance(now_us, wall_us)
         return self.kernel.run()
 
@@ -195,6 +203,7 @@
         self.ended = True
 
     def reply(self, now_us: int, wall_us: int, call_id: int, reply: Reply) -> list[Output]:
+        """The reply to a call that the core has sent."""
         self.kernel.advance(now_us, wall_us)
         self.kernel.reply(call_id, reply)
         return self.kernel.run()
