Test fast boots and old reports across a change of leader

Machines that are up within two seconds get work while writes get no answer or are carried out late, and the leader or the owner ends. Old reports reach every controller as another process begins to lead: of tasks that have ended, of endings that were cleared, of an earlier session or attempt, of a machine that is gone.

--- /dev/null
+++ b/tests/test_meetings_machines.py
@@ -0,0 +1,498 @@
+"""Meetings of troubles at machines: fast boots, old reports, far ends, no way to a controller, one zone only.
+
+Each test brings its meeting about, asserts that it happened, and only then that the rules held.
+"""
+
+from __future__ import annotations
+
+import copy
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+import pytest
+
+from ashtray.config.operators import Knobs
+from ashtray.jobs.model import LIVE
+from ashtray.kernel import Call, Reply
+from ashtray.placement import lean
+from ashtray.placement.picture import ADOPTED, GROUP
+from tests.fakes.cloud import Rented
+from tests.fakes.worker import Key
+from tests.model import LEASE_S, SECOND, Host, Model, RuleBroken, submission
+from tests.test_model import RUNS
+
+LOST, LATE = "lost", "late"
+"""What may become of a transaction: carried out without an answer, at once or 2 to 12 s later."""
+CRASH_BACK_S = 5.0
+SEEDS = range(1, 2 + RUNS // 60)
+"""Two by default; more with ASHTRAY_MODEL_RUNS."""
+FEW_SEEDS = range(1, 1 + max(RUNS // 60, 1))
+"""One by default, for tests with many parameters."""
+
+
+@dataclass
+class Unanswered:
+    """A transaction that got no answer."""
+
+    source: str
+    fate: str
+    body: dict[str, Any]
+    sent_us: int
+    status: int | None = None
+    """What the state service would have answered, once it was carried out."""
+
+
+@dataclass
+class Start:
+    """A task that came to be on a machine."""
+
+    at_us: int
+    machine: str
+    attempt: int
+
+
+class MeetingModel(Model):
+    """The model, with the troubles that only these meetings need, and with a record of what happened."""
+
+    def __init__(self, seed: int, hosts: int = 3, knobs: Knobs | None = None) -> None:
+        self.fate_of: Callable[[dict[str, Any]], str | None] = lambda body: None
+        """What becomes of a transaction; None: it is carried out and answered as ever."""
+        self.unanswered: list[Unanswered] = []
+        self.mute: dict[str, int] = {}
+        """Workers that can open no connection, and until when."""
+        self.refused_connections = 0
+        self.direct: list[tuple[int, str, list[dict[str, Any]]]] = []
+        """Orders that were sent straight to workers: when, to whom, and which."""
+        self.reports: dict[str, list[dict[str, Any]]] = {}
+        """By machine, the reports that it has sent."""
+        self.task_starts: dict[tuple[str, int], list[Start]] = {}
+        self.signed: set[tuple[str, int]] = set()
+        """Machines and the tokens that were ever committed in their records."""
+        self.boot_s = (3.0, 7.0)
+        self.run_s: Callable[[Key], float] | None = None
+        """How long a task runs, where the test says so."""
+        super().__init__(seed, hosts, knobs)
+        self._handle = self.state.handle
+        self.state.handle = self._watch_state  # type: ignore[method-assign]
+
+    # The state service
+
+    def _watch_state(self, now_us: int, method: str, path: str, body: Any) -> tuple[int, Any]:
+        status, answer = self._handle(now_us, method, path, body)
+        if path == "/txn" and status == 200:
+            for change in body.get("apply", ()):
+                if change.get("put", "").startswith(GROUP):
+                    machines = lean.unpack(change["value"])["machines"]
+                    self.signed.update((name, raw.get("token", 0)) for name, raw in machines.items())
+        return status, answer
+
+    def send(self, source: str, call: Call, deliver: Callable[[Reply], None]) -> None:
+        """Carry a request as ever, but for those that one of these troubles strikes."""
+        target = call.address.partition(":")[0]
+        if source in self.workers and call.path == "/hello":
+            self.reports.setdefault(source, []).append(copy.deepcopy(call.body))
+            if self.mute.get(source, 0) > self.now:
+                self.refused_connections += 1
+                self.at(SECOND // 1000, lambda: deliver(Reply(0, refused=True)))
+                return
+        if call.path == "/orders":
+            self.direct.append((self.now, target, call.body["orders"]))
+        fate = self.fate_of(call.body) if target == "state" and call.path == "/txn" else None
+        if fate is None:
+            super().send(source, call, deliver)
+            return
+        lost = Unanswered(source, fate, copy.deepcopy(call.body), self.now)
+        self.unanswered.append(lost)
+
+        def carry_out() -> None:
+            lost.status, _ = self.state.handle(self.now, "POST", "/txn", lost.body)
+
+        self.at(self.hop() if fate == LOST else int(self.rng.uniform(2, 12) * SECOND), carry_out)
+        self.at(call.timeout_us, lambda: deliver(Reply(0)))
+
+    # Machines
+
+    def _boot(self, machine: Rented) -> int:
+        boot = int(self.rng.uniform(*self.boot_s) * SECOND)
+        self.at(boot, lambda: self._worker_starts(machine))
+        return boot
+
+    def _worker_starts(self, machine: Rented) -> None:
+        super()._worker_starts(machine)
+        worker = self.workers.get(machine.name)
+        if worker is None:
+            return
+        execute = worker.execute
+
+        def watched(now_us: int, orders: list[dict[str, Any]]) -> None:
+            launches = [order for order in orders if order["verb"] == "launch"]
+            if launches and (worker.name, worker.token) not in self.signed:
+                raise RuleBroken(f"launched on {worker.name} before its token was in the record: {launches}")
+            execute(now_us, orders)
+
+        worker.execute = watched  # type: ignore[method-assign]
+
+    def _run_us(self, key: Key) -> int:
+        return int(self.run_s(key) * SECOND) if self.run_s is not None else super()._run_us(key)
+
+    def _started(self, machine: str, key: Key) -> None:
+        self.task_starts.setdefault((key[0], key[2]), []).append(Start(self.now, machine, key[1]))
+        super()._started(machine, key)
+
+    # What tests ask
+
+    def leader(self) -> Host | None:
+        """The controller that runs the fleet, if one does."""
+        return next((host for host in self.hosts if host.core is not None and host.core.runner.running), None)
+
+    def owner(self, name: str) -> Host | None:
+        """The controller that gives a machine's orders, if one does."""
+        for host in self.hosts:
+            worker = host.core.desk.workers.get(name) if host.core is not None else None
+            if worker is not None and worker.exact and (name, worker.token) in self.signed:
+                return host
+        return None
+
+    def groups_of(self, name: str) -> list[str]:
+        """The records in the state service that a machine is in."""
+        return [
+            key
+            for key, (value, _, _) in self.state.keys.items()
+            if key.startswith(GROUP) and name in lean.unpack(value)["machines"]
+        ]
+
+    def until(self, happened: Callable[[], bool], seconds: float, step_s: float = 0.05) -> bool:
+        """Run until something has happened; False if it has not in that time."""
+        end = self.now + int(seconds * SECOND)
+        while self.now < end:
+            if happened():
+                return True
+            self.run(step_s)
+        return happened()
+
+    def copy_to(self, number: int, name: str, report: dict[str, Any]) -> list[int]:
+        """Let a copy of a report arrive at a controller; the status of its answer, once it is there."""
+        body = msgspec.msgpack.decode(msgspec.msgpack.encode(report))
+        answers: list[int] = []
+        self._arrive(name, f"c{number}", "POST", "/hello", body, lambda s, _: answers.append(s), lambda _: None)
+        return answers
+
+    def all_done(self) -> bool:
+        return {job.told for job in self.jobs.values()} <= {"done", "cancelled"}
+
+
+def meeting(seed: int, hosts: int = 3, group_size: int | None = 2) -> MeetingModel:
+    model = MeetingModel(seed, hosts, Knobs(group_size=group_size))
+    model.checks()
+    model.run(3)
+    return model
+
+
+def settle(model: MeetingModel, seconds: float = 90) -> None:
+    """The troubles are over: within this time every job has to be done."""
+    model.fate_of = lambda body: None
+    model.mute.clear()
+    model.calm()
+    model.until(model.all_done, seconds, 1.0)
+    assert {job_id: job.told for job_id, job in model.jobs.items() if job.told not in ("done", "cancelled")} == {}
+
+
+def adopts(body: dict[str, Any]) -> bool:
+    return any(guard["k"].startswith(ADOPTED) for guard in body["guards"])
+
+
+def writes_group(body: dict[str, Any]) -> bool:
+    return any(change.get("put", "").startswith(GROUP) for change in body["apply"])
+
+
+def places(body: dict[str, Any]) -> bool:
+    return writes_group(body) and any(change.get("put", "").startswith(LIVE) for change in body["apply"])
+
+
+# Machines up within two seconds that get work at once, while writes lag and the leader ends (row 6)
+
+WRITES = {"adoption": adopts, "placement": places, "any": writes_group}
+
+
+@pytest.mark.parametrize("seed", FEW_SEEDS)
+@pytest.mark.parametrize("who", ["runner", "owner"])
+@pytest.mark.parametrize("fate", [LOST, LATE])
+@pytest.mark.parametrize("struck", list(WRITES))
+def test_fast_machines_get_their_work_once_though_writes_lag_and_the_leader_ends(seed, who, fate, struck):
+    model = meeting(seed)
+    model.boot_s = (0.3, 1.9)
+    luck = random.Random(seed)
+    model.fate_of = lambda body: fate if WRITES[struck](body) and luck.random() < 0.6 else None
+    for n in range(6):
+        model.submit(submission(f"job-{n}", pieces=3, crew="free", hulls=["small"]))
+    assert model.until(lambda: any(lost.source and model.workers for lost in model.unanswered), 30)
+    up = next(iter(model.workers))
+    assert model.cloud.machines[up].boot_us < 2 * SECOND
+    model.run(luck.uniform(0, 1.5))
+    sender = model.hosts[int(model.unanswered[0].source[1:])]
+    ended = sender if who == "owner" else model.leader()
+    assert ended is not None
+    term = model.hosts[(ended.number + 1) % 3].core.picture.fleet
+    model.crash(ended.number, CRASH_BACK_S)
+    model.run(8)
+    # The meeting: writes were struck before and while another controller took over.
+    assert model.unanswered
+    if who == "runner":
+        leader = model.leader()
+        assert leader is not None and leader.core.picture.fleet != term
+    busy = {start.machine for starts in model.task_starts.values() for start in starts}
+    settle(model)
+    assert all(len(model.groups_of(name)) <= 1 for name in model.workers)
+    assert busy or model.task_starts
+    if fate == LOST:
+        assert any(lost.status == 200 for lost in model.unanswered)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_an_heir_whose_list_lacks_a_machine_takes_it_for_neither_idle_nor_a_stranger(seed):
+    model = meeting(seed)
+    model.boot_s = (0.3, 1.9)
+    model.cloud.lag_us = 6 * SECOND
+    model.run_s = lambda key: 15.0
+    model.submit(submission("job-0", pieces=6, crew="free", hulls=["small"], expect_s=15.0))
+    assert model.until(lambda: bool(model.on), 20)
+    leader = model.leader()
+    assert leader is not None
+    model.crash(leader.number, CRASH_BACK_S)
+    assert model.until(lambda: (heir := model.leader()) is not None and heir.core.runner.listed_us > 0, 10)
+    heir = model.leader()
+    there = {machine for machines in model.on.values() for machine in machines}
+    # The meeting: the heir has read its list, and what works is not in it.
+    assert there - set(heir.core.runner.listed)
+    settle(model)
+    assert all(len(starts) == 1 for starts in model.task_starts.values())
+
+
+def test_a_machine_that_only_the_list_shows_is_put_into_no_group():
+    model = meeting(4)
+    model.boot_s = (0.3, 1.0)
+    worker_starts = model._worker_starts
+
+    def deaf_from_the_start(machine: Rented) -> None:
+        model.mute[machine.name] = model.now + 12 * SECOND
+        worker_starts(machine)
+
+    model._worker_starts = deaf_from_the_start
+    model.submit(submission("job-0", pieces=2, crew="free", hulls=["small"]))
+    assert model.until(lambda: bool(model.workers), 20)
+    name = next(iter(model.workers))
+    model.run(5)
+    # The meeting: it is listed as running, and has reported to nobody.
+    assert model.leader().core.runner.listed.get(name) == "running" and model.refused_connections
+    assert model.groups_of(name) == []
+    settle(model)
+    assert all(len(model.groups_of(name)) <= 1 for name in model.workers)
+
+
+# An old report at every controller just as a new leader begins, also of an earlier session or attempt (row 7)
+
+
+def working(seed: int, run_s: float = 25.0) -> tuple[MeetingModel, str]:
+    """Machines at work on arrays, a gang and a service, and one of them that has some of it."""
+    model = meeting(seed)
+    model.run_s = lambda key: run_s if key[2] else 4.0
+    for n in range(4):
+        model.submit(submission(f"job-{n}", pieces=3, crew="free", hulls=["small"], expect_s=run_s))
+    model.submit(submission("job-4", shape="gang", pieces=3, crew="free", hulls=["small"], expect_s=run_s))
+    model.submit(submission("job-5", shape="service", pieces=3, cpus=1.0, crew="free", hulls=["small"]))
+    assert model.until(lambda: sum(map(len, model.on.values())) >= 12, 40)
+    model.run(1)
+    name = max(sorted(model.workers), key=lambda name: len(model.workers[name].tasks))
+    return model, name
+
+
+def end_of_leader(model: MeetingModel, back_s: float = CRASH_BACK_S) -> tuple[int, int]:
+    """End the leader, and run until another process leads: the numbers of their controllers."""
+    former = model.leader()
+    assert former is not None
+    process = former.core
+    model.crash(former.number, back_s)
+    assert model.until(lambda: model.leader() is not None, 20, 0.01)
+    heir = model.leader()
+    assert heir is not None and heir.core is not process
+    return former.number, heir.number
+
+
+def ready(host: Host) -> bool:
+    """Whether a controller is there and takes reports."""
+    return host.core is not None and host.core.follower.loaded and host.core.presence.incarnation > 0
+
+
+def an_old_report(model: MeetingModel, name: str, what: str) -> dict[str, Any]:
+    """A copy of a report of the named sort, and whatever makes it an old one."""
+    if what == "of tasks that have ended since":
+        assert model.until(lambda: any(p["status"] == "running" for p in model.reports[name][-1]["pieces"]), 20)
+        report = model.reports[name][-1]
+        running = {p["piece"] for p in report["pieces"] if p["status"] == "running"}
+        assert model.until(lambda: not running <= {f"{job}/{n}" for job, n in model.on}, 60)
+        model.run(2)
+    elif what == "of endings that were cleared":
+        assert model.until(lambda: any(p["status"] == "ended" for p in model.reports[name][-1]["pieces"]), 30)
+        report = model.reports[name][-1]
+        assert model.until(lambda: all(p["status"] != "ended" for p in model.reports[name][-1]["pieces"]), 30)
+    elif what == "of an earlier session":
+        assert model.until(lambda: bool(model.reports[name][-1]["pieces"]), 20)
+        report = model.reports[name][-1]
+        session = model.workers[name].session
+        for number in range(len(model.hosts)):
+            model.cut(f"c{number}", name, LEASE_S + 1, False)
+        assert model.until(lambda: model.workers[name].session > session, LEASE_S + 3)
+        model.run(2)
+    elif what == "of an earlier attempt":
+        job = "job-4"
+        machines = {m for (j, _), ms in model.on.items() if j == job for m in ms}
+        assert len(machines) > 1
+        report = next(model.reports[m][-1] for m in sorted(machines) if m != min(machines))
+        model.cloud.end(model.now, min(machines), "taken")
+        attempt = next(p["try"] for p in report["pieces"] if p["piece"].startswith(f"{job}/"))
+        assert model.until(lambda: any(s.attempt > attempt for s in model.task_starts[(job, 0)]), 60)
+    else:
+        assert what == "of a machine that is gone"
+        report = model.reports[name][-1]
+        model.cloud.end(model.now, name, "taken")
+        assert model.until(lambda: not model.groups_of(name), 60)
+    newer = model.reports[report["berth"]][-1]
+    if what != "of a machine that is gone":
+        assert (report["shift"], report["tick"]) < (newer["shift"], newer["tick"])
+    return report
+
+
+OLD = [
+    "of tasks that have ended since",
+    "of endings that were cleared",
+    "of an earlier session",
+    "of an earlier attempt",
+    "of a machine that is gone",
+]
+
+
+@pytest.mark.parametrize("seed", FEW_SEEDS)
+@pytest.mark.parametrize("when", ["as the leader begins", "after it has decided", "at one that has just started"])
+@pytest.mark.parametrize("what", OLD)
+def test_an_old_report_that_reaches_every_controller_as_a_new_leader_begins_changes_nothing(seed, when, what):
+    model, name = working(seed)
+    report = an_old_report(model, name, what)
+    at_once = when == "at one that has just started"
+    if at_once:
+        # The machine itself does not come there before the copy does.
+        model.cut(f"c{model.leader().number}", report["berth"], 4, False)
+    former, heir = end_of_leader(model, back_s=1.0 if at_once else CRASH_BACK_S)
+    if when == "after it has decided":
+        assert model.until(lambda: model.hosts[heir].core.runner.takeover.decided, 20)
+    elif at_once:
+        assert model.until(lambda: ready(model.hosts[former]), 20)
+    there = [host.number for host in model.hosts if host.core is not None]
+    met = [number for number in there if report["berth"] not in model.hosts[number].core.desk.workers]
+    answers = {number: model.copy_to(number, report["berth"], report) for number in there}
+    model.run(0.01)
+    # The meeting: another process leads, and the copy has reached all there are.
+    assert model.leader() is not None and model.leader().number == heir
+    assert all(answers.values())
+    if at_once:
+        assert former in met
+    for number in set(there) - set(met):
+        worker = model.hosts[number].core.desk.workers[report["berth"]]
+        if worker.newest > (report["shift"], report["tick"]):
+            assert answers[number] == [503]
+    for _ in range(3):
+        model.run(2)
+        for host in model.hosts:
+            if host.core is not None:
+                model.copy_to(host.number, report["berth"], report)
+    model.cancel("job-5")
+    settle(model, 120)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_reports_held_for_the_next_leader_come_in_any_order_and_prove_nothing(seed):
+    model, name = working(seed)
+    luck = random.Random(seed)
+    model.run(6)
+    kept = {machine: list(reports) for machine, reports in model.reports.items()}
+    _, heir = end_of_leader(model)
+    core = model.hosts[heir].core
+    late = [(machine, report) for machine in sorted(kept) for report in kept[machine][-12:]]
+    luck.shuffle(late)
+    refused = 0
+    for machine, report in late:
+        known = core.desk.workers.get(machine)
+        newer = known is not None and known.newest >= (report["shift"], report["tick"])
+        before = None if known is None else (known.report, known.token, known.exact, known.heard_us)
+        answer = model.copy_to(heir, machine, report)
+        if known is None:
+            # It shows no token that this process has given out, so it is no proof.
+            met = core.desk.workers.get(machine)
+            assert met is None or not met.exact
+        elif newer:
+            refused += 1
+            assert answer == [503]
+            assert (known.report, known.token, known.exact, known.heard_us) == before
+    # The meeting: some of them came after newer ones.
+    assert refused > 10
+    model.cancel("job-5")
+    settle(model, 120)
+
+
+def last_report_of_the_dead(model: MeetingModel, name: str) -> dict[str, Any]:
+    """End a machine without a word, and see its record emptied; the last report that it sent."""
+    report = model.reports[name][-1]
+    model.cloud.end(model.now, name, "taken")
+    assert model.until(lambda: not model.groups_of(name), 60)
+    return report
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_copies_keep_no_dead_machine_alive(seed):
+    model, name = working(seed)
+    reports = list(model.reports[name])
+    model.cloud.end(model.now, name, "taken")
+    end_of_leader(model, back_s=1.0)
+    ended_us = model.now
+    # Each copy is newer than the one before, and reaches every controller that there is.
+    for report in reports:
+        for host in model.hosts:
+            if host.core is not None:
+                model.copy_to(host.number, name, report)
+        model.run(0.7)
+        if not model.groups_of(name):
+            break
+    assert model.until(lambda: not model.groups_of(name), 3 * LEASE_S)
+    # One lease and four seconds of silence; each controller may have met it once, by the first copy.
+    assert model.now - ended_us < (LEASE_S + 4 + LEASE_S) * SECOND
+    model.cancel("job-5")
+    settle(model, 120)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_token_chosen_above_an_old_one_costs_no_lease(seed):
+    model, name = working(seed)
+    report = model.reports[name][-1]
+    # Owners change now and then, and its token rises.
+    token = model.workers[name].token
+    for number in range(3):
+        owner = model.owner(name)
+        if owner is not None and model.workers[name].token > token:
+            break
+        model.crash(number, 1.0)
+        model.run(6)
+    assert model.workers[name].token > report["baton"]
+    session = model.workers[name].session
+    model.cut("c0", name, 2, False)
+    model.crash(0, 0.3)
+    assert model.until(lambda: ready(model.hosts[0]), 10)
+    model.copy_to(0, name, report)
+    met = model.hosts[0].core.desk.workers[name]
+    # The meeting: it remembers nothing but the copy, and may have chosen a token below the worker's.
+    assert met.report is not None or met.sent_away_us > 0
+    model.run(2 * LEASE_S)
+    assert name not in model.workers or model.workers[name].session == session
+    model.cancel("job-5")
+    settle(model, 120)
