--- a/tests/test_meetings_machines.py
+++ b/tests/test_meetings_machines.py
@@ -74,6 +74,7 @@
         self.boot_s = (3.0, 7.0)
         self.run_s: Callable[[Key], float] | None = None
         """How long a task runs, where the test says so."""
+        self.fetch_s = 1.0
         super().__init__(seed, hosts, knobs)
         self._handle = self.state.handle
         self.state.handle = self._watch_state  # type: ignore[method-assign]
@@ -125,6 +126,7 @@
         worker = self.workers.get(machine.name)
         if worker is None:
             return
+        worker.fetch_us = int(self.fetch_s * SECOND)
         execute = worker.execute
 
         def watched(now_us: int, orders: list[dict[str, Any]]) -> None:
