Test far ends, silent workers and jobs of one zone across a change of leader

Jobs of two or three tasks whose tasks end far apart are noted by another process than heard of the first end. Workers open no connection while direct orders reach them. Jobs bound to one zone lose machines in four ways.

--- a/tests/test_meetings_machines.py
+++ b/tests/test_meetings_machines.py
@@ -19,9 +19,10 @@
 from ashtray.kernel import Call, Reply
 from ashtray.placement import lean
 from ashtray.placement.picture import ADOPTED, GROUP
+from ashtray.runs import decode_runs
 from tests.fakes.cloud import Rented
 from tests.fakes.worker import Key
-from tests.model import LEASE_S, SECOND, Host, Model, RuleBroken, submission
+from tests.model import CANCEL_S, LEASE_S, SECOND, Host, Model, RuleBroken, submission
 from tests.test_model import RUNS
 
 LOST, LATE = "lost", "late"
@@ -498,3 +499,231 @@
     assert name not in model.workers or model.workers[name].session == session
     model.cancel("job-5")
     settle(model, 120)
+
+
+# Jobs of two or three tasks whose tasks end far apart across a change of leader (row 11)
+
+
+@dataclass
+class FarApart:
+    """A job one of whose tasks has ended, while the others go on for long."""
+
+    model: MeetingModel
+    job_id: str
+    machine: str
+    """Where the first task ran."""
+
+
+def far_apart(seed: int, tasks: int, before_fold: bool) -> FarApart:
+    """Run such a job until its first task has ended: just so, or until that is in the records as well."""
+    model = meeting(seed)
+    model.run_s = lambda key: 3.0 if key[2] == 0 else 22.0 + 6 * key[2]
+    job_id = "job-0"
+    # One to a machine, so that its ends are told by several.
+    model.submit(submission(job_id, pieces=tasks, cpus=3.0, crew="free", hulls=["small"], expect_s=20.0))
+    model.submit(submission("job-1", shape="service", pieces=1, cpus=1.0, crew="free", hulls=["small"]))
+    assert model.until(lambda: 0 in model.jobs[job_id].finished, 40)
+    if not before_fold:
+        assert model.until(lambda: noted(model, job_id, 0), 10)
+    machine = model.task_starts[(job_id, 0)][-1].machine
+    return FarApart(model, job_id, machine)
+
+
+def noted(model: MeetingModel, job_id: str, task: int) -> bool:
+    """Whether the records in the state service say that a task is done, or that its job is."""
+    if f"ashtray/over/{job_id}" in model.state.keys:
+        return True
+    groups = [lean.unpack(value) for key, (value, _, _) in model.state.keys.items() if key.startswith(GROUP)]
+    by_groups = (decode_runs(group.get("done", {}).get(job_id, "")) for group in groups)
+    return any(task in tasks for tasks in by_groups)
+
+
+def frees(job_id: str) -> Callable[[dict[str, Any]], bool]:
+    """Whether a transaction says that the first task of a job is done."""
+
+    def says(body: dict[str, Any]) -> bool:
+        puts = (c["value"] for c in body["apply"] if c.get("put", "").startswith(GROUP))
+        return any(0 in decode_runs(lean.unpack(value).get("done", {}).get(job_id, "")) for value in puts)
+
+    return says
+
+
+@pytest.mark.parametrize("seed", FEW_SEEDS)
+@pytest.mark.parametrize("tasks", [2, 3])
+@pytest.mark.parametrize("moment", ["before the fold", "the fold's answer is lost", "after the fold"])
+@pytest.mark.parametrize("who", ["owner", "all"])
+def test_a_task_that_ended_long_before_the_others_is_not_begun_anew_by_a_new_leader(seed, tasks, moment, who):
+    far = far_apart(seed, tasks, before_fold=moment != "after the fold")
+    model, job_id = far.model, far.job_id
+    if moment == "the fold's answer is lost":
+        says = frees(job_id)
+        model.fate_of = lambda body: LOST if says(body) else None
+        assert model.until(lambda: bool(model.unanswered), 10, 0.01)
+    owner = model.owner(far.machine)
+    assert owner is not None
+    if moment != "the fold's answer is lost":
+        assert noted(model, job_id, 0) == (moment == "after the fold")
+    for host in model.hosts if who == "all" else [owner]:
+        model.crash(host.number, CRASH_BACK_S if who != "all" else 0.5 + host.number / 4)
+    model.run(0.1)
+    model.fate_of = lambda body: None
+    assert model.until(lambda: noted(model, job_id, 0), 30)
+    # The meeting: whoever notes the end, or reads of it, is not the process that heard of it, and others go on.
+    assert owner.core is None or owner.life > 1
+    assert model.jobs[job_id].finished == {0}
+    if moment == "the fold's answer is lost":
+        assert model.unanswered[0].status == 200
+    assert model.until(lambda: len(model.jobs[job_id].finished) == tasks, 60)
+    ended_us = model.now
+    assert model.until(lambda: model.jobs[job_id].told == "done", 10)
+    assert model.now - ended_us <= 6 * SECOND
+    assert {len(model.task_starts[(job_id, task)]) for task in range(tasks)} == {1}
+    model.cancel("job-1")
+    settle(model)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_the_first_end_is_known_though_its_machine_is_gone_before_the_last(seed):
+    far = far_apart(seed, 3, before_fold=False)
+    model, job_id = far.model, far.job_id
+    leader = model.leader()
+    assert leader is not None
+    model.cloud.end(model.now, far.machine, "taken")
+    model.crash(leader.number, CRASH_BACK_S)
+    assert model.until(lambda: not model.groups_of(far.machine), 60)
+    # The meeting: the record of where it ran is gone while the others go on.
+    assert model.jobs[job_id].finished == {0}
+    model.cancel("job-1")
+    settle(model)
+    assert len(model.task_starts[(job_id, 0)]) == 1
+
+
+# Workers that can open no connection to any controller, while direct commands still reach them (row 13)
+
+
+def direct_to(model: MeetingModel, name: str, since_us: int) -> list[list[dict[str, Any]]]:
+    return [orders for at_us, to, orders in model.direct if to == name and at_us >= since_us]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("cloud_s", [0, 25])
+@pytest.mark.parametrize("handover", [False, True])
+def test_machines_that_can_open_no_connection_are_returned_and_renewed_by_nothing(seed, cloud_s, handover):
+    model, name = working(seed, run_s=40.0)
+    since_us = model.now
+    session = model.workers[name].session
+    model.mute[name] = model.now + 300 * SECOND
+    if cloud_s:
+        # Deletion comes first, and while the cloud is out nothing of what is there may run elsewhere.
+        model.cloud.down = True
+        model.at(cloud_s * SECOND, lambda: setattr(model.cloud, "down", False))
+    held = [key for key, task in model.workers[name].tasks.items() if task.on_machine]
+    assert held
+    renewed_us = model.workers[name].renewed_us
+    # One of its jobs is called off: its owner tells it so straight away.
+    cancelled = next(key[0] for key in held if key[0] != "job-5")
+    model.run(1.0)
+    model.cancel(cancelled)
+    assert model.until(
+        lambda: any(o["verb"] == "kill" for orders in direct_to(model, name, since_us) for o in orders), 5
+    )
+    if handover:
+        owner = model.leader()
+        assert owner is not None
+        model.crash(owner.number, CRASH_BACK_S)
+    # The meeting: no report comes through, and orders do.
+    assert model.refused_connections >= 1
+    model.run(1.0)
+    worker = model.workers[name]
+    assert not any(key[0] == cancelled and task.on_machine for key, task in worker.tasks.items())
+    assert worker.renewed_us <= renewed_us + SECOND
+    # Its own lease ends its tasks, whatever it is told.
+    assert model.until(lambda: name not in model.workers or model.workers[name].session > session, LEASE_S + 2)
+    orders = len(direct_to(model, name, since_us))
+    assert model.until(lambda: name not in model.workers, cloud_s + 3 * LEASE_S)
+    assert name in model.cloud.deleted
+    # No stream of orders that nobody carries out.
+    assert orders < 12 and len(direct_to(model, name, since_us)) - orders < 6
+    model.cancel("job-5")
+    settle(model, 150)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_machines_that_can_open_no_connection_for_less_than_a_lease_go_on(seed):
+    model, name = working(seed)
+    model.run(1)
+    session, tasks = model.workers[name].session, set(model.workers[name].tasks)
+    model.mute[name] = model.now + int(0.55 * LEASE_S * SECOND)
+    refused = model.refused_connections
+    model.run(LEASE_S)
+    assert model.refused_connections > refused
+    assert name in model.workers and model.workers[name].session == session
+    assert tasks & set(model.workers[name].tasks) or all(model.jobs[key[0]].finished for key in tasks)
+    model.cancel("job-5")
+    settle(model, 120)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_half_of_the_machines_can_open_no_connection_and_all_that_was_there_ends_elsewhere(seed):
+    model, _ = working(seed)
+    names = sorted(model.workers)[::2]
+    for name in names:
+        model.mute[name] = model.now + 40 * SECOND
+    for job_id in ("job-0", "job-5"):
+        model.at(2 * SECOND, lambda job_id=job_id: model.cancel(job_id))
+    model.run(CANCEL_S + 5)
+    assert model.refused_connections > len(names)
+    model.run(20)
+    settle(model, 150)
+
+
+# Jobs bound to one zone, arrays too, lose machines (row 15)
+
+
+@pytest.mark.parametrize("seed", FEW_SEEDS)
+@pytest.mark.parametrize("shape", ["batch", "gang", "service"])
+@pytest.mark.parametrize("loss", ["taken", "hangs", "cut off", "told to end"])
+@pytest.mark.parametrize("bound", ["same_place", "yard"])
+def test_jobs_bound_to_one_zone_stay_in_it_when_they_lose_machines(seed, shape, loss, bound):
+    model = meeting(seed)
+    model.run_s = lambda key: 15.0
+    where = {"same_place": True} if bound == "same_place" else {"yard": "b"}
+    # Little room: one task fills a machine, so others' machines are wanted as soon as they are free.
+    model.cloud.capacity = 9
+    specs = [
+        submission(f"job-{n}", shape=shape, pieces=3, cpus=3.0, crew="free", hulls=["small"], **where) for n in (0, 1)
+    ]
+    for spec in specs:
+        model.submit(spec)
+    model.submit(submission("job-2", pieces=4, cpus=3.0, crew="free", hulls=["small"], same_place=True))
+    assert model.until(lambda: {job for job, _ in model.on} >= {"job-0"}, 60)
+    assert model.until(lambda: sum(job == "job-0" for job, _ in model.on) == 3, 20)
+    machines = sorted({name for (job, _), ms in model.on.items() if job == "job-0" for name in ms})
+    zones = {model.cloud.machines[name].zone for name in machines}
+    assert len(zones) == 1
+    lost = machines[: 1 + seed % 2]
+    for name in lost:
+        strike(model, name, loss)
+    # The rest goes on, or lingers, in the old zone meanwhile: what is placed anew must be there as well.
+    assert model.until(lambda: all(name not in model.workers for name in lost), 60)
+    starts = {task: len(model.task_starts[("job-0", task)]) for task in range(3)}
+    assert sum(starts.values()) >= 3
+    if shape == "service":
+        assert model.until(lambda: sum(job == "job-0" for job, _ in model.on) == 3, 90)
+        for n in (0, 1):
+            model.cancel(f"job-{n}")
+    settle(model, 200)
+
+
+def strike(model: MeetingModel, name: str, loss: str) -> None:
+    """Let a machine be lost in the named way."""
+    if loss == "taken":
+        model.cloud.end(model.now, name, "taken")
+    elif loss == "hangs":
+        model.hung.add(name)
+    elif loss == "cut off":
+        for number in range(len(model.hosts)):
+            model.cut(f"c{number}", name, 200, False)
+    else:
+        model.workers[name].notice_us = 8 * SECOND
+        model.at(8 * SECOND, lambda: model.cloud.end(model.now, name, "taken"))
