Stop work in one zone for a job that must share one, and in no more of it than a spread job may take

The cheapest offers of the fleet are mostly of both zones: a gang of one zone then stopped nothing, and a spread one stopped more in a zone than it may have there, and waited on. Offers are chosen zone by zone now, within each zone's share.

--- a/ashtray/placement/preemption.py
+++ b/ashtray/placement/preemption.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -11,7 +12,7 @@
 from ashtray.jobs.model import Job
 from ashtray.placement.picture import Edit, Hold, Picture
 from ashtray.placement.plan import Plan
-from ashtray.placement.rules import VALIDATORS, Room
+from ashtray.placement.rules import VALIDATORS, Ask, Room
 from ashtray.runs import encode_runs
 from ashtray.store.client import Limits, Txn
 from ashtray.teams.guarantees import Amounts, Excess, amounts, claim, plus
@@ -84,15 +85,46 @@
         return self._excess.allows(self.claimed(tasks))
 
 
+@dataclass
+class Offer:
+    """Room for one task, and what must be stopped for it."""
+
+    cost: float
+    """The work that is lost, in CPU microseconds."""
+    room: Room
+    stopped: list[tuple[Hold, int]]
+    """The tasks, each with its hold."""
+
+
 def choose_victims(
     plan: Plan, job: Job, count: int, right: Right, wall_us: int, image_within_s: float | None
 ) -> Victims:
     """The tasks whose end costs least and makes room for all of a job's tasks; empty if none will do."""
-    spec = job.spec
     ask = plan.ask(job)
     ask.image_within_s = image_within_s
+    offers = make_offers(plan, ask, count, right, wall_us)
+    # On one machine a later offer needs the earlier ones: the sort is stable and costs only rise there mostly.
+    offers.sort(key=lambda offer: offer.cost)
+    if job.spec.same_zone and ask.zone is None:
+        zones = sorted({offer.room.machine.zone for offer in offers})
+        found = [choose_offers(offers, replace(ask, zone=zone), count, right) for zone in zones]
+    else:
+        found = [choose_offers(offers, ask, count, right)]
+    enough = [chosen for chosen in found if len(chosen) == count]
+    cheapest = min(enough, key=lambda chosen: sum(offer.cost for offer in chosen), default=[])
+    victims: Victims = {}
+    for offer in cheapest:
+        for hold, task in offer.stopped:
+            tasks = victims.setdefault(offer.room.machine.name, {}).setdefault((hold.job, hold.attempt), set())
+            tasks.add(task)
+    return victims
+
+
+def make_offers(plan: Plan, ask: Ask, count: int, right: Right, wall_us: int) -> list[Offer]:
+    """What each machine could offer for so many tasks at the most: the youngest tasks are stopped first."""
+    spec = ask.spec
     checks = [rule for rule in VALIDATORS if rule.name != "room"]
-    offers: list[tuple[float, Room, list[tuple[Hold, int]]]] = []
+    offers: list[Offer] = []
     # Most machines of a full fleet have neither room nor anything that may be stopped: not looked at any closer.
     busy = right.machines()
     for room in plan.rooms:
@@ -112,7 +144,7 @@
             if free.fits(spec) > 0:
                 free.take(spec, 1)
                 taken += 1
-                offers.append((lost, room, stopped))
+                offers.append(Offer(lost, room, stopped))
                 lost, stopped = 0.0, []
                 continue
             if not candidates:
@@ -123,28 +155,32 @@
             free.memory_gb += hold.record.memory_gb
             lost += (age + 1) * (1.0 + hold.record.cpus)
             stopped.append((hold, task))
-    # On one machine a later offer needs the earlier ones: the sort is stable and costs only rise there mostly.
-    offers.sort(key=lambda offer: offer[0])
-    chosen: list[tuple[float, Room, list[tuple[Hold, int]]]] = []
+    return offers
+
+
+def choose_offers(offers: list[Offer], ask: Ask, count: int, right: Right) -> list[Offer]:
+    """The first of some offers that a job's tasks may take together; fewer than `count` if there are no more.
+
+    Together they keep to its zone and to its zones' shares, as its placement will have to: work that is stopped where
+    only some of the tasks may go is stopped for nothing.
+    """
+    chosen: list[Offer] = []
     claimed: list[tuple[Hold, int]] = []
     left_out: set[str] = set()
+    in_zone: Counter[str] = Counter()
     for offer in offers:
         if len(chosen) == count:
             break
-        more = [(hold, 1) for hold, _ in offer[2]]
-        if offer[1].machine.name in left_out or (more and not right.covers([*claimed, *more])):
-            left_out.add(offer[1].machine.name)
+        machine = offer.room.machine
+        allowed = ask.zone in (None, machine.zone) and in_zone[machine.zone] < ask.zone_allows(machine.zone)
+        more = [(hold, 1) for hold, _ in offer.stopped]
+        if not allowed or machine.name in left_out or (more and not right.covers([*claimed, *more])):
+            left_out.add(machine.name)
             continue
         claimed += more
+        in_zone[machine.zone] += 1
         chosen.append(offer)
-    if len(chosen) < count or (spec.same_zone and len({o[1].machine.zone for o in chosen}) > 1):
-        return {}
-    victims: Victims = {}
-    for _, room, stopped in chosen:
-        for hold, task in stopped:
-            tasks = victims.setdefault(room.machine.name, {}).setdefault((hold.job, hold.attempt), set())
-            tasks.add(task)
-    return victims
+    return chosen
 
 
 def stop_for(
--- a/tests/test_meetings_machines.py
+++ b/tests/test_meetings_machines.py
@@ -7,6 +7,7 @@
 
 import copy
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -15,11 +16,22 @@
 import pytest
 
 from ashtray.config.operators import Knobs
-from ashtray.jobs.model import LIVE
+from ashtray.jobs.model import LIVE, Job, JobRecord, JobSpec
 from ashtray.kernel import Call, Reply
 from ashtray.placement import lean
-from ashtray.placement.picture import ADOPTED, GROUP
+from ashtray.placement.picture import (
+    ADOPTED,
+    GROUP,
+    GroupRecord,
+    HoldRecord,
+    MachineRecord,
+    MachineType,
+    Picture,
+)
+from ashtray.placement.plan import Plan
+from ashtray.placement.preemption import Right, Victims, choose_victims
 from ashtray.runs import decode_runs
+from ashtray.store.client import Limits
 from tests.fakes.cloud import Rented
 from tests.fakes.worker import Key
 from tests.model import CANCEL_S, LEASE_S, SECOND, Host, Model, RuleBroken, submission
@@ -727,3 +739,71 @@
     else:
         model.workers[name].notice_us = 8 * SECOND
         model.at(8 * SECOND, lambda: model.cloud.end(model.now, name, "taken"))
+
+
+def zones_of(victims: Victims) -> list[str]:
+    """The zones of the machines on which tasks are to be stopped, by the names that `full_zones` gives them."""
+    return sorted(name[len("vm-")] for name in victims)
+
+
+def full_zones(gang: dict[str, Any], machines: dict[str, int]) -> tuple[Plan, Job]:
+    """A fleet of two zones full of idle work, and an urgent gang that waits."""
+    picture = Picture()
+    picture.types = {"small": MachineType("small", 4.0, 0.0, 16.0, 20.0, 1.0, 1.0, 0.4, 5, ("a", "b"))}
+    wants = JobSpec("any", "free", "gang", 1, gang.pop("tasks"), 4.0, 0.0, 1.0, "img", 1.0, **gang)
+    idle = JobSpec("any", "free", "array", 3, 20, 4.0, 0.0, 1.0, "img", 1.0)
+    for version, (job_id, spec) in enumerate({"job-1": wants, "job-2": idle}.items(), 1):
+        picture.put(LIVE + job_id, msgspec.to_builtins(JobRecord(spec, "berth-0", version)), version)
+    task = 0
+    for version, (zone, number) in enumerate(machines.items(), 3):
+        records = {}
+        for n in range(number):
+            # Which zone's work is younger, and so costs less, alternates from machine to machine.
+            placed_us = 10 * n + (n % 2 if zone == "a" else 1 - n % 2)
+            hold = HoldRecord("job-2", 1, str(task), "free", 4.0, 0.0, 1.0, placed_us)
+            records[f"vm-{zone}{n}"] = MachineRecord("x:1", holds=[hold])
+            task += 1
+        picture.put(GROUP + zone, msgspec.to_builtins(GroupRecord("small", zone, records)), version)
+    plan = Plan(picture, {}, Knobs(), random.Random(1), Limits(16, 60_000, 32_768))
+    return plan, picture.jobs["job-1"]
+
+
+def victims_for(plan: Plan, job: Job) -> Victims:
+    right = Right(plan.picture, set(), job, plan.excess())
+    return choose_victims(plan, job, job.spec.tasks, right, 1000, None)
+
+
+def test_work_is_stopped_in_one_zone_for_a_gang_that_must_share_one():
+    plan, job = full_zones({"tasks": 3, "same_zone": True}, {"a": 3, "b": 4})
+    assert zones_of(victims_for(plan, job)) in (["a", "a", "a"], ["b", "b", "b"])
+    # In no zone is there enough of it: nothing is stopped for a part.
+    plan, job = full_zones({"tasks": 4, "same_zone": True}, {"a": 3, "b": 3})
+    assert victims_for(plan, job) == {}
+
+
+def test_work_is_stopped_in_both_zones_for_a_gang_that_must_be_spread():
+    plan, job = full_zones({"tasks": 4, "spread": True}, {"a": 4, "b": 3})
+    assert zones_of(victims_for(plan, job)) == ["a", "a", "b", "b"]
+    plan, job = full_zones({"tasks": 4, "spread": True}, {"a": 4, "b": 1})
+    assert victims_for(plan, job) == {}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("where", ["same_place", "spread"])
+def test_an_urgent_gang_of_one_zone_or_of_both_begins_in_a_full_fleet(seed, where):
+    model = meeting(seed)
+    model.run_s = lambda key: 300.0 if key[0] != "job-9" else 5.0
+    model.cloud.capacity = 8
+    for n, zone in enumerate("abab"):
+        idle = {"urgency": "idle", "expect_s": 300.0, "cpus": 4.0, "crew": "free", "hulls": ["small"], "yard": zone}
+        model.at(n * SECOND, lambda n=n, idle=idle: model.submit(submission(f"job-{n}", pieces=3, **idle)))
+    assert model.until(lambda: sum(map(len, model.on.values())) == 8, 60)
+    zones = Counter(model.cloud.machines[name].zone for machines in model.on.values() for name in machines)
+    # The meeting: the fleet is full, of work of both zones.
+    assert len(zones) == 2
+    urgent = {"urgency": "urgent", "cpus": 4.0, "crew": "free", "hulls": ["small"], where: True}
+    model.submit(submission("job-9", shape="gang", pieces=2, **urgent))
+    assert model.until(lambda: sum(job == "job-9" for job, _ in model.on) == 2, 25)
+    for n in range(4):
+        model.cancel(f"job-{n}")
+    settle(model)
