Test more work than room over slow links

Small and large jobs, urgent and not, come faster than a full fleet serves them while all links to the state service are slow. No job waits 90 s for machines that have room for it all that time, and the largest begin within four minutes of their submission.

--- a/tests/test_meetings_load.py
+++ b/tests/test_meetings_load.py
@@ -18,11 +18,11 @@
 from ashtray.jobs.model import LIVE, OVER
 from ashtray.kernel import Reply
 from ashtray.placement.floor import MOST as MOST_SERVED
-from ashtray.placement.picture import GROUP, MAX_OVER
+from ashtray.placement.picture import EPS, GROUP, MAX_OVER
 from tests import model as model_module
 from tests.fakes.worker import Key
-from tests.model import REPORT_S, SECOND, submission
-from tests.test_meetings_machines import SEEDS, MeetingModel, places, settle
+from tests.model import REPORT_S, SECOND, TYPES, RuleBroken, submission
+from tests.test_meetings_machines import FEW_SEEDS, SEEDS, MeetingModel, places, settle
 
 TOLD_S = 3.0
 """Starting so long after a job's last task has completed its user expects `done`."""
@@ -296,5 +296,162 @@
             print(cost_of(rate, write_rps).line(), flush=True)
 
 
+# More work than room, urgent and not, over slow links (row 12)
+
+FITS_S = 90.0
+"""A job waits no longer than that for a machine that has room for it, once the troubles are over."""
+EVERY_S = 1.6
+"""The pause between two submissions."""
+BEGIN_S = 240.0
+"""The largest jobs have to begin within that."""
+
+
+@dataclass
+class Space:
+    """What a machine that works has free, by what is on it or on its way there."""
+
+    name: str
+    type: str
+    zone: str
+    spot: bool
+    cpus: float
+    memory_gb: float
+
+
+class CrowdedModel(MeetingModel):
+    """A fleet with less room than there is work; it knows which jobs wait though they fit."""
+
+    def __init__(self, seed: int, hosts: int = 3) -> None:
+        self.left_room: dict[str, tuple[int, dict[str, int]]] = {}
+        """For jobs that wait, since when machines have had room for them all the time, and for how many tasks."""
+        self.longest_us = 0
+        """The longest that one waited so."""
+        self.submitted_us: dict[str, int] = {}
+        super().__init__(seed, hosts)
+
+    def submit(self, spec: dict[str, Any]) -> None:
+        self.submitted_us[spec["name_id"]] = self.now
+        super().submit(spec)
+
+    def begun_after_s(self, job_id: str) -> float | None:
+        """How long after its submission the first task of an array, or the last one of a gang, was on a machine."""
+        job = self.jobs[job_id]
+        firsts = [starts[0].at_us for (name, _), starts in self.task_starts.items() if name == job_id]
+        enough = job.spec["pieces"] if job.spec["shape"] == "gang" else 1
+        return (sorted(firsts)[enough - 1] - self.submitted_us[job_id]) / SECOND if len(firsts) >= enough else None
+
+    def spaces(self) -> list[Space]:
+        kinds = {kind["name"]: kind for kind in TYPES}
+        found = []
+        for name, worker in sorted(self.workers.items()):
+            if name in self.hung or not worker.token or worker.notice_us is not None:
+                continue
+            cpus, memory = kinds[worker.type]["cpus"], kinds[worker.type]["memory_gb"]
+            for (job_id, _, _), task in worker.tasks.items():
+                if task.state != "ended":
+                    cpus -= self.jobs[job_id].spec["cpus"]
+                    memory -= self.jobs[job_id].spec["memory_gb"]
+            found.append(Space(name, worker.type, worker.zone, worker.spot, cpus, memory))
+        return found
+
+    def unplaced(self, job_id: str) -> int:
+        """How many tasks of a live job are on no machine, nor on their way to one."""
+        job = self.jobs[job_id]
+        there = {key[2] for worker in self.workers.values() for key in worker.tasks if key[0] == job_id}
+        return job.spec["pieces"] - len(there | job.finished)
+
+    def places(self, spec: dict[str, Any], spaces: list[Space]) -> dict[str, int]:
+        """By machine, for how many tasks of a job it has room; only those that have some."""
+        places = {}
+        for space in spaces:
+            allowed = spec["hulls"] is None or space.type in spec["hulls"]
+            if allowed and spec["yard"] in (None, space.zone) and (spec["loaners"] or not space.spot):
+                number = min((space.cpus + EPS) // spec["cpus"], (space.memory_gb + EPS) // spec["memory_gb"])
+                if number > 0:
+                    places[space.name] = int(number)
+        return places
+
+    def fits(self, job_id: str, places: dict[str, int]) -> bool:
+        """Whether these places are enough for a task of an array, or for all of a gang."""
+        spec = self.jobs[job_id].spec
+        need = self.unplaced(job_id) if spec["shape"] == "gang" else 1
+        in_zone: Counter[str] = Counter()
+        for name, number in places.items():
+            in_zone[self.cloud.machines[name].zone] += number
+        present = Counter(self.cloud.machines[m].zone for (j, _), ms in self.on.items() if j == job_id for m in ms)
+        if spec["same_place"]:
+            return max((in_zone[zone] for zone in present or in_zone), default=0) >= need
+        if spec["spread"]:
+            most = (spec["pieces"] + 1) // 2
+            return sum(min(number, most - present[zone]) for zone, number in in_zone.items()) >= need
+        return sum(in_zone.values()) >= need
+
+    def look(self) -> None:
+        """See which jobs wait though machines have room for them all the time; 90 s of it are too long."""
+        spaces = self.spaces()
+        for job_id, job in self.jobs.items():
+            waits = job.accepted_us is not None and job.told not in ("done", "cancelled") and not job.cancel_asked
+            if not waits or not self.unplaced(job_id):
+                self.left_room.pop(job_id, None)
+                continue
+            now_places = self.places(job.spec, spaces)
+            since_us, before = self.left_room.get(job_id, (self.now, now_places))
+            # Only what was there all the time counts: what comes free goes to others that were first.
+            kept = {name: min(n, now_places[name]) for name, n in before.items() if name in now_places}
+            if not self.fits(job_id, kept):
+                since_us, kept = self.now, now_places
+            self.left_room[job_id] = since_us, kept
+            fitted_us = self.now - since_us if self.fits(job_id, kept) else 0
+            self.longest_us = max(self.longest_us, fitted_us)
+            if fitted_us > FITS_S * SECOND:
+                raise RuleBroken(f"waits: {job_id} has fitted for {FITS_S:.0f} s on {sorted(kept)}: {job.spec}")
+        self.at(SECOND, self.look)
+
+
+def crowd(model: CrowdedModel, seconds: float) -> list[str]:
+    """Submit more than there is room for, small and large, urgent and not; the largest jobs."""
+    luck = random.Random(model.rng.random())
+    largest = []
+    for n in range(int(seconds / EVERY_S)):
+        urgency = luck.choice(["urgent", "standard", "standard", "standard", "idle"])
+        shape = luck.choice(["batch", "batch", "gang"])
+        large = n % 12 == 3 and urgency != "idle"
+        pieces = (8 if shape == "gang" else 24) if large else luck.randint(1, 4)
+        where = luck.choice([{}, {}, {"same_place": True}, {"yard": "a"}, {"spread": True}])
+        spec = {"urgency": urgency, "shape": shape, "pieces": pieces, "cpus": luck.choice([1.0, 2.0]), "crew": "free"}
+        job = submission(f"job-{n}", hulls=["small"], expect_s=8.0, lane=urgency, **spec, **where)
+        model.at(int(n * EVERY_S * SECOND), lambda job=job: model.submit(job))
+        if large:
+            largest.append(job["name_id"])
+    return largest
+
+
+@pytest.mark.parametrize("seed", FEW_SEEDS)
+@pytest.mark.parametrize("timed", [True, False], ids=["by age", "by room"])
+def test_with_more_work_than_room_over_slow_links_what_fits_is_placed_and_the_largest_begin(seed, timed):
+    model = CrowdedModel(seed)
+    model.cloud.capacity = 8
+    model.checks()
+    model.run(3)
+    model.look()
+    for host in model.hosts:
+        host.core.placer.pace._all_timed = timed
+        model.far[host.number] = (model.now + 120 * SECOND, int((0.1 + 0.1 * host.number) * SECOND))
+    largest = crowd(model, 150)
+    model.late_share = 0.03
+    model.at(120 * SECOND, lambda: setattr(model, "late_share", 0.0))
+    waiting = []
+    for _ in range(15):
+        model.run(10)
+        waiting.append(sum(model.unplaced(job_id) > 0 for job_id in model.jobs))
+    # The meeting: there was more work than room for most of the time, while links were slow.
+    assert sum(number >= 10 for number in waiting[:12]) >= 6, waiting
+    assert len(largest) >= 4
+    model.until(lambda: all(model.begun_after_s(job_id) is not None for job_id in largest), BEGIN_S, 1.0)
+    begun = {job_id: model.begun_after_s(job_id) for job_id in largest}
+    assert all(after_s is not None and after_s <= BEGIN_S for after_s in begun.values()), begun
+    settle(model, 300)
+
+
 if __name__ == "__main__":
     main()
