Do not answer pending where a small job is done but not read as done yet

Cause: a controller shows its own change of a group before what others wrote until then has been read. Done by the groups' word does not count in that state, and a question was answered by the tasks that hold room: none, so pending, after another controller had said done.

Change: such a question waits for the next barrier. An exhaustive search over the orders of messages between real cores and the state service (tests/interleavings.py) found it, and searches acceptances, repeats, cancellations and questions as well.

--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -195,6 +195,10 @@
                     return 200, state_body(job_id, "cancelled", 0, 0)
                 if job_id in picture.completed() and ends_later(job, self.base.limits):
                     return 200, state_body(job_id, "done", job.spec.tasks, 0)
+                if picture.all_done(job) and ends_later(job, self.base.limits):
+                    # A change of this process is shown that is later than what the barrier read.  Another controller
+                    # may have said `done` already, so only a later barrier tells (points 6 and 13).
+                    continue
                 running = len(picture.placed(job_id))
                 status = "running" if running else "pending"
                 done = len(picture.finished(job))
--- /dev/null
+++ b/tests/interleavings.py
@@ -0,0 +1,422 @@
+"""Exhaustive search over the orders in which a few messages between controllers and the state service arrive.
+
+The controllers are the real cores, of which only the follower runs by itself, so that no other traffic blurs the
+search.  A schedule decides, again and again, what happens next: the state service executes a request, a controller
+gets an answer, or a user asks.  A controller's clock moves on only when its follower rests and somebody waits for it.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+import msgspec
+
+from ashtray.config.operators import Knobs
+from ashtray.controller import Controller
+from ashtray.jobs.messages import parse_submission
+from ashtray.jobs.model import LIVE, JobRecord
+from ashtray.kernel import SECOND_US, Answer, Call, Output, Reply, Send
+from ashtray.placement.picture import GROUP, TYPES, GroupRecord, HoldRecord, MachineRecord
+from ashtray.store.client import Txn, Urgency
+from ashtray.workers.folding import Evidence, Fold
+from ashtray.workers.messages import Report, TaskState
+from tests.fakes.state import State
+from tests.model import settings_for, submission
+
+TOKEN = 7
+BEGIN_US = 1000 * SECOND_US
+ACCEPTED, FINAL = ("pending", "running"), ("done", "cancelled")
+SMALL = {
+    "name": "small",
+    "cpus": 4.0,
+    "gpus": 0.0,
+    "memory_gb": 16.0,
+    "cache_gb": 20.0,
+    "fetch_gb_per_s": 1.0,
+    "price": 1.0,
+    "spot_price": 0.4,
+    "boot_us": 5 * SECOND_US,
+    "zones": ["a"],
+}
+
+
+class WentBack(AssertionError):
+    """A controller answered something older than what a user had been told before."""
+
+
+@dataclass
+class Chooser:
+    """Follows a schedule as far as it is given, then takes the first choice each time; notes what was possible."""
+
+    schedule: list[int]
+    trail: list[tuple[int, int]] = field(default_factory=list)
+
+    def choose(self, options: int) -> int:
+        """The number of the option to take."""
+        step = len(self.trail)
+        chosen = self.schedule[step] if step < len(self.schedule) else 0
+        self.trail.append((chosen, options))
+        return chosen
+
+    def next_schedule(self) -> list[int] | None:
+        """The schedule after this one, in depth-first order; None after the last."""
+        trail = list(self.trail)
+        while trail and trail[-1][0] + 1 == trail[-1][1]:
+            trail.pop()
+        if not trail:
+            return None
+        return [chosen for chosen, _ in trail[:-1]] + [trail[-1][0] + 1]
+
+
+@dataclass
+class Message:
+    """A request to the state service, and its answer once it was executed."""
+
+    node: int
+    call_id: int
+    call: Call
+    reply: Reply | None = None
+    executed: int = 0
+    """Stands for what the state service held then."""
+
+    @property
+    def is_read(self) -> bool:
+        """Whether it changes nothing."""
+        return self.call.path.startswith(("/follow", "/store"))
+
+
+@dataclass
+class Question:
+    """What a user asked, and the answer."""
+
+    node: int
+    kind: str
+    asked: int
+    """The moments of questions and answers are counted: the user saw all answers with a smaller number."""
+    answered: int = 0
+    status: int = 0
+    told: str = ""
+
+
+class Node:
+    """A controller of which only the follower runs by itself."""
+
+    def __init__(self, number: int, hosts: int) -> None:
+        self.number = number
+        self.now_us = BEGIN_US
+        self.core = Controller(settings_for(number, hosts), Knobs(), random.Random(number))
+        core = self.core
+        core.kernel.strict = True
+        core.presence.incarnation = 1
+        core.kernel.advance(self.now_us, self.now_us)
+        for lane in (core.store.requests, core.store.changes):
+            # Budgets are not the matter here.
+            lane.bucket.rate = lane.bucket.level = 1e9
+            lane.bucket.at_us = self.now_us
+        core.kernel.forever(core.follower.run, 0)
+        self.inputs = 0
+        """Stands for all that it was given, which decides its state."""
+
+    def note(self, given: Any) -> None:
+        """Something was given to it."""
+        self.inputs = hash((self.inputs, given))
+
+
+@dataclass
+class Action:
+    """Something that is to happen once at a moment of the search's choice."""
+
+    name: str
+    node: int
+    start: Callable[[Play], None]
+    ready: Callable[[Play], bool] = lambda play: True
+
+
+class Play:
+    """One schedule of a scenario, from its beginning."""
+
+    def __init__(self, state: State, hosts: int, actions: list[Action], chooser: Chooser) -> None:
+        self.state = state
+        self.nodes = [Node(n, hosts) for n in range(hosts)]
+        self.actions = list(actions)
+        self.chooser = chooser
+        self.pending: list[Message] = []
+        self.questions: dict[int, Question] = {}
+        self.history: list[str] = []
+        self.written = 0
+        """Stands for the transactions that were executed, in their order: what is in the state service."""
+        self._moments = 0
+        self._read_last: Message | None = None
+        """What was read without its answer having arrived: a write has to follow."""
+        for node in self.nodes:
+            self._carry_out(node, node.core.kernel.run())
+        while self.pending:
+            # Everybody begins with the state as it is.
+            self._arrive(self.pending[0])
+
+    # What the scenario's actions use
+
+    def ask(self, kind: str, node: int, method: str, path: str, body: Any = None) -> None:
+        """A user's request arrives at a controller."""
+        self._moments += 1
+        request_id = len(self.questions) + 1
+        self.questions[request_id] = Question(node, kind, self._moments)
+        self.history.append(f"ask {kind} {node}")
+        at = self.nodes[node]
+        at.note((kind, path))
+        self._carry_out(at, at.core.request(at.now_us, at.now_us, request_id, method, path, body))
+
+    def commit(self, node: int, build: Callable[[Controller], Txn | None], urgency: Urgency = Urgency.FREE) -> None:
+        """A controller changes a record, as its other duties do."""
+        at = self.nodes[node]
+        at.note("commit")
+        at.core.kernel.spawn(at.core.follower.commit(lambda: build(at.core), 1, urgency, "test"))
+        self._carry_out(at, at.core.kernel.run())
+
+    def answers(self) -> list[Question]:
+        """The questions that were answered, in the order of their answers."""
+        return sorted((q for q in self.questions.values() if q.answered), key=lambda q: q.answered)
+
+    def told(self, *states: str) -> bool:
+        """Whether a user was told one of these states."""
+        return any(question.told in states for question in self.answers())
+
+    # The search
+
+    def run(self, visited: set[Any]) -> None:
+        """Go on to the end, or to where another schedule has been."""
+        while steps := self._steps():
+            if len(self.chooser.trail) >= len(self.chooser.schedule):
+                mark = self._mark()
+                if mark in visited:
+                    return
+                visited.add(mark)
+            steps[self.chooser.choose(len(steps))]()
+
+    def _steps(self) -> list[Callable[[], None]]:
+        """All that may happen next.
+
+        Reads commute with each other, so one is carried out apart from its answer's arrival only just before a write.
+        """
+        reads = [message for message in self.pending if message.is_read and message.reply is None]
+        writes = [message for message in self.pending if not message.is_read and message.reply is None]
+        steps = [partial(self._execute, message) for message in writes]
+        if writes:
+            steps += [partial(self._read_before_write, message) for message in reads if self._may_read(message)]
+        if self._read_last is not None:
+            return steps
+        steps += [partial(self._arrive, message) for message in self.pending if message not in writes]
+        return steps + [partial(self._start, action) for action in self.actions if action.ready(self)]
+
+    def _may_read(self, message: Message) -> bool:
+        last = self._read_last
+        return last is None or (message.node, message.call_id) > (last.node, last.call_id)
+
+    def _read_before_write(self, message: Message) -> None:
+        self._execute(message)
+        self._read_last = message
+
+    def _arrive(self, message: Message) -> None:
+        """An answer arrives; what it answers is carried out just before if it was not yet."""
+        if message.reply is None:
+            self._execute(message)
+        self.pending.remove(message)
+        self._deliver(message)
+
+    def _start(self, action: Action) -> None:
+        self.actions.remove(action)
+        action.start(self)
+
+    def _mark(self) -> Any:
+        """Equal where only the order of independent events differs: the same state then follows from it."""
+        pending = sorted((m.node, m.call_id, m.executed) for m in self.pending)
+        nodes = tuple(node.inputs for node in self.nodes)
+        left = tuple(action.name for action in self.actions)
+        last = None if self._read_last is None else (self._read_last.node, self._read_last.call_id)
+        return hash((nodes, tuple(pending), left, tuple(self.history), self.written, last))
+
+    def _execute(self, message: Message) -> None:
+        call = message.call
+        status, body = self.state.handle(BEGIN_US, call.method, call.path, call.body)
+        message.reply = Reply(status, msgspec.msgpack.decode(msgspec.msgpack.encode(body)))
+        if not message.is_read:
+            self.written = hash((self.written, message.node, message.call_id, status))
+            self._read_last = None
+        message.executed = self.written
+
+    def _deliver(self, message: Message) -> None:
+        node = self.nodes[message.node]
+        assert message.reply is not None
+        node.note((message.call_id, message.executed))
+        self._carry_out(node, node.core.reply(node.now_us, node.now_us, message.call_id, message.reply))
+
+    def _carry_out(self, node: Node, outputs: list[Output]) -> None:
+        for output in outputs:
+            if isinstance(output, Send):
+                self.pending.append(Message(node.number, output.call_id, output.call))
+            elif isinstance(output, Answer):
+                self._answered(output)
+        follower = node.core.follower
+        following = any(m.node == node.number and m.call.path.startswith("/follow") for m in self.pending)
+        if follower._waiters and not following:
+            # It rests, and somebody waits for its next round.
+            node.now_us = node.core.kernel.next_wake_us() or node.now_us
+            self._carry_out(node, node.core.wake(node.now_us, node.now_us))
+
+    def _answered(self, answer: Answer) -> None:
+        self._moments += 1
+        question = self.questions[answer.request_id]
+        question.answered, question.status = self._moments, answer.status
+        if answer.status in (200, 201):
+            question.told = answer.body["status"]
+        elif answer.status == 404:
+            question.told = "unknown"
+        self.history.append(f"told {question}")
+        self._check(question)
+
+    def _check(self, new: Question) -> None:
+        """No answer is older than one that was given before its question was asked; final ones never differ."""
+        for old in self.answers():
+            if old is new:
+                continue
+            before = old.answered < new.asked
+            if old.told in FINAL and (new.told in FINAL or (before and new.told)) and new.told != old.told:
+                raise WentBack(f"{old.told} and then {new.told}: {self._account()}")
+            if before and old.told in ACCEPTED and new.told == "unknown":
+                raise WentBack(f"forgotten: {self._account()}")
+
+    def _account(self) -> str:
+        return " | ".join(self.history)
+
+
+@dataclass
+class Found:
+    """What a search came across."""
+
+    schedules: int = 0
+    endings: set[tuple[str, ...]] = field(default_factory=set)
+    """What was told in each order of answers, as `kind: told`."""
+
+
+def explore(begin: Callable[[Chooser], Play], most: int = 100_000) -> Found:
+    """Play all schedules of a scenario; `most` bounds their number, and being cut short by it is an error."""
+    found = Found()
+    visited: set[Any] = set()
+    schedule: list[int] | None = []
+    while schedule is not None:
+        if found.schedules >= most:
+            raise AssertionError(f"more than {most} schedules")
+        chooser = Chooser(schedule)
+        play = begin(chooser)
+        play.run(visited)
+        found.schedules += 1
+        if not play.pending and not play.actions:
+            found.endings.add(tuple(f"{q.kind}: {q.told or q.status}" for q in play.answers()))
+        schedule = chooser.next_schedule()
+    return found
+
+
+# The world that scenarios begin with
+
+
+def put(state: State, key: str, value: Any) -> None:
+    """Write a record as if a controller had."""
+    status, _ = state.handle(BEGIN_US, "POST", "/txn", {"guards": [], "apply": [{"put": key, "value": value}]})
+    assert status == 200
+
+
+def world() -> State:
+    """A state service that knows the machine types."""
+    state = State()
+    put(state, TYPES, {"small": SMALL})
+    return state
+
+
+def job_record(job_id: str, **over: Any) -> Any:
+    """The record of a job that was placed once."""
+    _, spec = parse_submission(submission(job_id, **over))
+    return msgspec.to_builtins(JobRecord(spec, "berth-0", BEGIN_US, attempt=1))
+
+
+def group_record(machine: str, holds: dict[str, str], done: dict[str, str] | None = None) -> Any:
+    """A group of one machine, with the tasks that it holds and those that completed there, by job."""
+    room = [HoldRecord(job_id, 1, tasks, "crew", 2.0, 0.0, 4.0, BEGIN_US) for job_id, tasks in holds.items()]
+    record = MachineRecord(f"{machine}:1", token=TOKEN, holds=room)
+    return msgspec.to_builtins(GroupRecord("small", "a", {machine: record}, done or {}))
+
+
+def running_job(pieces: int, done: int, **over: Any) -> State:
+    """A job whose tasks hold room on a machine each, in a group each, and of which the first ones completed."""
+    state = world()
+    put(state, LIVE + "job-1", job_record("job-1", pieces=pieces, **over))
+    for task in range(pieces):
+        ended = task < done
+        holds, runs = ({}, {"job-1": str(task)}) if ended else ({"job-1": str(task)}, {})
+        put(state, f"{GROUP}g{task}", group_record(f"vm-{task}", holds, runs))
+    return state
+
+
+def fold_task(core: Controller, task: int) -> Txn | None:
+    """What the owner of a machine writes once the task there has ended as done."""
+    name, group = f"vm-{task}", core.picture.groups[f"{GROUP}g{task}"]
+    tasks = {("job-1", 1, task): TaskState("ended", "done")}
+    report = Report(name, f"{name}:1", "small", "a", False, 1, 9, TOKEN, None, tasks)
+    fold = Fold(core.kernel, core.picture, core.limits)
+    fold.add(group, [name], {name: Evidence(report, TOKEN, True)})
+    return fold.transaction()
+
+
+def sign_machine(core: Controller, task: int) -> Txn | None:
+    """What the owner of a machine writes when it takes it over: nothing about tasks."""
+    name, group = f"vm-{task}", core.picture.groups[f"{GROUP}g{task}"]
+    report = Report(name, f"{name}:1", "small", "a", False, 1, 9, TOKEN + 1, None, {})
+    fold = Fold(core.kernel, core.picture, core.limits)
+    fold.add(group, [name], {name: Evidence(report, TOKEN + 1, True)})
+    return fold.transaction()
+
+
+def schedules_of(make_state: Callable[[], State], hosts: int, actions: list[Action]) -> Callable[[Chooser], Play]:
+    """A scenario for `explore`."""
+    return lambda chooser: Play(make_state(), hosts, actions, chooser)
+
+
+def fold_by(node: int, task: int) -> Action:
+    """The owner of a machine writes down that the task there is done."""
+    return Action("fold", node, lambda play: play.commit(node, lambda core: fold_task(core, task)))
+
+
+def sign_by(node: int, task: int) -> Action:
+    """A controller takes a machine over."""
+    return Action("sign", node, lambda play: play.commit(node, lambda core: sign_machine(core, task)))
+
+
+def cancel_at(node: int, ready: Callable[[Play], bool] = lambda play: True) -> Action:
+    """A user cancels the job at a controller."""
+    return Action("cancel", node, lambda play: play.ask("cancel", node, "POST", "/submissions/job-1/abort"), ready)
+
+
+def poll_at(node: int, ready: Callable[[Play], bool] = lambda play: True) -> Action:
+    """A user asks for the job's state at a controller."""
+    return Action("poll", node, lambda play: play.ask("poll", node, "GET", "/submissions/job-1"), ready)
+
+
+def submit_at(node: int, ready: Callable[[Play], bool] = lambda play: True, **over: Any) -> Action:
+    """A user submits the job at a controller."""
+    body = submission("job-1", **over)
+    return Action("submit", node, lambda play: play.ask("submit", node, "POST", "/submissions", body), ready)
+
+
+def all_schedules(play: Callable[[Chooser], Play]) -> Iterator[Play]:
+    """Plays of all schedules, for a look at one by one."""
+    schedule: list[int] | None = []
+    visited: set[Any] = set()
+    while schedule is not None:
+        chooser = Chooser(schedule)
+        one = play(chooser)
+        one.run(visited)
+        yield one
+        schedule = chooser.next_schedule()
