--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -102,6 +102,10 @@
     later: Container[str] = (),
 ) -> bool:
     """Apply a report to a copy of a machine's record, but for some jobs; says whether anything changed."""
+    if record.token > evidence.token:
+        # A later owner has signed since (safety, point 3).  In the machine's next session it may have started anew,
+        # under the same attempt, what this report lists as ended.
+        return False
     changed = False
     report = evidence.report
     if evidence.exact and record.token < evidence.token:
@@ -111,7 +115,7 @@
     if report.notice_us is not None and not record.retiring:
         record.retiring = True
         changed = True
-    # A later owner may already have launched what this report does not list: absence is then no evidence.
+    # While orders are on their way, absence is no evidence, and the token is not written either.
     sure = evidence.exact and record.token == evidence.token
     kept = []
     for hold, known in zip(record.holds, machine.holds, strict=True):
--- /dev/null
+++ b/tests/meeting_model.py
@@ -0,0 +1,271 @@
+"""The model with long tasks, and with a record of owners, terms, cancellations and direct commands."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from ashtray.config.operators import Knobs
+from ashtray.kernel import Call, Reply
+from tests import model as models
+from tests.fakes.worker import Key
+from tests.model import REPORT_S, SECOND, Host, Model, RuleBroken, submission
+
+LONG_S = 600.0
+"""How long a task runs that is to outlast its test."""
+STEP_S = 0.1
+FEW_REPORTS_S = 5 * REPORT_S
+"""No machine is without an owner for longer where nothing but its controller has failed."""
+WIDE = int(os.environ.get("ASHTRAY_MODEL_RUNS", "60")) > 60
+"""Whether more cases than the checks have time for are to be played."""
+
+
+@dataclass
+class Delivered:
+    """A direct command that reached its machine."""
+
+    at_us: int
+    machine: str
+    body: dict[str, Any]
+    token: int
+    """The highest token that the machine had seen before it."""
+    status: int
+
+
+class Meeting(Model):
+    """The model with long tasks, and with a record of owners, cancellations and direct commands."""
+
+    def __init__(self, seed: int, hosts: int = 3) -> None:
+        self.long: set[str] = set()
+        """Jobs whose tasks outlast the test."""
+        self.late_starts: list[tuple[str, int]] = []
+        """Tasks that started after their job was reported as cancelled, and how long after."""
+        self.last_on_us: dict[str, int] = {}
+        """When a task of each cancelled job was last on a machine."""
+        self.cancelled_at: dict[str, float] = {}
+        """What the team with a limit used when each job was reported as cancelled."""
+        self.sent: list[tuple[str, str, dict[str, Any]]] = []
+        """The controller, the machine and the body of each direct command."""
+        self.delivered: list[Delivered] = []
+        self.without_owner: dict[str, int] = {}
+        """Since when a machine has had no owner."""
+        self.longest_gap_us = 0
+        self.owners: dict[str, list[int]] = {}
+        """Who owned each machine, each change."""
+        self.terms: list[tuple[int, int]] = []
+        """Who ran the fleet, each change: the controller and its process."""
+        self.nodes: list[int] | None = None
+        """The controllers that users reach; None: all."""
+        super().__init__(seed, hosts, Knobs(group_size=2))
+        self.cloud.capacity = 40
+        self.checks()
+        self.watch()
+
+    # What is added to the model
+
+    def _run_us(self, key: Key) -> int:
+        return int(LONG_S * SECOND) if key[0] in self.long else super()._run_us(key)
+
+    def _started(self, machine: str, key: Key) -> None:
+        super()._started(machine, key)
+        cancelled_us = self.jobs[key[0]].cancelled_us
+        if cancelled_us is not None:
+            self.late_starts.append((key[0], self.now - cancelled_us))
+
+    def _ask(
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        timeout_s: float,
+        then: Callable[[Reply], None],
+        node: int | None = None,
+    ) -> None:
+        if node is None and self.nodes is not None:
+            node = self.rng.choice(self.nodes)
+        super()._ask(method, path, body, timeout_s, then, node)
+
+    def _told(self, job_id: str, status: str) -> None:
+        super()._told(job_id, status)
+        if status == "cancelled":
+            self.cancelled_at.setdefault(job_id, self.use())
+
+    def send(self, source: str, call: Call, deliver: Callable[[Reply], None]) -> None:
+        target = call.address.partition(":")[0]
+        if target in self.workers:
+            self.sent.append((source, target, call.body))
+        super().send(source, call, deliver)
+
+    def _arrive(
+        self,
+        source: str,
+        target: str,
+        method: str,
+        path: str,
+        body: Any,
+        answer: Callable[[int, Any], None],
+        finish: Callable[[Reply], None],
+    ) -> None:
+        worker = self.workers.get(target)
+        if worker is None or target in self.hung:
+            super()._arrive(source, target, method, path, body, answer, finish)
+            return
+        token = worker.token
+
+        def answered(status: int, reply: Any) -> None:
+            self.delivered.append(Delivered(self.now, target, body, token, status))
+            answer(status, reply)
+
+        super()._arrive(source, target, method, path, body, answered, finish)
+
+    def watch(self) -> None:
+        """Follow owners, runners and the tasks of cancelled jobs."""
+        for job_id, _ in self.on:
+            if self.jobs[job_id].cancelled_us is not None:
+                self.last_on_us[job_id] = self.now
+        for name in self.workers:
+            owner = self.owner(name)
+            if owner is not None:
+                since_us = self.without_owner.pop(name, self.now)
+                if self.owners.setdefault(name, [owner])[-1] != owner:
+                    self.owners[name].append(owner)
+            else:
+                since_us = self.without_owner.setdefault(name, self.now)
+            self.longest_gap_us = max(self.longest_gap_us, self.now - since_us)
+        running = self.runner()
+        if running is not None:
+            term = running, self.hosts[running].core.presence.incarnation
+            if term not in self.terms[-1:]:
+                self.terms.append(term)
+        self.at(int(STEP_S * SECOND), self.watch)
+
+    # Questions about the present
+
+    def use(self, team: str = "crew") -> float:
+        """The CPUs of a team's tasks that are on machines, reachable or not."""
+        tasks = ((job_id, machines) for (job_id, _), machines in self.on.items())
+        specs = ((self.jobs[job_id].spec, machines) for job_id, machines in tasks)
+        return sum(spec["cpus"] * len(machines) for spec, machines in specs if spec["crew"] == team)
+
+    def owner(self, name: str) -> int | None:
+        """The controller that may give orders to a machine: both know its token, which is the record's as well."""
+        for host in self.live():
+            worker = host.core.desk.workers.get(name)
+            machine = host.core.picture.machines.get(name)
+            if worker is None or machine is None or worker.token != self.workers[name].token:
+                continue
+            if host.core.desk._owns(worker, machine) and host.halted_until <= self.now:
+                return host.number
+        return None
+
+    def runner(self) -> int | None:
+        """The controller that runs the fleet."""
+        return next((host.number for host in self.live() if host.core.runner.running), None)
+
+    def live(self) -> list[Host]:
+        return [host for host in self.hosts if host.core is not None]
+
+    def machines_of(self, job_id: str) -> set[str]:
+        return {name for (job, _), machines in self.on.items() if job == job_id for name in machines}
+
+    def gone_s(self, job_id: str) -> float:
+        """How long after a job was reported as cancelled its last task was on a machine."""
+        cancelled_us = self.jobs[job_id].cancelled_us
+        assert cancelled_us is not None
+        return max(self.last_on_us.get(job_id, 0) - cancelled_us, 0) / SECOND
+
+    # What happens
+
+    def begin(self, jobs: Iterable[dict[str, Any]], seconds: float = 25) -> None:
+        """Submit jobs with long tasks, each to the next controller, and wait until all their tasks run."""
+        specs = list(jobs)
+        for n, spec in enumerate(specs):
+            self.long.add(spec["name_id"])
+            self.nodes = [n % len(self.hosts)]
+            self.submit(spec)
+            self.run(0.1)
+        self.nodes = None
+        ids = {spec["name_id"] for spec in specs}
+        wanted = sum(spec["pieces"] for spec in specs)
+        for _ in range(int(seconds / STEP_S)):
+            self.run(STEP_S)
+            if sum(job_id in ids for job_id, _ in self.on) == wanted:
+                break
+        assert sum(job_id in ids for job_id, _ in self.on) == wanted, sorted(self.on)
+        # Each machine has told its owner of its tasks.
+        self.run(2 * REPORT_S)
+
+    def cut_off(self, names: Iterable[str], seconds: float, hold: bool = False) -> None:
+        """Machines that reach no controller, and that none reaches."""
+        for name in names:
+            for host in self.hosts:
+                self.cut(f"c{host.number}", name, seconds, hold)
+
+    def hang(self, names: Iterable[str], seconds: float) -> None:
+        for name in names:
+            self.hung.add(name)
+            self.at(int(seconds * SECOND), lambda name=name: self.wake(name))
+
+    def alone(self, number: int, seconds: float) -> None:
+        """A controller that loses the state service and all other controllers."""
+        for target in ("state", *(f"c{host.number}" for host in self.hosts if host.number != number)):
+            self.cut(f"c{number}", target, seconds, False)
+
+    def hand_over(self, number: int, back_s: float) -> None:
+        """A controller is told to end, hands over, ends and is back later."""
+        host = self.hosts[number]
+        if host.core is not None:
+            self.carry_out(host, host.core.stop(*self.clock(host)))
+            life = host.life
+            self.at(SECOND // 2, lambda: self.crash(number, back_s) if host.life == life else None)
+
+    def change(self, how: str, number: int, seconds: float) -> None:
+        """A controller's work changes hands."""
+        if how == "crash":
+            self.crash(number, seconds)
+        elif how == "hand over":
+            self.hand_over(number, seconds)
+        elif how == "refused":
+            self.hosts[number].refused_until = self.now + int(seconds * SECOND)
+        elif how == "halt":
+            self.hosts[number].halted_until = self.now + int(seconds * SECOND)
+        elif how == "alone":
+            self.alone(number, seconds)
+        else:
+            raise ValueError(how)
+
+    def outage(self, seconds: float) -> None:
+        self.state.down = True
+
+        def over() -> None:
+            self.state.down = False
+            self.state.refresh_leases(self.now)
+
+        self.at(int(seconds * SECOND), over)
+
+    def check(self) -> None:
+        """The rules, and that a cancelled job's tasks are gone in time from machines that hang as well."""
+        super().check()
+        for (job_id, number), machines in self.on.items():
+            cancelled_us = self.jobs[job_id].cancelled_us
+            if cancelled_us is not None and self.now - cancelled_us > models.CANCEL_S * SECOND:
+                raise RuleBroken(f"ran_cancelled: {job_id}/{number} is on {sorted(machines)}")
+
+
+def batch(number: int, **over: Any) -> dict[str, Any]:
+    return submission(
+        f"job-{number}", **{"pieces": 4, "hulls": ["small"], "crew": "free", "expect_s": LONG_S, **over}
+    )
+
+
+def some(few: Sequence[Any], more: Sequence[Any]) -> list[Any]:
+    """The values of a parameter that the checks play, and the others in wide runs."""
+    return [*few, *(more if WIDE else ())]
+
+
+def busiest(model: Meeting) -> int:
+    """The controller that owns the most machines."""
+    owners = [model.owner(name) for name in sorted(model.workers)]
+    return max(range(len(model.hosts)), key=owners.count)
