--- a/tests/meeting_model.py
+++ b/tests/meeting_model.py
@@ -93,6 +93,7 @@
             self.cancelled_at.setdefault(job_id, self.use())
 
     def send(self, source: str, call: Call, deliver: Callable[[Reply], None]) -> None:
+        """Carry a request, and note those that go straight to a machine."""
         target = call.address.partition(":")[0]
         if target in self.workers:
             self.sent.append((source, target, call.body))
@@ -165,9 +166,11 @@
         return next((host.number for host in self.live() if host.core.runner.running), None)
 
     def live(self) -> list[Host]:
+        """The controllers that run."""
         return [host for host in self.hosts if host.core is not None]
 
     def machines_of(self, job_id: str) -> set[str]:
+        """The machines that a job's tasks are on."""
         return {name for (job, _), machines in self.on.items() if job == job_id for name in machines}
 
     def gone_s(self, job_id: str) -> float:
@@ -204,6 +207,7 @@
                 self.cut(f"c{host.number}", name, seconds, hold)
 
     def hang(self, names: Iterable[str], seconds: float) -> None:
+        """Machines that stand still for so long."""
         for name in names:
             self.hung.add(name)
             self.at(int(seconds * SECOND), lambda name=name: self.wake(name))
@@ -237,6 +241,7 @@
             raise ValueError(how)
 
     def outage(self, seconds: float) -> None:
+        """The state service answers nobody for so long; after that all leases have their full time again."""
         self.state.down = True
 
         def over() -> None:
@@ -255,6 +260,7 @@
 
 
 def batch(number: int, **over: Any) -> dict[str, Any]:
+    """A job of independent tasks that are known to take long, of a team without a limit."""
     return submission(
         f"job-{number}", **{"pieces": 4, "hulls": ["small"], "crew": "free", "expect_s": LONG_S, **over}
     )
