Take the rest of a share that is too small for its holder's tasks

Cause: shares by need are not multiples of what tasks need. Where a limit binds, a controller with tasks waiting was never asked for the rest that none of them fits into, and room for whole tasks stood idle.

Change: Want carries what the smallest waiting task needs; a smaller rest is given up. A gang keeps what it collects.

--- a/ashtray/teams/grants.py
+++ b/ashtray/teams/grants.py
@@ -37,6 +37,8 @@
     gpus: float = 0.0
     gang: int = LAST
     """The turn of its first gang that waits: what that collects nobody behind it may ask for."""
+    least: Share = (0.0, 0.0)
+    """What its smallest task that waits needs; nothing where a gang waits, which needs all that it collects."""
 
 
 NOTHING = Want()
@@ -141,7 +143,9 @@
                 host, number = owner(job), len(waiting.get(job.id, ()))
                 want = found.get(host, NOTHING)
                 first = min(want.gang, turn) if job.spec.kind == "gang" and not job.suspect else want.gang
-                found[host] = Want(want.cpus + number * job.spec.cpus, want.gpus + number * job.spec.gpus, first)
+                least = _least(want, job.spec) if number else want.least
+                cpus, gpus = want.cpus + number * job.spec.cpus, want.gpus + number * job.spec.gpus
+                found[host] = Want(cpus, gpus, first, least)
         return found
 
     def reshare(
@@ -232,7 +236,9 @@
         spare = []
         for n in (0, 1):
             unused = max(share[n] - used[host][n], 0.0)
-            spare.append(unused if pressed else max(unused - _amount(wants[host], n), 0.0))
+            # A rest that is too small for any of its tasks is of no use to it.
+            idle = pressed or unused < wants[host].least[n] - EPS
+            spare.append(unused if idle else max(unused - _amount(wants[host], n), 0.0))
         return spare[0], spare[1]
 
     def _helps(
@@ -265,6 +271,15 @@
         return fair[0], fair[1]
 
 
+def _least(want: Want, spec: JobSpec) -> Share:
+    """What the smallest task needs of those known so far and of one more job."""
+    if spec.kind == "gang":
+        return 0.0, 0.0
+    if not want.cpus and not want.gpus:
+        return spec.cpus, spec.gpus
+    return min(want.least[0], spec.cpus), min(want.least[1], spec.gpus)
+
+
 def _amount(want: Want, n: int) -> float:
     return want.gpus if n else want.cpus
 
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from ashtray.config.settings import Team
-from ashtray.jobs.model import JobSpec
+from ashtray.jobs.model import LIVE, JobRecord, JobSpec
 from ashtray.placement.picture import GROUP, TEAM, HoldRecord, MachineRecord, Picture
 from ashtray.store.client import Txn
 from ashtray.teams.grants import LAST, Grants, Want
@@ -266,3 +266,35 @@
     assert not host.grants.ready("crew")
     host.sync()
     assert host.grants.ready("crew")
+
+
+def test_a_rest_too_small_for_any_task_of_its_holder_is_taken_where_it_makes_room() -> None:
+    # Found with a limit that binds: shares by need were 4.9 and 5.1 CPUs for tasks of 2, and 2 stood idle for ever.
+    state, hosts = settled()
+    txn = Txn().guard(TEAM + "crew", hosts[0].picture.version(TEAM + "crew"))
+    txn.put(TEAM + "crew", {"h0": (14.0, 0.0), "h1": (4.9, 0.0), "h2": (5.1, 0.0)})
+    for host in hosts:
+        host.sync()
+    assert hosts[0].send(txn)
+    for host, count in zip(hosts, (7, 2, 2), strict=True):
+        host.sync()
+        assert host.send(host.placement(0, count))
+    waiting = dict.fromkeys(HOSTS, Want(50.0, least=(2.0, 0.0)))
+    for _ in range(3):
+        hosts[1].sync()
+        hosts[1].send(hosts[1].grants.reshare("crew", SPEC, 1, waiting))
+    assert hosts[1].grants.allowed("crew", SPEC) == 1
+    # A gang needs what it collects, however little that is.
+    collecting = {**waiting, "h1": Want(50.0, gang=3)}
+    hosts[2].sync()
+    assert hosts[2].grants.reshare("crew", SPEC, 1, collecting) is None
+
+
+def test_the_smallest_task_that_waits_is_known_by_controller_and_a_gang_needs_all() -> None:
+    _, (host, *_) = settled()
+    small = msgspec.structs.replace(SPEC, cpus=1.5)
+    for n, (spec, owner) in enumerate([(SPEC, "h0"), (small, "h0"), (small, "h1"), (GANG, "h1"), (SPEC, "h1")]):
+        host.picture.put(f"{LIVE}job-{n}", msgspec.to_builtins(JobRecord(spec, owner, n)), n + 1)
+    queue = [host.picture.jobs[f"job-{n}"] for n in range(5)]
+    wants = host.grants.wants("crew", queue, lambda job: job.record.owner, HOSTS)
+    assert [wants[name].least for name in HOSTS] == [(1.5, 0.0), (0.0, 0.0), (0.0, 0.0)]
