Split the model and add close looks, troubles and checks

Cause: the model lacked troubles of the users' list and did not look at all controllers right after an answer. Change: users, checks, neglect and troubles are modules of their own; the generated tests ask all controllers within milliseconds after each acceptance, end and cancellation; cancelled jobs are checked at the exact end of their time.

--- a/tests/fakes/state.py
+++ b/tests/fakes/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -89,8 +90,9 @@
     def _follow(self, query: dict[str, str]) -> Answer:
         after = int(query["after"])
         log = []
-        for revision, key, value in self.log:
-            if revision > after and key.startswith(query["under"]):
+        first = bisect.bisect_right(self.log, after, key=lambda change: change[0])
+        for revision, key, value in self.log[first:]:
+            if key.startswith(query["under"]):
                 change = {"remove": key} if value is None else {"put": key, "value": value[0]}
                 log.append({**change, "stamp": revision})
         return 200, {"ledger": self.revision, "log": log}
--- a/tests/model.py
+++ b/tests/model.py
@@ -6,13 +6,12 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
 import msgspec
 
 from ashtray.config.operators import Knobs
-from ashtray.config.settings import Settings
 from ashtray.controller import Controller
 from ashtray.inbox import FOR_EVER_US, Inbox, Rank, rank_of, rank_of_reply
 from ashtray.kernel import Answer, Call, Output, Reply
@@ -20,140 +19,48 @@
 from tests.fakes.state import State
 from tests.fakes.worker import Key, Worker
 from tests.fakes.worker import World as WorkerWorld
-
-SECOND = 1_000_000
-LEASE_S, CANCEL_S, REPORT_S, GANG_WAIT_S, GANG_PEER_S = 8.0, 20.0, 1.5, 15.0, 2.0
-FORGOTTEN_S = 75
-"""A job about which no question is answered for so long, once all troubles are over, is forgotten."""
-TYPES = [
-    {
-        "name": "small",
-        "cpus": 4.0,
-        "cards": 0.0,
-        "memory_gb": 16.0,
-        "local_gb": 20.0,
-        "pull_gb_per_s": 1.0,
-        "rate": 1.0,
-        "spot_price": 0.4,
-        "ready_s": 5.0,
-        "yards": ["a", "b"],
-    },
-    {
-        "name": "big",
-        "cpus": 8.0,
-        "cards": 2.0,
-        "memory_gb": 32.0,
-        "local_gb": 20.0,
-        "pull_gb_per_s": 1.0,
-        "rate": 4.0,
-        "spot_price": 1.5,
-        "ready_s": 5.0,
-        "yards": ["a"],
-    },
+from tests.model_basis import (
+    CANCEL_S,
+    GANG_PEER_S,
+    GANG_WAIT_S,
+    LEASE_S,
+    REPORT_S,
+    SECOND,
+    TEAM,
+    TYPES,
+    Host,
+    LateStart,
+    Next,
+    RuleBroken,
+    UserJob,
+    settings_for,
+    submission,
+)
+from tests.model_checks import Checks
+from tests.model_neglect import Neglect
+from tests.model_troubles import Troubles
+from tests.model_users import Users
+
+__all__ = [
+    "CANCEL_S",
+    "GANG_PEER_S",
+    "GANG_WAIT_S",
+    "LEASE_S",
+    "REPORT_S",
+    "SECOND",
+    "TEAM",
+    "TYPES",
+    "Host",
+    "LateStart",
+    "Model",
+    "RuleBroken",
+    "UserJob",
+    "settings_for",
+    "submission",
 ]
-TEAM = {"name": "crew", "cpus": 8.0, "cpus_max": 24.0, "gpus": 0.0, "gpus_max": 0.0}
-
-
-Next = tuple[float, int]
-"""The KiB of a value and the changes of a transaction that are to come."""
-
-
-def settings_for(host: int, hosts: int, following: Next | None = None, kind: Any = Settings) -> Any:
-    state: dict[str, Any] = {"rps": 200.0, "write_rps": 60.0, "value_kb": 32.0, "txn_ops": 12}
-    if following is not None:
-        state["next"] = {"write_rps": 45.0, "value_kb": following[0], "txn_ops": following[1]}
-    return msgspec.convert(
-        {
-            "host_name": f"berth-{host}",
-            "domain": "a",
-            "api_addr": f"c{host}:1",
-            "cluster_listen": f"p{host}:1",
-            "others": [{"host_name": f"berth-{n}", "peer_addr": f"p{n}:1"} for n in range(hosts) if n != host],
-            "services": {"cloud": "cloud:1", "state": "state:1"},
-            "cluster": {
-                "nodes": hosts,
-                "zones": ["a", "b"],
-                "teams": [TEAM, {"name": "free"}],
-                "workers": {
-                    "report_s": REPORT_S,
-                    "lease_s": LEASE_S,
-                    "gang_wait_s": GANG_WAIT_S,
-                    "gang_peer_s": GANG_PEER_S,
-                    "cancel_s": CANCEL_S,
-                },
-                "state": state,
-                "cloud": {"rps": 5.0, "list_lag_s": 2.0},
-            },
-        },
-        kind,
-    )
-
-
-def submission(job: str, **over: Any) -> dict[str, Any]:
-    base = {
-        "name_id": job,
-        "lane": "any",
-        "crew": "crew",
-        "shape": "batch",
-        "urgency": "standard",
-        "pieces": 3,
-        "cpus": 2.0,
-        "cards": 0.0,
-        "memory_gb": 4.0,
-        "bundle": "img",
-        "image_gb": 1.0,
-        "hulls": None,
-        "yard": None,
-        "same_place": False,
-        "spread": False,
-        "loaners": True,
-        "expect_s": 6.0,
-        "snapshot_every_s": 0.0,
-        "snapshot_cost_s": 0.0,
-        "due_s": None,
-    }
-    return {**base, **over}
-
-
-class RuleBroken(AssertionError):
-    pass
-
-
-@dataclass
-class Host:
-    """A controller process, or where it was."""
-
-    number: int
-    core: Any = None
-    life: int = 0
-    skew_us: int = 0
-    timer_us: int | None = None
-    old: bool = False
-    """It runs the version in production before."""
-    halts_us: int = 0
-    """It is to stand still for so long after the next input, before what that led to goes out."""
-    halted_until: int = 0
-    slow_us: int = 0
-    """What an input takes it, beside the time of its timers: it falls behind when more comes."""
-    inbox: Inbox = field(default_factory=Inbox)
-    """What came meanwhile."""
-    busy: bool = False
-    refused_until: int = 0
-    """Until when the state service refuses this controller alone."""
-
-
-@dataclass
-class UserJob:
-    spec: dict[str, Any]
-    accepted_us: int | None = None
-    cancel_asked: bool = False
-    cancelled_us: int | None = None
-    told: str | None = None
-    told_us: int = 0
-    finished: set[int] = field(default_factory=set)
-
-
-class Model:
+
+
+class Model(Users, Checks, Neglect, Troubles):
     """A small deployment.  Everything random comes from one seed."""
 
     def __init__(
@@ -198,6 +105,7 @@
         """So many transactions may be refused as too large."""
         self.asked_us = 0
         """When the question was asked whose answer is being looked at."""
+        self.late_starts: list[LateStart] = []
         self.late_share = 0.0
         self.boot_fail = False
         self.boot_factor = 1.0
@@ -205,6 +113,9 @@
         """Jobs with a mistake in them."""
         self.state_requests = 0
         self.refusals: dict[str, str] = {}
+        self._begin_users()
+        self._begin_neglect()
+        self._begin_troubles()
         self.hosts = [Host(n, skew_us=n * 50_000, old=before is not None) for n in range(hosts)]
         for host in self.hosts:
             self.start_host(host)
@@ -241,6 +152,7 @@
         core.desk._foreman = lambda *args: None if self.now < self.roaming_until else foreman(*args)
         who.mine = lambda job: self.now < self.all_place_until or mine(job)
         self.carry_out(host, host.core.start(*self.clock(host)))
+        self._controller_starts(host)
 
     def _knobs_set(self) -> dict[str, Any]:
         return {"group_size": self.knobs.group_size}
@@ -279,6 +191,7 @@
                 answer = self.waiting.pop(output.request_id, None)
                 if answer is not None:
                     answer(output.status, output.body)
+        self._look_for_new_leader(host)
         wake = core.kernel.next_wake_us()
         if wake is not None:
             due = wake - SECOND
@@ -393,6 +306,8 @@
         if there is None:
             return
 
+        if self._is_mute(source):
+            return
         deaf_until, held = self.deaf.get(target, (0, False))
         if deaf_until > self.now:
             if not held:
@@ -411,6 +326,8 @@
 
         there = max(there, self.held_orders.get(target, 0) - self.now)
         body = msgspec.msgpack.decode(msgspec.msgpack.encode(call.body))
+        if target in self.workers and self._hold_command(target, there, body):
+            return
         self.at(there, lambda: self._arrive(source, target, call.method, call.path, body, answered, finish))
 
     def _arrive(
@@ -425,8 +342,7 @@
     ) -> None:
         if target == "state":
             self.state_requests += 1
-            refused = source[0] == "c" and self.hosts[int(source[1:])].refused_until > self.now
-            answer(*((503, {"error": "trouble"}) if refused else self.state.handle(self.now, method, path, body)))
+            self._reach_state(int(source[1:]), method, path, body, answer)
         elif target == "cloud":
             answer(*self.cloud.handle(self.now, method, path, body))
         elif target[0] in "cp":
@@ -459,6 +375,8 @@
         if self.boot_fail and self.rng.random() < 0.5:
             return 10**12
         boot = int(self.rng.uniform(3.0, 7.0) * self.boot_factor * SECOND)
+        if self._boots_quickly():
+            boot = int(self.rng.uniform(0.1, 2.0) * SECOND)
         self.at(boot, lambda: self._worker_starts(machine))
         return boot
 
@@ -522,6 +440,7 @@
                 worker.advance(self.now)
                 if worker.take_answer(self.now, sent, sent_us, reply.body):
                     pause = SECOND // 2
+                    self._new_owner(worker.name)
             elif reply.status == 421 and reply.body.get("foreman") in {f"berth-{h.number}" for h in self.hosts}:
                 following = int(reply.body["foreman"].removeprefix("berth-"))
                 pause = int(self.rng.uniform(0, 0.5) * SECOND)
@@ -532,6 +451,7 @@
             self.at(pause, lambda: self._report_loop(worker, following))
 
         self.send(worker.name, call, answered)
+        self._copy_late(worker.name, report)
         if self.now < self.copies_until:
             for _ in range(self.rng.randrange(3)):
                 late_us = int(self.rng.uniform(0.2, 2.5 * LEASE_S) * SECOND)
@@ -575,256 +495,9 @@
         self.hung.discard(name)
         if name in self.workers:
             self.workers[name].advance(self.now)
+            self.check_woken(name)
 
     def lose_machine(self, index: int) -> None:
         alive = sorted(self.workers)
         if alive:
             self.cloud.end(self.now, alive[index % len(alive)], "taken")
-
-    # What tasks do, and the rules
-
-    def _run_us(self, key: Key) -> int:
-        return int(random.Random(f"{key[0]}/{key[2]}").uniform(2.0, 10.0) * SECOND)
-
-    def _started(self, machine: str, key: Key) -> None:
-        job_id, attempt, number = key
-        self.starts += 1
-        job = self.jobs[job_id]
-        for need in job.spec.get("waits_on") or ():
-            if len(self.jobs[need].finished) < self.jobs[need].spec["pieces"]:
-                raise RuleBroken(f"too_early: {job_id}/{number} before {need} is done")
-        worker = self.workers[machine]
-        spec = job.spec
-        where = self.on.setdefault((job_id, number), {})
-        if where:
-            raise RuleBroken(f"ran_twice: {job_id}/{number} on {machine} and {sorted(where)} at {self.now / SECOND}")
-        where[machine] = key
-        if job.cancelled_us is not None and self.now - job.cancelled_us > CANCEL_S * SECOND:
-            raise RuleBroken(f"ran_cancelled: {job_id}/{number} started")
-        if spec["hulls"] and worker.type not in spec["hulls"]:
-            raise RuleBroken("wrong_place: type")
-        if spec["yard"] not in (None, worker.zone) or (worker.spot and not spec["loaners"]):
-            raise RuleBroken("wrong_place: zone or kind")
-        zones = [self.cloud.machines[m].zone for (j, _), ms in self.on.items() if j == job_id for m in ms]
-        if spec["same_place"] and len(set(zones)) > 1:
-            raise RuleBroken(f"wrong_place: {job_id} in {set(zones)}")
-        if spec["spread"] and max(zones.count(z) for z in zones) > (spec["pieces"] + 1) // 2:
-            raise RuleBroken(f"wrong_place: {job_id} not spread")
-        used = sum(
-            len(ms) * self.jobs[j].spec["cpus"]
-            for (j, _), ms in self.on.items()
-            if self.jobs[j].spec["crew"] == "crew"
-        )
-        if used > TEAM["cpus_max"] + 1e-6:
-            raise RuleBroken(f"quota: {used}")
-        if spec["shape"] == "gang":
-            gang = self.gangs.setdefault((job_id, attempt), {"at": {}, "ran": False, "over": None})
-            gang["at"][number] = machine
-
-    def _left(self, machine: str, key: Key) -> None:
-        job_id, attempt, number = key
-        where = self.on.get((job_id, number), {})
-        where.pop(machine, None)
-        if not where:
-            self.on.pop((job_id, number), None)
-        worker = self.workers.get(machine)
-        task = worker.tasks.get(key) if worker is not None else None
-        job = self.jobs[job_id]
-        gang = self.gangs.get((job_id, attempt))
-        if gang is not None:
-            gang["at"].pop(number, None)
-            if gang["ran"] and gang["over"] is None:
-                finished = task is not None and task.state == "running" and self.now >= task.end_us
-                finished = finished and job_id not in self.mistaken
-                if finished:
-                    gang["over"] = "done"
-                    job.finished = set(range(job.spec["pieces"]))
-                else:
-                    gang["over"] = "mates_gone"
-        elif (
-            task is not None
-            and task.state == "running"
-            and self.now >= task.end_us
-            and not (worker.fails or job_id in self.mistaken)
-        ):
-            job.finished.add(number)
-
-    def _gang_ready(self, job: str, attempt: int) -> bool:
-        gang = self.gangs.get((job, attempt))
-        if gang is None or gang["over"] is not None:
-            return False
-        if len(gang["at"]) == self.jobs[job].spec["pieces"]:
-            gang["ran"] = True
-        return bool(gang["ran"])
-
-    def _gang_ended(self, job: str, attempt: int) -> str | None:
-        gang = self.gangs.get((job, attempt))
-        return None if gang is None else gang["over"]
-
-    def check(self) -> None:
-        """The rules that time alone can break."""
-        for (job_id, number), machines in self.on.items():
-            cancelled = self.jobs[job_id].cancelled_us
-            # What is on a machine that hangs past its lease, with no cloud to delete it, nobody can end.
-            there = set(machines) - self.hung
-            if cancelled is not None and there and self.now - cancelled > CANCEL_S * SECOND:
-                raise RuleBroken(f"ran_cancelled: {job_id}/{number} is on {sorted(there)}")
-
-    def checks(self) -> None:
-        self.check()
-        self.at(SECOND // 2, self.checks)
-
-    # Users
-
-    def submit(self, spec: dict[str, Any]) -> None:
-        job_id = spec["name_id"]
-        self.jobs[job_id] = UserJob(spec)
-        self._submit(job_id)
-
-    def _ask(
-        self,
-        method: str,
-        path: str,
-        body: Any,
-        timeout_s: float,
-        then: Callable[[Reply], None],
-        node: int | None = None,
-    ) -> None:
-        """Ask a controller, any if none is given."""
-        node = self.rng.randrange(len(self.hosts)) if node is None else node
-        asked_us = self.now
-
-        def answered(reply: Reply) -> None:
-            self.asked_us = asked_us
-            then(reply)
-
-        self.send("user", Call(f"c{node}:1", method, path, body, int(timeout_s * SECOND)), answered)
-
-    def _submit(self, job_id: str) -> None:
-        job = self.jobs[job_id]
-
-        def answered(reply: Reply) -> None:
-            if reply.status in (200, 201):
-                if job.accepted_us is None:
-                    job.accepted_us = self.now
-                    self._poll(job_id)
-                self._told(job_id, reply.body["status"])
-            elif reply.status in (400, 422) and job.accepted_us is None:
-                self.refusals[job_id] = reply.body["error"]
-            elif job.accepted_us is not None and reply.status in (400, 404, 422):
-                raise RuleBroken(f"forgotten: {job_id} submitted again gets {reply.status}")
-            elif reply.status not in (400, 422):
-                self.at(SECOND, lambda: self._submit(job_id))
-
-        self._ask("POST", "/submissions", job.spec, 5, answered)
-
-    def _poll(self, job_id: str) -> None:
-        def answered(reply: Reply) -> None:
-            if reply.status == 404:
-                raise RuleBroken(f"forgotten: {job_id} gets 404")
-            if reply.status == 200:
-                self._told(job_id, reply.body["status"])
-            self.at(2 * SECOND, lambda: self._poll(job_id))
-
-        self._ask("GET", f"/submissions/{job_id}", None, 2, answered)
-
-    def calm(self) -> None:
-        """All troubles are over: from now on nothing may be forgotten, however the others fare."""
-        answered_us = {job_id: self.now for job_id, job in self.jobs.items() if job.accepted_us is not None}
-
-        def ask(turn: int) -> None:
-            for job_id in sorted(answered_us):
-                if self.now - answered_us[job_id] > FORGOTTEN_S * SECOND:
-                    raise RuleBroken(f"forgotten: no question about {job_id} is answered for {FORGOTTEN_S} s")
-
-                def answered(reply: Reply, job_id: str = job_id) -> None:
-                    if reply.status == 200:
-                        answered_us[job_id] = self.now
-                        self._told(job_id, reply.body["status"])
-                    elif reply.status == 404:
-                        raise RuleBroken(f"forgotten: {job_id} gets 404")
-
-                self._ask("GET", f"/submissions/{job_id}", None, 2, answered, turn % len(self.hosts))
-            self.at(3 * SECOND, lambda: ask(turn + 1))
-
-        ask(0)
-
-    def ask_unknown(self) -> None:
-        def answered(reply: Reply) -> None:
-            if reply.status == 200:
-                raise RuleBroken("invented")
-
-        self._ask("GET", "/submissions/job-999999", None, 2, answered)
-        self.at(3 * SECOND, self.ask_unknown)
-
-    def storm(self, seconds: float, rate: int = 40, ids: tuple[str, ...] = ()) -> None:
-        """Users ask many times as often, about jobs of all sorts and about some that nobody has submitted."""
-
-        def ask() -> None:
-            known = ids or (*sorted(self.jobs), "job-999999", "job-999998")
-            job_id = self.rng.choice(known)
-            job = self.jobs.get(job_id)
-
-            def answered(reply: Reply) -> None:
-                if job is None or job.accepted_us is None or self.asked_us < job.accepted_us:
-                    if reply.status == 200 and job is None:
-                        raise RuleBroken("invented")
-                elif reply.status == 404:
-                    raise RuleBroken(f"forgotten: {job_id} gets 404")
-                elif reply.status == 200:
-                    self._told(job_id, reply.body["status"])
-
-            self._ask("GET", f"/submissions/{job_id}", None, 2, answered)
-
-        for n in range(int(seconds * rate)):
-            self.at(n * SECOND // rate, ask)
-
-    def cancel(self, job_id: str) -> None:
-        job = self.jobs.get(job_id)
-        if job is None or job.accepted_us is None:
-            return
-        job.cancel_asked = True
-
-        def answered(reply: Reply) -> None:
-            if reply.status == 200:
-                self._told(job_id, reply.body["status"])
-            elif reply.status == 404:
-                raise RuleBroken(f"forgotten: {job_id} cannot be cancelled")
-            else:
-                self.at(SECOND, lambda: self.cancel(job_id))
-
-        self._ask("POST", f"/submissions/{job_id}/abort", None, 5, answered)
-
-    def _told(self, job_id: str, status: str) -> None:
-        job = self.jobs[job_id]
-        if status == "done" and len(job.finished) < job.spec["pieces"]:
-            raise RuleBroken(f"not_done: {job_id} with {sorted(job.finished)} of {job.spec['pieces']}")
-        since = self._orphan_us(job_id)
-        if status in ("pending", "running") and since is not None and self.asked_us > since + CANCEL_S * SECOND:
-            raise RuleBroken(f"orphaned: {job_id} is {status}")
-        # An answer on its way when a later one is told is no older answer given: the question decides.
-        if job.told in ("done", "cancelled") and status != job.told and self.asked_us > job.told_us:
-            raise RuleBroken(f"went_back: {job_id} from {job.told} to {status}")
-        if status == "cancelled":
-            if not self._may_be_cancelled(job_id):
-                raise RuleBroken(f"went_back: {job_id} was not cancelled")
-            if job.cancelled_us is None:
-                job.cancelled_us = self.now
-        if status in ("done", "cancelled") and job.told is None:
-            job.told, job.told_us = status, self.now
-
-    def _may_be_cancelled(self, job_id: str) -> bool:
-        """Whether its user, or that of a job that it needs, has asked for it."""
-        job = self.jobs[job_id]
-        return job.cancel_asked or any(self._may_be_cancelled(need) for need in job.spec.get("waits_on") or ())
-
-    def _orphan_us(self, job_id: str) -> int | None:
-        """When a user was first told that a job before this one is cancelled, at the latest when both were known."""
-        job = self.jobs[job_id]
-        found = []
-        for need in job.spec.get("waits_on") or ():
-            at_us = self.jobs[need].cancelled_us
-            at_us = self._orphan_us(need) if at_us is None else at_us
-            if at_us is not None and job.accepted_us is not None:
-                found.append(max(at_us, job.accepted_us))
-        return min(found, default=None)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -161,6 +161,7 @@
 def begin(model: Model, seed: int, jobs: list[dict], within_s: float = 50) -> None:
     """Check the rules from now on, and submit the jobs at random moments of the first seconds."""
     model.checks()
+    model.look_closely()
     model.ask_unknown()
     spread = random.Random(seed)
     for n, spec in enumerate(jobs):
