--- /dev/null
+++ b/tests/nights.py
@@ -0,0 +1,270 @@
+"""Nights of the model: meetings of several troubles within seconds, drawn from one seed.
+
+    python -m tests.nights FIRST COUNT
+
+plays the nights FIRST to FIRST + COUNT - 1 and prints what broke on each, and what they brought about together.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from ashtray.config.operators import Knobs
+from tests.model import SECOND, Model, RuleBroken, submission
+from tests.model_troubles import Refusal
+
+TROUBLED_S, HELD_S, CALM_S = 90, 25, 150
+"""How long troubles begin, how long they may last after that, and how long it takes until all jobs are over."""
+
+
+def crash_leader(model: Model, back_s: float) -> None:
+    """End the controller that runs the fleet."""
+    for host in model.hosts:
+        if host.core is not None and host.core.runner.running:
+            model.crash(host.number, back_s)
+
+
+def crash_all(model: Model, back_s: float) -> None:
+    """End all controllers within a second."""
+    for host in model.hosts:
+        model.at(model.rng.randrange(SECOND), lambda number=host.number: model.crash(number, back_s))
+
+
+def leaders_change(model: Model, times: int, every_s: float) -> None:
+    """One controller that runs the fleet after the other ends."""
+    for n in range(times):
+        model.at(int(n * every_s * SECOND), lambda: crash_leader(model, every_s * 0.8))
+
+
+def some_machines(model: Model, most: int) -> list[str]:
+    """A few of the machines that are up."""
+    names = sorted(model.workers)
+    return model.rng.sample(names, min(len(names), model.rng.randint(1, most)))
+
+
+def cut_machines(model: Model, seconds: float, hold: bool) -> None:
+    """Cut some machines off from all controllers."""
+    for name in some_machines(model, 4):
+        for host in model.hosts:
+            model.cut(f"c{host.number}", name, seconds, hold)
+
+
+def cut_zone(model: Model, number: int, seconds: float) -> None:
+    """Cut a zone with all its workers and one controller from everything else."""
+    names = [name for name, worker in sorted(model.workers.items()) if worker.zone == "b"]
+    others = [host.number for host in model.hosts if host.number != number]
+    for target in ("state", "cloud", "user", *(f"c{n}" for n in others)):
+        model.cut(f"c{number}", target, seconds, False)
+    for name in names:
+        for n in others:
+            model.cut(f"c{n}", name, seconds, False)
+
+
+def make_deaf(model: Model, seconds: float, held: bool) -> None:
+    """Let some machines' reports arrive, and no answer or command reach them."""
+    for name in some_machines(model, 3):
+        model.deaf[name] = (model.now + int(seconds * SECOND), held)
+
+
+def hang_machines(model: Model, seconds: float, cloud_out: bool) -> None:
+    """Let some machines hang, sometimes while the cloud can delete none."""
+    for name in some_machines(model, 4):
+        model.hang(name, seconds)
+    if cloud_out:
+        model.cloud.down = True
+        model.at(int((seconds + 1) * SECOND), lambda: setattr(model.cloud, "down", False))
+
+
+def cancel_some(model: Model, count: int) -> None:
+    """Cancel some accepted jobs, whatever they do."""
+    known = sorted(job_id for job_id, job in model.jobs.items() if job.accepted_us is not None)
+    for job_id in model.rng.sample(known, min(count, len(known))):
+        model.at(model.rng.randrange(1, SECOND), lambda job_id=job_id: model.cancel(job_id))
+
+
+def slow_messages(model: Model, share: float, seconds: float) -> None:
+    """Delay a share of all messages by up to some seconds."""
+    model.late_share = share
+    model.at(int(seconds * SECOND), lambda: setattr(model, "late_share", 0.0))
+
+
+def mute_machines(model: Model, seconds: float) -> None:
+    """Let some machines reach no controller, while direct commands reach them."""
+    for name in some_machines(model, 6):
+        model.mute(name, seconds)
+
+
+def hold_orders(model: Model, seconds: float) -> None:
+    """Hold the direct commands to some machines on their way."""
+    for name in some_machines(model, 6):
+        model.held_orders[name] = model.now + int(seconds * SECOND)
+
+
+def roam(model: Model, seconds: float) -> None:
+    """Let workers report to any controller."""
+    model.roaming_until = model.now + int(seconds * SECOND)
+
+
+def halt(model: Model, number: int, seconds: float) -> None:
+    """Let a controller stand still after its next input."""
+    model.hosts[number].halts_us = int(seconds * SECOND)
+
+
+def slow_down(model: Model, number: int, ms: int, seconds: float) -> None:
+    """Let a controller take some time for each input."""
+    host = model.hosts[number]
+    host.slow_us = ms * 1000
+    model.at(int(seconds * SECOND), lambda: setattr(host, "slow_us", 0))
+
+
+def copy_reports(model: Model, seconds: float) -> None:
+    """Let copies of reports come late to any controller."""
+    model.copies_until = model.now + int(seconds * SECOND)
+
+
+def bounce_machine(model: Model, back_s: float) -> None:
+    """Let a machine end and be back with its session from the start."""
+    for name in some_machines(model, 1):
+        model.bounce(name, back_s)
+
+
+def draw(rng: random.Random, hosts: int) -> Callable[[Model], None]:
+    """Draw one trouble."""
+    number, long_s, short_s = rng.randrange(hosts), rng.uniform(5, HELD_S), rng.uniform(0.5, 6)
+    share, flag = rng.uniform(0.2, 0.95), rng.random() < 0.5
+    alone = rng.choice([None, number])
+    how = rng.choice(list(Refusal))
+    hang_s = rng.choice([0.0, 5.0, 11.0, HELD_S])
+    count, index = rng.randint(1, 12), rng.randrange(12)
+    troubles: list[Callable[[Model], Any]] = [
+        lambda model: model.lose_answers(share, long_s, alone),
+        lambda model: model.write_late(share, long_s, alone),
+        lambda model: model.report_late(share, long_s),
+        lambda model: model.keep_reports(share, long_s),
+        lambda model: model.hold_commands(share, long_s),
+        lambda model: mute_machines(model, long_s),
+        lambda model: model.cut_from_state_and_peers(number, long_s, flag),
+        lambda model: model.refuse(number, long_s, how),
+        lambda model: (model.refuse(number, long_s, how), model.at(SECOND, lambda: model.state_outage(long_s))),
+        lambda model: model.state_outage(long_s if flag else short_s),
+        lambda model: model.cancel_running(count, hang_s),
+        lambda model: model.cancel_running(count, hang_s),
+        lambda model: cancel_some(model, count),
+        lambda model: model.cancel_at_end(share, long_s),
+        lambda model: model.odd_requests(long_s),
+        lambda model: model.boot_quickly(2 * long_s),
+        lambda model: leaders_change(model, count, short_s),
+        lambda model: crash_leader(model, short_s),
+        lambda model: crash_leader(model, short_s / 10),
+        lambda model: crash_all(model, long_s / 2 if flag else short_s / 5),
+        lambda model: cut_machines(model, long_s, flag),
+        lambda model: cut_zone(model, number, long_s),
+        lambda model: make_deaf(model, long_s, flag),
+        lambda model: hang_machines(model, hang_s or short_s, flag),
+        lambda model: model.lose_machine(index),
+        lambda model: slow_messages(model, share / 3, long_s),
+        lambda model: hold_orders(model, long_s / 2),
+        lambda model: roam(model, long_s),
+        lambda model: halt(model, number, long_s),
+        lambda model: slow_down(model, number, rng.choice([15, 60, 130]), long_s),
+        lambda model: copy_reports(model, long_s),
+        lambda model: bounce_machine(model, short_s / 6),
+        lambda model: model.storm(short_s),
+        lambda model: setattr(model, "all_place_until", model.now + int(long_s * SECOND)),
+    ]
+    return rng.choice(troubles)
+
+
+def draw_job(rng: random.Random, number: int) -> dict[str, Any]:
+    """Draw a job: mostly small ones, some gangs, some services, some bound to a place."""
+    same_place = rng.random() < 0.15
+    yard = rng.choice([None, None, "a", "b"]) if not same_place else None
+    big = rng.random() < 0.15
+    return submission(
+        f"job-{number}",
+        shape=rng.choice(["batch", "batch", "batch", "gang", "service"]),
+        pieces=rng.choice([1, 1, 1, 2, 3, 6, 10]),
+        cpus=rng.choice([1.0, 2.0, 3.0]),
+        crew=rng.choice(["crew", "crew", "free"]),
+        urgency=rng.choice(["prod", "urgent", "standard", "idle"]),
+        same_place=same_place,
+        spread=not same_place and yard is None and rng.random() < 0.15 and not big,
+        yard=yard if not big else None,
+        hulls=["big"] if big else rng.choice([None, ["small"]]),
+        loaners=rng.random() < 0.5,
+        snapshot_every_s=rng.choice([0.0, 2.0]),
+        snapshot_cost_s=rng.choice([0.5, 1.0]),
+    )
+
+
+def play(seed: int) -> Model:
+    """Play one night; a RuleBroken carries what was broken."""
+    rng = random.Random(seed)
+    hosts = rng.choice([3, 3, 5])
+    model = Model(seed, hosts, Knobs(group_size=rng.choice([None, 1, 2])))
+    NIGHTS[:] = [model]
+    model.checks()
+    model.look_closely()
+    model.ask_unknown()
+    model.state.write_rps = rng.choice([None, 60.0])
+    for number in range(rng.randint(15, 40)):
+        spec = draw_job(rng, number)
+        at_s = rng.uniform(3, TROUBLED_S) if rng.random() < 0.7 else 15
+        model.at(int(at_s * SECOND), lambda spec=spec: model.submit(spec))
+    for _ in range(rng.randint(2, 6)):
+        moment_s = rng.uniform(8, TROUBLED_S - 3)
+        for _ in range(rng.randint(2, 5)):
+            trouble = draw(rng, hosts)
+            at_us = int((moment_s + rng.uniform(0, 3)) * SECOND)
+            model.at(at_us, lambda trouble=trouble: trouble(model))
+    model.run(TROUBLED_S + HELD_S + 5)
+    end(model)
+    return model
+
+
+NIGHTS: list[Model] = []
+"""The model that was played last, also where it broke a rule."""
+
+
+def end(model: Model) -> None:
+    """Once all troubles are over, all jobs end, and nothing is forgotten or neglected."""
+    model.calm()
+    model.run(100)
+    for job_id, job in model.jobs.items():
+        if job.spec["shape"] == "service" and job.accepted_us is not None:
+            model.cancel(job_id)
+    model.run(CALM_S - 100)
+    for job_id, job in model.jobs.items():
+        if job.accepted_us is not None and job.told not in ("done", "cancelled"):
+            raise RuleBroken(f"never over: {job_id} is {job.told}: {job.spec}")
+
+
+def main(first: int, count: int) -> int:
+    """Play some nights; return how many broke something."""
+    happened: Counter[str] = Counter()
+    broken = 0
+    late = []
+    for seed in range(first, first + count):
+        try:
+            play(seed)
+        except Exception as error:  # Also an error of a core: it is told, and the next night played.
+            broken += 1
+            print(f"night {seed}: {type(error).__name__}: {str(error)[:400]}", flush=True)
+        model = NIGHTS[0]
+        happened.update(model.happened)
+        happened["starts"] += model.starts
+        late.extend(start.after_us / SECOND for start in model.late_starts)
+    print(
+        f"{count} nights, {broken} broken, {len(late)} starts after a cancellation, at most {max(late, default=0)} s"
+    )
+    for what, times in sorted(happened.items()):
+        print(f"  {what}: {times}")
+    return broken
+
+
+if __name__ == "__main__":
+    sys.exit(1 if main(int(sys.argv[1]), int(sys.argv[2])) else 0)
