--- a/ashtray/store/follower.py
+++ b/ashtray/store/follower.py
@@ -57,6 +57,8 @@
         self.mirror = mirror
         self.changed = changed
         self.revision = 0
+        self.followed_from = 0
+        """The revision from which on every change has been followed, where the picture is loaded."""
         self.controllers = 1
         """How many follow: they share the requests."""
         self.loaded = False
@@ -133,7 +135,7 @@
                 after = item["k"]
             if not reply.body["truncated"] or not reply.body["items"]:
                 break
-        self.revision = revision
+        self.revision = self.followed_from = revision
         self._paged = True
         return True
 
@@ -187,13 +189,19 @@
         """Show a change of this process at once, unless it has been read already.
 
         Its answer may come after the round that read it, and after another's change that was read with it: a record
-        that was removed since would stand in the picture for ever.
+        that was removed since would stand in the picture for ever.  So would one whose answer comes while the pages
+        are read anew, if it is removed before its page is read: the pages, or the round after them, have the change.
+        What is in no page, such as a final state, is shown all the same.
         """
         if version <= self.revision:
             return
         for key, value in puts.items():
-            if key.startswith(self.prefix):
+            if self._shows(key):
                 self.mirror.put(key, value, version)
         for key in removes:
-            if key.startswith(self.prefix):
+            if self._shows(key):
                 self.mirror.remove(key, version)
+
+    def _shows(self, key: str) -> bool:
+        """Whether an own change of a key goes into the mirror at once."""
+        return key.startswith(self.prefix) and (self._paged or not key.startswith(self.start))
--- a/tests/fakes/state.py
+++ b/tests/fakes/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -11,6 +12,8 @@
 
 
 class State:
+    """A state service in memory."""
+
     def __init__(self, value_kb: float = 32.0, txn_ops: int = 16) -> None:
         self.value_kb = value_kb
         self.txn_ops = txn_ops
@@ -29,6 +32,7 @@
         """Changes that were asked for, and those of them that were refused for the rate."""
 
     def handle(self, now_us: int, method: str, path: str, body: Any) -> Answer:
+        """The status and the body of the answer to a request."""
         if self.down:
             return 503, {"error": "trouble"}
         self.expire(now_us)
@@ -66,6 +70,7 @@
         return False
 
     def expire(self, now_us: int) -> None:
+        """Remove the leases that have run out, and the keys under them."""
         for lease in [n for n, (_, until_us) in self.leases.items() if until_us <= now_us]:
             del self.leases[lease]
             gone = [k for k, (_, _, held) in self.keys.items() if held == lease]
@@ -89,8 +94,9 @@
     def _follow(self, query: dict[str, str]) -> Answer:
         after = int(query["after"])
         log = []
-        for revision, key, value in self.log:
-            if revision > after and key.startswith(query["under"]):
+        first = bisect.bisect_right(self.log, after, key=lambda change: change[0])
+        for revision, key, value in self.log[first:]:
+            if key.startswith(query["under"]):
                 change = {"remove": key} if value is None else {"put": key, "value": value[0]}
                 log.append({**change, "stamp": revision})
         return 200, {"ledger": self.revision, "log": log}
