--- a/tests/test_meetings_transactions.py
+++ b/tests/test_meetings_transactions.py
@@ -526,7 +526,7 @@
 
 JOB = "job-1"
 MOST_TROUBLES = int(os.environ.get("ASHTRAY_ACCEPTANCE_TROUBLES", "1"))
-"""How many transactions of one order may lose their answer: with two there are some hundred thousand states."""
+"""How many transactions of one order may lose their answer: with one there are 2,342 states, with two 8,280."""
 MOST_LOOKS = int(os.environ.get("ASHTRAY_ACCEPTANCE_LOOKS", "0"))
 """How often each controller looks at the state service of itself, with nobody waiting for it."""
 
