--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -195,6 +195,10 @@
                     return 200, state_body(job_id, "cancelled", 0, 0)
                 if job_id in picture.completed() and ends_later(job, self.base.limits):
                     return 200, state_body(job_id, "done", job.spec.tasks, 0)
+                if picture.all_done(job) and ends_later(job, self.base.limits):
+                    # A change of this process is shown that is later than what the barrier read.  Another controller
+                    # may have said `done` already, so only a later barrier tells (points 6 and 13).
+                    continue
                 running = len(picture.placed(job_id))
                 status = "running" if running else "pending"
                 done = len(picture.finished(job))
@@ -284,14 +288,16 @@
     def _read_over(self, job_id: str, urgency: Urgency) -> Fiber[int]:
         picture = self.base.picture
         signal = self._looking[job_id] = Signal()
-        loads = picture.loads
+        loads, followed = picture.loads, self.base.follower.loaded
         try:
             reply = yield from self.base.store.read(OVER + job_id, urgency)
         finally:
             del self._looking[job_id]
         if reply.status == 200:
-            picture.note_over(job_id, reply.body["value"])
-        elif reply.status == 404 and picture.loads == loads:
+            picture.note_over(job_id, reply.body["value"], reply.body["stamp"])
+        elif reply.status == 404 and followed and picture.loads == loads:
+            # Only if all changes since then have been read: an end written before the first page was read is in no
+            # page, and in none of the changes that follow it (point 14).
             picture.note_absent(job_id)
         self.kernel.fire(signal)
         return reply.status
@@ -363,6 +369,7 @@
                 break
             if (yield from self.base.follower.commit(cancellation, 2, Urgency.CANCEL, "cancel")):
                 self.kernel.log("info", f"{job_id} cancelled")
+                yield from self.peers.announcer.announce(job_id)
                 self.kernel.answer(request_id, 200, state_body(job_id, "cancelled"))
                 return
         else:
--- a/ashtray/standby/intents.py
+++ b/ashtray/standby/intents.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from ashtray.fleet.boots import Kind
+from ashtray.fleet.machine_kind import MachineKind
 
 
 class Intent(msgspec.Struct, array_like=True, frozen=True):
@@ -34,8 +34,9 @@
     """The machines that the cloud answered; None: no answer is known."""
 
     @property
-    def kind(self) -> Kind:
-        return self.type, self.zone, self.spot
+    def kind(self) -> MachineKind:
+        """The kind of machine that is requested."""
+        return MachineKind(self.type, self.zone, self.spot)
 
 
 class IntentsRecord(msgspec.Struct, omit_defaults=True):
@@ -69,6 +70,7 @@
         return True
 
     def begin(self, batch: Iterable[Intent]) -> None:
+        """Requests have been written down: they may be sent now."""
         self.open.update((intent.request, intent) for intent in batch)
 
     def answered(self, request: str, names: list[str]) -> None:
@@ -82,6 +84,7 @@
         self.open.pop(request, None)
 
     def unanswered(self) -> list[Intent]:
+        """The requests of which no answer is known, the oldest first."""
         return [intent for intent in self.open.values() if intent.names is None]
 
     def settle(self, seen: Container[str], before_us: int) -> None:
