--- a/tests/mutants/safety.py
+++ b/tests/mutants/safety.py
@@ -121,7 +121,7 @@
         HANDOVER,
         "        asked = len(intents.unanswered())\n"
         "        if not (yield from self.provisioning.request_unanswered()):",
-        "        asked = 0\n        if False:",
+        "        asked = 0\n        if (yield from ()):",
     ),
     "heir-forgets-what-is-coming": (
         HANDOVER,
