Rename estimates/keeping.py to estimate_store.py

Cause: Keeper, Record and Unreadable did not say of what.

The records keep their form. The controller's attribute is estimate_store.

Behaviour: names and docstrings only.

--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -12,7 +12,7 @@
 from ashtray.base import Base
 from ashtray.config.operators import Knobs
 from ashtray.config.settings import Settings
-from ashtray.estimates.keeping import Keeper
+from ashtray.estimates.estimate_store import EstimateStore
 from ashtray.estimates.operators import operate
 from ashtray.fleet.runner import FleetRunner
 from ashtray.jobs.model import JOB_ID, NOW, ROOT
@@ -79,7 +79,7 @@
         self.jobs = JobDesk(base, self.presence, self.peers, planner, pace.estimates, self.placer.changed)
         self.runner = FleetRunner(base, self.presence, self.peers, pace, planner)
         self.splitter = Splitter(base, self.presence)
-        self.keeper = Keeper(base, self.presence, pace.estimates)
+        self.estimate_store = EstimateStore(base, self.presence, pace.estimates)
 
     def _duties_moved(self) -> None:
         """Somebody is suspected, or is no longer: what it did is this controller's now, or was."""
@@ -116,7 +116,7 @@
             self.kernel.log("info", "the lower limits hold from now on")
             self.limits.lower()
         self.grants.seen(self.follower.revision)
-        self.keeper.changed()
+        self.estimate_store.changed()
         if self.picture.changes != self._seen:
             self._seen = self.picture.changes
             self.placer.changed()
@@ -178,7 +178,7 @@
         kernel.forever(self.desk.adopt, 0)
         kernel.forever(self.desk.tidy, SECOND_US)
         kernel.forever(self.splitter.run, 0)
-        kernel.forever(self.keeper.run, 0)
+        kernel.forever(self.estimate_store.run, 0)
         kernel.forever(self.jobs.resolve, 0)
         kernel.forever(self.jobs.bury, 0)
         kernel.forever(self._count, COUNT_US)
@@ -238,7 +238,7 @@
     ) -> list[Output]:
         """A request from an operator, whose token has been checked."""
         self.kernel.advance(now_us, wall_us)
-        status, answer = operate(self.keeper.estimates, method, path, body if readable else None)
+        status, answer = operate(self.estimate_store.estimates, method, path, body if readable else None)
         self.kernel.answer(request_id, status, answer)
         return self.kernel.run()
 
--- a/ashtray/estimates/keeping.py
+++ b/ashtray/estimates/estimate_store.py
@@ -1,8 +1,9 @@
-"""What was learnt, kept in the state service: few bounded records, into which each controller folds what it has seen.
+"""Learnt run times in the state service: a few bounded records, to which each controller adds what it has observed.
 
-A record says which of each controller's folds it holds, so that one without an answer counts once: the next picture
-shows whether it was applied, and if it was not, the version that the next fold raises makes it void.  The records lie
-under `now/`, so a controller that starts has them with its first picture, before its first placement.
+Such an addition is called a fold.  A record names the last fold of each controller that is in it, so that one whose
+commit got no answer counts once (safety point 20 of `docs/design.md`): the next picture shows whether it was applied,
+and if it was not, the version that the next fold raises makes it void.  The records lie under `now/`, so a controller
+that starts has them with its first picture, before its first placement.
 """
 
 from __future__ import annotations
@@ -32,7 +33,7 @@
 MOST_COUNT = 60_000.0
 
 
-class Record(msgspec.Struct):
+class EstimateRecord(msgspec.Struct):
     """`rows`: for each level its numbers; `applied`: for each controller its incarnation and its last fold here."""
 
     form: int
@@ -40,32 +41,35 @@
     rows: dict[str, str]
 
 
-class Unreadable(Exception):
+class UnreadableRecord(Exception):
     """A record that this version cannot read, or that is damaged."""
 
 
 def pack(row: array[float]) -> str:
+    """The text of a level's numbers in a record."""
     counts = [min(count, MOST_COUNT) for count in row[MOMENTS:]]
     return base64.b64encode(_ROW.pack(*row[:MOMENTS], *counts)).decode("ascii")
 
 
 def unpack(text: str) -> array[float]:
+    """The numbers of a level; raises `UnreadableRecord` where the text is damaged."""
     try:
         numbers = _ROW.unpack(base64.b64decode(text, validate=True))
     except (ValueError, struct.error) as error:
-        raise Unreadable(f"a row cannot be read: {error}") from None
+        raise UnreadableRecord(f"a row cannot be read: {error}") from None
     if len(numbers) != WIDTH or any(number != number or abs(number) > 1e9 for number in numbers):
-        raise Unreadable("a row holds what is no number")
+        raise UnreadableRecord("a row holds what is no number")
     return array("f", numbers)
 
 
-def read(value: Any) -> Record:
+def read(value: Any) -> EstimateRecord:
+    """A record from its value; raises `UnreadableRecord` for one that is damaged or of a later form."""
     try:
-        record = msgspec.convert(value, Record)
+        record = msgspec.convert(value, EstimateRecord)
     except msgspec.ValidationError as error:
-        raise Unreadable(str(error)) from None
+        raise UnreadableRecord(str(error)) from None
     if record.form > FORM:
-        raise Unreadable(f"it is of form {record.form}, and this version reads up to {FORM}")
+        raise UnreadableRecord(f"it is of form {record.form}, and this version reads up to {FORM}")
     return record
 
 
@@ -78,14 +82,14 @@
 
 
 def folded(
-    record: Record | None, host: str, fold: tuple[int, int], rows: dict[str, array[float]], most_bytes: int
-) -> Record:
+    record: EstimateRecord | None, host: str, fold: tuple[int, int], rows: dict[str, array[float]], most_bytes: int
+) -> EstimateRecord:
     """A record with one controller's fold added; of too many levels those with the least data give way."""
-    old = record or Record(FORM, {}, {})
+    old = record or EstimateRecord(FORM, {}, {})
     found = {key: unpack(text) for key, text in old.rows.items()}
     for key, row in rows.items():
         found[key] = merge(found[key], row) if key in found else row
-    new = Record(FORM, {**old.applied, host: fold}, {key: pack(row) for key, row in found.items()})
+    new = EstimateRecord(FORM, {**old.applied, host: fold}, {key: pack(row) for key, row in found.items()})
     size = len(msgspec.json.encode(new))
     for key, _ in sorted(found.items(), key=lambda entry: (entry[0] != "", entry[1][N])):
         if size <= most_bytes:
@@ -95,7 +99,7 @@
     return new
 
 
-class Keeper:
+class EstimateStore:
     """Reads the records into what this controller knows, and folds into them what it has seen."""
 
     def __init__(self, base: Base, presence: Presence, estimates: Estimates) -> None:
@@ -111,6 +115,7 @@
         self._folded_us = 0
 
     def key(self, shard: int) -> str:
+        """The key of a shard's record."""
         return f"{ESTIMATE}{shard}"
 
     def changed(self) -> None:
@@ -124,7 +129,7 @@
             try:
                 record = read(value)
                 rows = {name: unpack(text) for name, text in record.rows.items()}
-            except Unreadable as error:
+            except UnreadableRecord as error:
                 if key not in self._broken:
                     self._broken.add(key)
                     self.base.kernel.log("error", f"{key} is left alone: {error}")
@@ -133,7 +138,7 @@
             self._settle(int(key.removeprefix(ESTIMATE)), record)
             self.estimates.know(rows)
 
-    def _settle(self, shard: int, record: Record) -> None:
+    def _settle(self, shard: int, record: EstimateRecord) -> None:
         """See whether a fold without an answer is in the record: if not, it never will be once another one is."""
         fold, rows = self._doubt.pop(shard, (None, {}))
         if record.applied.get(self.base.settings.host_name) != fold:
@@ -141,6 +146,7 @@
             self.estimates.unfold(rows)
 
     def run(self) -> Fiber[None]:
+        """Add what was observed to the record of one shard, if it is time for that and changes are not scarce."""
         base = self.base
         yield Sleep(LOOK_US)
         if not base.knobs.keep_estimates:
@@ -183,7 +189,7 @@
                 record = read(base.picture.estimates[key]) if key in base.picture.estimates else None
                 most = int(base.limits.least_value_bytes * 0.9)
                 new = folded(record, base.settings.host_name, fold, taken, most)
-            except Unreadable:
+            except UnreadableRecord:
                 return None
             return Txn().guard(key, base.picture.version(key)).put(key, msgspec.to_builtins(new))
 
--- a/ashtray/placement/picture.py
+++ b/ashtray/placement/picture.py
@@ -28,7 +28,7 @@
 SPLIT = "ashtray/now/split/"
 """For a group that is too large to be written: up to which of its machines have been moved to other groups."""
 ESTIMATE = "ashtray/now/estimate/"
-"""What was learnt of run times: see `estimates/keeping.py`."""
+"""What was learnt of run times: see `estimates/estimate_store.py`."""
 EPS = 1e-6
 SICK = 3
 """The blame from which on a machine is returned: two jobs, at least one of which works elsewhere, or three."""
--- a/tests/mutants/safety.py
+++ b/tests/mutants/safety.py
@@ -198,7 +198,7 @@
     ),
     "one-known-ends-all": ("ashtray/jobs/accepting.py", "if failed and not known:", "if False:"),
     "fold-counted-twice": (
-        "ashtray/estimates/keeping.py",
+        "ashtray/estimates/estimate_store.py",
         "if record.applied.get(self.base.settings.host_name) != fold:",
         "if True:",
     ),
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -16,7 +16,16 @@
 
 from ashtray.config.operators import Knobs, load_token
 from ashtray.config.settings import SettingsError
-from ashtray.estimates.keeping import SHARDS, Record, Unreadable, folded, pack, read, shard_of, unpack
+from ashtray.estimates.estimate_store import (
+    SHARDS,
+    EstimateRecord,
+    UnreadableRecord,
+    folded,
+    pack,
+    read,
+    shard_of,
+    unpack,
+)
 from ashtray.estimates.learned import MOST_CLASSES, Estimates, levels
 from ashtray.estimates.model import MOST, N, merge, new_row
 from ashtray.estimates.operators import operate
@@ -198,12 +207,12 @@
     kept = sum(unpack(text)[N] for text in rows if text)
     assert 0 < kept <= sum(seen) + 0.01 < MOST
     # What was not lost with a process is there by then.
-    waiting = sum(h.core.keeper.estimates.fresh.get("", new_row())[N] for h in model.hosts)
+    waiting = sum(h.core.estimate_store.estimates.fresh.get("", new_row())[N] for h in model.hosts)
     assert waiting == pytest.approx(0.0, abs=0.01)
 
 
 def _count(core: Any, seen: list[float]) -> None:
-    estimates = core.keeper.estimates
+    estimates = core.estimate_store.estimates
     weigh = estimates._weight
 
     def counted(job_id: str) -> float:
@@ -219,10 +228,10 @@
         estimates.ran(replay.job_of(run_of(job=f"job-{n}")), (60 + n) * SECOND_US)
     for row in estimates.rows.values():
         assert list(unpack(pack(row))) == pytest.approx(list(row), rel=1e-3, abs=1e-3)
-    with pytest.raises(Unreadable):
+    with pytest.raises(UnreadableRecord):
         unpack("not base 64")
     assert {shard_of(key) for key in (f"class-{n}" for n in range(99))} == set(range(SHARDS))
-    assert Record(1, {}, {}) == read({"form": 1, "applied": {}, "rows": {}, "later": 3})
+    assert EstimateRecord(1, {}, {}) == read({"form": 1, "applied": {}, "rows": {}, "later": 3})
 
 
 def test_what_operators_ask_and_forget() -> None:
--- a/tools/ledger.py
+++ b/tools/ledger.py
@@ -56,7 +56,7 @@
     "needs": "service.py:resolve",
     "words to peers": "presence.py:_send",
     "words from peers": "presence.py:on_word",
-    "estimates": "keeping.py:run",
+    "estimates": "estimate_store.py:run",
 }
 """What the time is told by: the first function of each duty, with all that it calls."""
 
