Rename the queue's order, the minimum share and the compact record

Cause: order.py, floor.py and lean.py did not say what they compute.

Change: placement/order.py becomes queue_order.py, floor.py becomes minimum_share.py with MinimumShare, and lean.py becomes compact_record.py, whose description says that it is the compact form of groups' records.

--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -22,11 +22,11 @@
 from ashtray.peers import announcements
 from ashtray.peers.announcements import CancellationNotice
 from ashtray.peers.presence import Peers, Presence, word_us
-from ashtray.placement.floor import Floor
-from ashtray.placement.order import StatedTimes
+from ashtray.placement.minimum_share import MinimumShare
 from ashtray.placement.picture import Picture
 from ashtray.placement.placer import Placer
 from ashtray.placement.plan import Planner
+from ashtray.placement.queue_order import StatedTimes
 from ashtray.standby.notice import Notice
 from ashtray.store.client import VALUE_SHARE, Limits, StoreClient
 from ashtray.store.follower import Follower
@@ -68,7 +68,7 @@
         base = Base(settings, knobs, self.teams, self.kernel, self.limits, self.picture, self.store, self.follower)
         pace = Pace(settings.cluster.objectives, knobs.patience_s, lambda job_id: self.picture.jobs.get(job_id))
         times = StatedTimes(settings.cluster.objectives, pace)
-        planner = Planner(base, times, Floor(self.picture, pace))
+        planner = Planner(base, times, MinimumShare(self.picture, pace))
         self.presence = Presence(base, self.grants, Notice(hosts, word_us(len(hosts))))
         self.renewal = RenewalGuard(settings.cluster.workers, hosts)
         self.peers = Peers(
--- a/ashtray/fleet/type_catalogue.py
+++ b/ashtray/fleet/type_catalogue.py
@@ -10,7 +10,7 @@
 from ashtray.fleet.cloud_client import CloudClient
 from ashtray.fleet.messages import parse_types
 from ashtray.kernel import SECOND_US, Fiber
-from ashtray.placement import lean
+from ashtray.placement import compact_record
 from ashtray.placement.picture import TYPES, MachineType
 from ashtray.store.client import Txn, Urgency
 
@@ -47,7 +47,7 @@
     def _write(self, types: dict[str, MachineType]) -> Fiber[None]:
         known = self.base.picture.types
         value = {name: msgspec.to_builtins(machine_type) for name, machine_type in types.items()}
-        if self.base.limits.takes(lean.size_of(value)):
+        if self.base.limits.takes(compact_record.size_of(value)):
             yield from self._put(TYPES, value)
             return
         # Larger than a value may be: each type has a record of its own.  An old record of all types is still read.
--- a/ashtray/placement/lean.py
+++ b/ashtray/placement/compact_record.py
@@ -1,7 +1,9 @@
-"""The lean form of a group's record: what its machines and holds have in common is said once.
+"""The compact form of a group's record: what machines and holds have in common is written once.
 
-The version before cannot read it, so it is written only once none of that is about.  It takes about a third of the
-room, and each group that a job touches costs a change.
+The full form is a map by field names, as `GroupRecord` has it.  The compact form, called lean form in log lines and
+on other pages, has tables of the kinds of holds (team, amounts, controller) and of images, and rows of machines that
+point into them.  It takes about a third of the bytes, so each job changes fewer records.  A version before it cannot
+read it: it is written only once no controller of such a version is left.
 """
 
 from __future__ import annotations
@@ -16,7 +18,7 @@
 FORM = "form"
 SPOT, RETIRING = 1, 2
 SPARE = 16
-"""So many entries of the tables may be of no use any more, beside a quarter of those that are."""
+"""Entries of the tables that may be unused, beside a quarter of those that are used."""
 
 
 def _number(value: float) -> float:
@@ -25,10 +27,10 @@
 
 
 def pack(value: dict[str, Any], before: dict[str, Any] | None = None, changed: Container[str] = ()) -> dict[str, Any]:
-    """Write a group's record in lean form.  When tasks were placed is kept to the second.
+    """Write a group's record in compact form.  When tasks were placed is kept to the second.
 
-    `before` is the lean record that this one follows on: rows of machines that are not `changed` are taken over as
-    they are, with the tables that they point into: writing and, for all others, reading costs what has changed.
+    `before` is the compact record that this one replaces: rows of machines that are not `changed` are taken over as
+    they are, with the tables that they point into, so writing and reading cost only what has changed.
     """
     machines: dict[str, Any] = value["machines"]
     if before is None:
@@ -86,7 +88,7 @@
 ) -> dict[str, Any]:
     """A group's record as `GroupRecord` has it, from either form.
 
-    `before` is a lean record that was read earlier, and `known` what its machines said: rows that are the same are
+    `before` is a compact record that was read earlier, and `known` what its machines said: rows that are the same are
     not read again, and the very same objects stand for them.
     """
     if FORM not in value:
@@ -140,5 +142,5 @@
 
 
 def size_of(value: dict[str, Any]) -> int:
-    """What a record takes, as the state service counts it."""
+    """The bytes of a record, as the state service counts them."""
     return len(msgspec.json.encode(value))
--- a/ashtray/placement/explain.py
+++ b/ashtray/placement/explain.py
@@ -9,9 +9,9 @@
 from ashtray.estimates.learned import Estimate
 from ashtray.jobs.model import Job, JobSpec
 from ashtray.kernel import SECOND_US
-from ashtray.placement.order import Standing
 from ashtray.placement.picture import EPS
 from ashtray.placement.plan import Plan, back_off_us
+from ashtray.placement.queue_order import Standing
 from ashtray.placement.rules import PREFERENCES, VALIDATORS, Room
 from ashtray.teams.guarantees import leaving
 from ashtray.teams.limits import tasks_within
@@ -28,7 +28,7 @@
 ) -> dict[str, Any]:
     """An answer for a person: plain reasons, and the scores of the rules where tasks have places.
 
-    `served`: the share of its class that was served, if that is under the floor.
+    `served`: the share of its class that was served, if that is below the minimum share.
     """
     spec = job.spec
     placed = plan.picture.placed(job.id)
--- a/ashtray/placement/floor.py
+++ b/ashtray/placement/minimum_share.py
@@ -1,19 +1,19 @@
-"""A floor under every class: who gets less than its part has a turn before what is too late anyway.
+"""A minimum share of service for every class of jobs, also under pressure.
 
 Under pressure the queue serves what is urgent, and a class of low priority gets what is left: at times nothing.  The
 users count a day as lost on which less than half of any class is served.  So one strict rule stands above the queue's
-order: of a class of a team of which less than `SHARE` of what came was served, the first jobs, as many as would bring
-it back, go before jobs that have missed *all* the times stated for them, whatever the priorities.  They stay behind
-what can still make a time.  They get turns for room that is free or comes free, and for machines to be rented; they
-stop nothing that they might not stop otherwise, and are not stopped for what has missed all its times.
+order.  Where less than `SHARE` of a class's jobs were served, its first jobs, as many as would restore the share, go
+before jobs that have missed *all* the times stated for them, whatever the priorities.  They stay behind jobs that can
+still make a time.  They get turns for room that is free or becomes free, and for machines to be rented; they stop no
+tasks that they might not stop otherwise, and their tasks are not stopped for jobs that have missed all their times.
 
 *Came* and *served* are counted over the jobs that became ready since this process first read the picture: what was
-over before is not read at a start, and a count that began at nought for it would call every class unserved.  A job
+over before is not read at a start, and a count that began at zero for it would call every class unserved.  A job
 counts as having come once it has waited `GRACE` times as long as one of its tasks runs, and as served while all its
-tasks have a place or are done.  Cancelled jobs and such as fail wherever they are tried are owed nothing.  After a
-start of all controllers nobody is under the floor until such jobs are there: the rule rests until there is evidence.
+tasks have a place or are done.  Cancelled jobs and jobs that fail wherever they are tried are not counted.  After a
+start of all controllers the rule has no effect until enough jobs have come.
 
-No record is kept and nothing is told to others: each controller counts what all of them see, a second or two apart.
+No record is kept and nothing is sent to others: each controller counts what all of them see, a second or two apart.
 """
 
 from __future__ import annotations
@@ -27,15 +27,17 @@
 from ashtray.placement.picture import Picture
 
 SHARE = 0.6
+"""The part of a class's jobs that is to be served."""
 GRACE = 2
 LOOK_US = 2 * SECOND_US
+"""The pause between two counts."""
 MOST = 20_000
-"""Jobs that are counted; the oldest give way."""
+"""Jobs that are counted; the oldest are dropped."""
 Class = tuple[str, str]
 """A team and a class of its jobs."""
 
 
-class Floor:
+class MinimumShare:
     """What came and what was served, by team and class, since this process began to watch."""
 
     def __init__(self, picture: Picture, pace: Pace) -> None:
@@ -50,12 +52,12 @@
         """Jobs all of whose tasks have a place or are done."""
         self._due: dict[Class, int] = {}
         self.shares: dict[Class, float] = {}
-        """What was served of those under the floor."""
+        """What was served of those below the minimum share."""
         self.too_late: set[str] = set()
         """The jobs that have missed all the times stated for them, as the queue was last made."""
 
     def due(self, wall_us: int) -> dict[Class, int]:
-        """For each class under the floor, how many jobs more would bring it back; the least served first."""
+        """For each class below the minimum share, how many jobs would restore it; the least served first."""
         if self._loads != self._picture.loads:
             # The picture was begun anew: what ended meanwhile was not seen.
             self._loads, self._since_us = self._picture.loads, wall_us
@@ -101,7 +103,7 @@
     def lift(self, jobs: list[Job], too_late: set[str], wall_us: int) -> list[Job]:
         """The queue with the jobs that are due before the first that is too late, those of the lowest share first.
 
-        A class whose jobs are too late may be under the floor as well: then it takes turns with the others.
+        A class whose jobs are too late may be below the minimum share as well: then it takes turns with the others.
         """
         due = self.due(wall_us)
         self.too_late = too_late
@@ -118,5 +120,5 @@
         return [*jobs[:first], *lifted, *(job for job in jobs[first:] if job.id not in names)]
 
     def spared(self, job: Job) -> frozenset[Class]:
-        """The classes whose tasks are not stopped for a job: those under the floor, for one that is too late."""
+        """The classes whose tasks are not stopped for a job: for one that is too late, those below the share."""
         return frozenset(self.shares) if job.id in self.too_late else frozenset()
--- a/ashtray/placement/picture.py
+++ b/ashtray/placement/picture.py
@@ -11,7 +11,7 @@
 from ashtray.jobs.cancellations import CancellationLog
 from ashtray.jobs.model import LIVE, MOST_LATER, OVER, UNLIMITED, Job
 from ashtray.jobs.needs import Needs
-from ashtray.placement import lean
+from ashtray.placement import compact_record as lean
 from ashtray.runs import decode_runs, encode_runs
 from ashtray.store.client import Limits, Txn
 
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -13,9 +13,9 @@
 from ashtray.config.settings import Team
 from ashtray.jobs.model import PRIORITIES, UNLIMITED, Job, JobSpec
 from ashtray.kernel import SECOND_US
-from ashtray.placement.floor import Floor
-from ashtray.placement.order import StatedTimes
+from ashtray.placement.minimum_share import MinimumShare
 from ashtray.placement.picture import EPS, Picture
+from ashtray.placement.queue_order import StatedTimes
 from ashtray.placement.rules import Ask, Room, rank
 from ashtray.store.client import Limits
 from ashtray.teams.guarantees import Excess
@@ -38,7 +38,7 @@
     teams: dict[str, Team],
     times: StatedTimes | None = None,
     wall_us: int = 0,
-    floor: Floor | None = None,
+    floor: MinimumShare | None = None,
 ) -> tuple[list[Job], set[str]]:
     """The jobs with tasks that wait, the first to be served first: priority, guarantee, deadline or age.
 
@@ -94,7 +94,7 @@
 class Planner:
     """Makes queues and plans on the picture as it is when asked."""
 
-    def __init__(self, base: Base, times: StatedTimes, floor: Floor) -> None:
+    def __init__(self, base: Base, times: StatedTimes, floor: MinimumShare) -> None:
         self._base = base
         self.times = times
         self.floor = floor
--- a/ashtray/placement/order.py
+++ b/ashtray/placement/queue_order.py
@@ -36,6 +36,7 @@
 LAUNCH_US = 2 * SECOND_US
 """From a plan to a task's start, beside the fetch of its image: the commit, the order and the report."""
 AGED = 2
+"""A job that has waited so many times its longest stated time goes first, by age."""
 PATIENT = 20
 """A job without stated times that has waited so many times as long as a task of it runs goes first, by age."""
 BEGIN_US = 240 * SECOND_US
@@ -66,6 +67,7 @@
 
     @property
     def band(self) -> int:
+        """The place of a job in its level, the least first: -1 goes before all others."""
         return -1 if self.aged or self.begins else self.missed
 
 
--- a/ashtray/workers/splitting.py
+++ b/ashtray/workers/splitting.py
@@ -13,7 +13,7 @@
 from ashtray.base import Base
 from ashtray.kernel import SECOND_US, Fiber, Sleep
 from ashtray.peers.presence import Presence
-from ashtray.placement import lean
+from ashtray.placement import compact_record as lean
 from ashtray.placement.picture import GROUP, Group, Picture, split_key
 from ashtray.runs import encode_runs
 from ashtray.store.client import Limits, Txn, Urgency
--- a/tests/mutants/safety.py
+++ b/tests/mutants/safety.py
@@ -29,7 +29,7 @@
 INVENTORY, PROVISIONING = "ashtray/fleet/machine_inventory.py", "ashtray/fleet/provisioning.py"
 DECOMMISSIONING, PLACER = "ashtray/fleet/decommissioning.py", "ashtray/placement/placer.py"
 FOLLOWER, GRANTS = "ashtray/store/follower.py", "ashtray/teams/grants.py"
-NEEDS, ORDER = "ashtray/jobs/needs.py", "ashtray/placement/order.py"
+NEEDS, ORDER = "ashtray/jobs/needs.py", "ashtray/placement/queue_order.py"
 SERVICE, PICTURE = "ashtray/jobs/service.py", "ashtray/placement/picture.py"
 
 MUTANTS: dict[str, tuple[str, str, str]] = {
@@ -165,17 +165,17 @@
         "if True:",
     ),
     "rows-of-other-tables": (
-        "ashtray/placement/lean.py",
+        "ashtray/placement/compact_record.py",
         "if before is not None and known is not None and _follows(value, before):",
         "if before is not None and known is not None and FORM in before:",
     ),
     "changed-rows-kept": (
-        "ashtray/placement/lean.py",
+        "ashtray/placement/compact_record.py",
         "row = None if name in changed else kept.get(name)",
         "row = kept.get(name)",
     ),
     "tables-grow-for-ever": (
-        "ashtray/placement/lean.py",
+        "ashtray/placement/compact_record.py",
         "if len(kinds) + len(images) > used + used // 4 + SPARE:",
         "if False:",
     ),
@@ -184,15 +184,15 @@
         "if error.errno != errno.EADDRINUSE or time.monotonic() > until_s:",
         "if True:",
     ),
-    "floor-counts-from-nought": ("ashtray/placement/floor.py", "if job.ready_us < self._since_us or", "if"),
-    "floor-owes-all": ("ashtray/placement/floor.py", "for job in found[: due[name]]]", "for job in found]"),
+    "floor-counts-from-nought": ("ashtray/placement/minimum_share.py", "if job.ready_us < self._since_us or", "if"),
+    "floor-owes-all": ("ashtray/placement/minimum_share.py", "for job in found[: due[name]]]", "for job in found]"),
     "floor-is-stopped": (
-        "ashtray/placement/floor.py",
+        "ashtray/placement/minimum_share.py",
         "return frozenset(self.shares) if job.id in self.too_late else frozenset()",
         "return frozenset()",
     ),
     "floor-before-what-is-in-time": (
-        "ashtray/placement/floor.py",
+        "ashtray/placement/minimum_share.py",
         "if job.id in too_late), None)",
         "if True), None)",
     ),
--- a/tests/test_floor.py
+++ b/tests/test_floor.py
@@ -11,10 +11,10 @@
 from ashtray.jobs.model import LIVE, OVER, JobRecord, JobSpec
 from ashtray.jobs.pace import Pace
 from ashtray.kernel import SECOND_US
-from ashtray.placement.floor import SHARE, Floor
-from ashtray.placement.order import StatedTimes
+from ashtray.placement.minimum_share import SHARE, MinimumShare
 from ashtray.placement.picture import GROUP, GroupRecord, HoldRecord, MachineRecord, Picture
 from ashtray.placement.plan import queue
+from ashtray.placement.queue_order import StatedTimes
 
 AIMS = [Objective("wait", "pages", 30.0, 0.65), Objective("wait", "pages", 150.0, 0.995)]
 START_US = 10_000 * SECOND_US
@@ -29,7 +29,7 @@
         self.picture = Picture()
         pace = Pace(AIMS, 6.0)
         self.times = StatedTimes(AIMS, pace)
-        self.floor = Floor(self.picture, pace)
+        self.floor = MinimumShare(self.picture, pace)
         self.now_us = START_US
         self.version = 0
         self.order()
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -11,7 +11,7 @@
 from ashtray.config.settings import SettingsError, load_settings, warnings
 from ashtray.jobs.messages import Malformed, parse_submission
 from ashtray.jobs.model import Job, JobRecord
-from ashtray.placement import lean
+from ashtray.placement import compact_record
 from ashtray.placement.picture import GROUP, Edit, GroupRecord, HoldRecord, MachineRecord, Picture
 from ashtray.runs import decode_runs, encode_runs
 from ashtray.store.client import Limits, Txn
@@ -240,7 +240,7 @@
     picture, limits = Picture(), Limits(16, 60_000, 32_768, alike=True)
     key = GROUP + "g"
     first = GroupRecord("big", "a", {"vm-0": MachineRecord("10.0.0.9:1")})
-    picture.put(key, lean.pack(msgspec.to_builtins(first)), 1)
+    picture.put(key, compact_record.pack(msgspec.to_builtins(first)), 1)
     for version, (put, gone) in enumerate(steps, 2):
         edit = Edit(picture.groups[key])
         for n, made in put.items():
@@ -263,14 +263,14 @@
             assert picture.machines[f"vm-{n}"].record == machine_record(made)
         used = {hold[3] for row in sent["machines"].values() for hold in row[4]}
         shown = {n for row in sent["machines"].values() for n in row[3]}
-        assert len(sent["kinds"]) + len(sent["images"]) <= 1.25 * (len(used) + len(shown)) + lean.SPARE
+        assert len(sent["kinds"]) + len(sent["images"]) <= 1.25 * (len(used) + len(shown)) + compact_record.SPARE
 
 
 def test_a_row_that_looks_the_same_is_read_anew_when_what_it_points_into_is_not() -> None:
     picture, key = Picture(), GROUP + "g"
     for version, image in enumerate(("img-a", "img-b"), 1):
         record = GroupRecord("big", "a", {"vm-0": MachineRecord("10.0.0.9:1", images=[(image, 1.0)])})
-        packed = lean.pack(msgspec.to_builtins(record))
+        packed = compact_record.pack(msgspec.to_builtins(record))
         assert packed["machines"]["vm-0"][3] == [0]
         picture.put(key, packed, version)
         assert picture.machines["vm-0"].images == {image}
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ashtray.config.operators import Knobs
-from ashtray.placement import lean
+from ashtray.placement import compact_record
 from ashtray.placement.picture import GROUP, GroupRecord, HoldRecord, MachineRecord, MachineType, Picture
 from ashtray.standby.book import latest
 from ashtray.standby.intents import Intent, Intents
@@ -79,7 +79,7 @@
         for n, name in enumerate(names(group_size(KIND, limits)))
     }
     value = msgspec.to_builtins(GroupRecord("big", "a", machines))
-    assert lean.size_of(lean.pack(value) if alike else value) <= limits.value_bytes
+    assert compact_record.size_of(compact_record.pack(value) if alike else value) <= limits.value_bytes
 
 
 def test_a_start_reads_pages_by_the_keys_that_are_live_and_adopts_by_the_group() -> None:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -10,7 +10,7 @@
 from ashtray.config.operators import Knobs
 from ashtray.jobs.model import LIVE, Job, JobRecord, JobSpec
 from ashtray.kernel import Kernel
-from ashtray.placement import lean
+from ashtray.placement import compact_record
 from ashtray.placement.picture import GROUP, SPLIT, GroupRecord, HoldRecord, MachineRecord, MachineType, Picture
 from ashtray.placement.plan import Plan
 from ashtray.runs import decode_runs, encode_runs
@@ -51,10 +51,10 @@
 )
 def test_the_lean_form_says_the_same(machines, done):
     whole = msgspec.to_builtins(GroupRecord("small", "a", machines, done))
-    packed = msgspec.json.decode(msgspec.json.encode(lean.pack(whole)))
-    again = lean.unpack(packed)
+    packed = msgspec.json.decode(msgspec.json.encode(compact_record.pack(whole)))
+    again = compact_record.unpack(packed)
     assert msgspec.convert(again, GroupRecord) == msgspec.convert(whole, GroupRecord)
-    assert lean.unpack(again) is again
+    assert compact_record.unpack(again) is again
 
 
 def full_group(machines: int, holds: int) -> tuple[dict, dict]:
@@ -79,7 +79,7 @@
 @pytest.mark.parametrize("crash", [None, 0.4, 0.9])
 def test_a_group_full_to_32_kib_is_split_under_the_lower_limits_without_losing_a_hold(machines, holds, crash):
     group, jobs = full_group(machines, holds)
-    assert 16 * 1024 < lean.size_of(group) < 32 * 1024
+    assert 16 * 1024 < compact_record.size_of(group) < 32 * 1024
     model = Model(3, following=(2.0, 5))
     model.limits_fall()
     model.cloud.down = True
@@ -95,11 +95,11 @@
     model.run(12)
     assert not model.state.refused
     records = {k: v for k, (v, _, _) in model.state.keys.items() if k.startswith(GROUP)}
-    assert all(lean.size_of(value) <= 2048 for value in records.values())
+    assert all(compact_record.size_of(value) <= 2048 for value in records.values())
     assert not [k for k in model.state.keys if k.startswith(SPLIT)]
     found: dict[str, list] = {}
     done: dict[str, set[int]] = {}
-    for value in map(lean.unpack, records.values()):
+    for value in map(compact_record.unpack, records.values()):
         for name, machine in value["machines"].items():
             assert name not in found
             found[name] = machine.get("holds", [])
@@ -117,7 +117,7 @@
     picture.put(GROUP + "g", group, 5)
     usage = picture.team_usage("free")
     part = {**group, "machines": {n: m for n, m in group["machines"].items() if n <= "vm-000003"}, "done": {}}
-    picture.put(GROUP + "h", lean.pack(part), 6)
+    picture.put(GROUP + "h", compact_record.pack(part), 6)
     picture.put(SPLIT + "g", {"machine": "vm-000003", "job": ""}, 6)
     assert picture.machines["vm-000003"].group == GROUP + "h"
     assert picture.machines["vm-000004"].group == GROUP + "g"
@@ -157,7 +157,7 @@
         "small", "a", {name: MachineRecord("x:1", token=7, holds=holds[k::2]) for k, name in enumerate(names)}
     )
     version = 5
-    picture.put(GROUP + "0", lean.pack(msgspec.to_builtins(record)), version)
+    picture.put(GROUP + "0", compact_record.pack(msgspec.to_builtins(record)), version)
     rng = random.Random(3)
     tasks = [(h.job, t, name) for k, name in enumerate(names) for h in holds[k::2] for t in decode_runs(h.tasks)]
     rng.shuffle(tasks)
@@ -182,7 +182,7 @@
             version += 1
             assert txn.changes() <= 5
             for key, value in txn.puts.items():
-                assert lean.size_of(value) <= 2048
+                assert compact_record.size_of(value) <= 2048
                 picture.put(key, value, version)
             for key in txn.removes:
                 picture.remove(key, version)
@@ -196,7 +196,7 @@
     picture._types["t"] = {"big": MachineType("big", 96.0, 0.0, 384.0, 60.0, 1.0, 1.0, 0.3, 1, ("a",))}
     picture._types_changed()
     record = GroupRecord("big", "a", {"vm-0": MachineRecord("10.1.0.2:9000", token=2**45)})
-    picture.put(GROUP + "0", lean.pack(msgspec.to_builtins(record)), 5)
+    picture.put(GROUP + "0", compact_record.pack(msgspec.to_builtins(record)), 5)
     for n in range(96):
         spec = JobSpec("any", "crew", "array", 2, 1, 1.0, 0.0, 1.0, f"img-{n % 3}", 1.0)
         picture.put(f"{LIVE}job-{n:06}", msgspec.to_builtins(JobRecord(spec, "berth-0", 0)), 6)
@@ -207,7 +207,7 @@
             machine.holds.append(HoldRecord(job.id, 1, "0", "crew", 1.0, 0.0, 1.0, 10**15, by="berth-0"))
             machine.images = [(f"img-{k}", 1.0) for k in range(3)]
     assert 20 < len(machine.holds) < 96
-    assert lean.size_of(lean.pack(msgspec.to_builtins(record))) < 2048 * 0.9
+    assert compact_record.size_of(compact_record.pack(msgspec.to_builtins(record))) < 2048 * 0.9
 
 
 def test_a_description_that_leaves_its_record_no_room_is_refused_with_a_reason():
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -11,9 +11,9 @@
 from ashtray.jobs.model import LIVE, JobRecord, JobSpec
 from ashtray.jobs.pace import Pace
 from ashtray.kernel import SECOND_US
-from ashtray.placement.order import AGED, BEGIN_SHARE, BEGIN_US, PATIENT, StatedTimes
 from ashtray.placement.picture import GROUP, GroupRecord, HoldRecord, MachineRecord, Picture
 from ashtray.placement.plan import queue
+from ashtray.placement.queue_order import AGED, BEGIN_SHARE, BEGIN_US, PATIENT, StatedTimes
 
 AIMS = [
     Objective("wait", "pages", 30.0, 0.65),
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -4,7 +4,7 @@
 import pytest
 
 from ashtray.kernel import Call, Kernel, Reply
-from ashtray.placement import lean
+from ashtray.placement import compact_record
 from ashtray.placement.picture import GROUP, GroupRecord, HoldRecord, MachineRecord, Picture
 from ashtray.store.client import Limits
 from ashtray.workers.folding import Evidence, Fold, adoption
@@ -104,7 +104,7 @@
         b
         for b in seen
         if any(
-            "job-0" in str(lean.unpack(c["value"])["machines"])
+            "job-0" in str(compact_record.unpack(c["value"])["machines"])
             for c in b["apply"]
             if str(c.get("put", "")).startswith("ashtray/now/group/")
         )
--- a/tools/regress.py
+++ b/tools/regress.py
@@ -35,7 +35,7 @@
     "kernel.py",
     "controller.py",
     "placement/picture",
-    "placement/lean",
+    "placement/compact_record",
     "placement/placer",
     "jobs/service",
     "jobs/model",
