Test that nothing is freed before a deletion is confirmed; mend a mutant

The mutant that leaves out a successor's requests for the predecessor's intents replaced code whose removal does no harm once it is made a working one: the same requests go out again before the first forecast, so test_standby did not notice it. Before, the tests noticed the TypeError of a function that had lost its only yield.

Change: tests/test_decommissioning.py lets a worker fall silent while the cloud refuses deletions, and asserts that the machine was drained, that deletions were tried, and that its tasks stay placed there until one is confirmed. The mutant of the requests now makes the successor forget what has no answer (standby/intents.py).

--- a/tests/mutants/safety.py
+++ b/tests/mutants/safety.py
@@ -3,6 +3,7 @@
 TESTS = [
     f"tests/test_{name}.py"
     for name in (
+        "decommissioning",
         "safety",
         "placement",
         "grants",
@@ -118,10 +119,9 @@
         "        if build() is None:",
     ),
     "heir-does-not-ask-again": (
-        HANDOVER,
-        "        asked = len(intents.unanswered())\n"
-        "        if not (yield from self.provisioning.request_unanswered()):",
-        "        asked = 0\n        if (yield from ()):",
+        "ashtray/standby/intents.py",
+        "self.open = {intent.request: intent for intent in record.open}",
+        "self.open = {intent.request: intent for intent in record.open if intent.names is not None}",
     ),
     "heir-forgets-what-is-coming": (
         HANDOVER,
--- /dev/null
+++ b/tests/test_decommissioning.py
@@ -0,0 +1,60 @@
+"""Returning machines: nothing of a machine is freed before the cloud has confirmed its deletion."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from tests.model import Model, submission
+
+SECOND = 1_000_000
+TASKS = 4
+
+
+class RefusingCloud:
+    """Refuses deletions until it is told otherwise, and counts them."""
+
+    def __init__(self, model: Model) -> None:
+        self.refuses = True
+        self.refused = 0
+        self._handle = model.cloud.handle
+        model.cloud.handle = self.handle  # type: ignore[method-assign]
+
+    def handle(self, now_us: int, method: str, path: str, body: Any) -> tuple[int, Any]:
+        """Answer as the cloud does, but for deletions that are refused."""
+        if path == "/rentals/delete" and self.refuses:
+            self.refused += 1
+            return 503, {"error": "trouble"}
+        return self._handle(now_us, method, path, body)
+
+
+def machine_with_tasks(model: Model) -> str:
+    """Run a service until its tasks are on machines; one of these machines."""
+    model.checks()
+    model.run(3)
+    model.submit(submission("job-0", shape="service", pieces=TASKS, cpus=2.0, crew="free"))
+    model.run(25)
+    assert sum(len(where) for where in model.on.values()) == TASKS
+    return min(name for where in model.on.values() for name in where)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_tasks_of_a_silent_machine_are_freed_only_once_its_deletion_is_confirmed(seed: int) -> None:
+    model = Model(seed)
+    name = machine_with_tasks(model)
+    cloud = RefusingCloud(model)
+    model.hung.add(name)
+    held = {task for task, where in model.on.items() if name in where}
+    model.run(40)
+    # The machine was found silent and drained, and its deletion was tried and refused.
+    pictures = [host.core.picture for host in model.hosts]
+    assert cloud.refused > 0
+    assert all(picture.machines[name].record.retiring for picture in pictures)
+    assert all(picture.machines[name].holds for picture in pictures)
+    cloud.refuses = False
+    model.run(40)
+    assert all(name not in picture.machines for picture in pictures)
+    assert name in model.cloud.deleted
+    elsewhere = {task for task, where in model.on.items() if where.keys() - {name}}
+    assert {number for _, number in held} <= {number for _, number in elsewhere}
