--- a/tests/test_meetings_transactions.py
+++ b/tests/test_meetings_transactions.py
@@ -22,12 +22,12 @@
 
 from ashtray.config.operators import Knobs
 from ashtray.controller import Controller
-from ashtray.estimates.keeping import unpack
+from ashtray.estimates.estimate_store import unpack
 from ashtray.estimates.model import N, new_row
 from ashtray.fleet.messages import parse_types
 from ashtray.jobs.model import LIVE, OVER
 from ashtray.kernel import Answer, Call, Output, Reply, Send
-from ashtray.placement import lean
+from ashtray.placement import compact_record
 from ashtray.placement.picture import CONTROLLER, ESTIMATE, FLEET, GROUP, SPLIT, TEAM, TYPES, MachineRecord
 from ashtray.runs import decode_runs
 from ashtray.store.client import Txn
@@ -99,13 +99,13 @@
     "fold": Kind("workers/desk.py", "fold"),
     "tidy": Kind("workers/desk.py", "tidy"),
     "split": Kind("workers/splitting.py", "split"),
-    "machine types": Kind("fleet/runner.py", "fleet", key=TYPES),
-    "term of the fleet": Kind("fleet/runner.py", "fleet", key=FLEET),
-    "intent": Kind("fleet/runner.py", "intent"),
-    "stop": Kind("fleet/runner.py", "stop"),
-    "return": Kind("fleet/runner.py", "return"),
-    "remove": Kind("fleet/runner.py", "remove"),
-    "estimate": Kind("estimates/keeping.py", "estimate"),
+    "machine types": Kind("fleet/type_catalogue.py", "fleet", key=TYPES),
+    "term of the fleet": Kind("fleet/fleet_lease.py", "fleet", key=FLEET),
+    "intent": Kind("fleet/provisioning.py", "intent"),
+    "stop": Kind("fleet/decommissioning.py", "stop"),
+    "return": Kind("fleet/decommissioning.py", "return"),
+    "remove": Kind("fleet/decommissioning.py", "remove"),
+    "estimate": Kind("estimates/estimate_store.py", "estimate"),
     "open lease": Kind("peers/presence.py", "open_lease"),
     "renew lease": Kind("peers/presence.py", "renew_lease"),
     "close lease": Kind("peers/presence.py", "close_lease"),
@@ -370,7 +370,7 @@
     present = {key for key in state.keys if key.startswith(CONTROLLER)}
     assert present == {f"{CONTROLLER}berth-{host.number}" for host in alive}
     assert not [key for key in state.keys if key.startswith((LIVE, SPLIT))]
-    groups = [lean.unpack(value) for key, (value, _, _) in state.keys.items() if key.startswith(GROUP)]
+    groups = [compact_record.unpack(value) for key, (value, _, _) in state.keys.items() if key.startswith(GROUP)]
     assert not [
         hold for group in groups for machine in group["machines"].values() for hold in machine.get("holds", ())
     ]
@@ -425,9 +425,10 @@
     model.run(30)
     troubles.check()
     records = [value for key, (value, _, _) in model.state.keys.items() if key.startswith(GROUP)]
-    assert all(lean.size_of(value) <= 2048 for value in records)
+    assert all(compact_record.size_of(value) <= 2048 for value in records)
     assert not [key for key in model.state.keys if key.startswith(SPLIT)]
-    machines = [(name, machine) for value in records for name, machine in lean.unpack(value)["machines"].items()]
+    groups = [compact_record.unpack(value)["machines"] for value in records]
+    machines = [(name, machine) for group in groups for name, machine in group.items()]
     assert len(machines) == len(dict(machines))
     holds = {name: machine.get("holds", []) for name, machine in machines}
     assert holds == {name: machine.get("holds", []) for name, machine in group["machines"].items()}
@@ -459,7 +460,7 @@
     seen: list[float] = []
 
     def watch(host: Any) -> None:
-        estimates = host.core.keeper.estimates
+        estimates = host.core.estimate_store.estimates
         weigh = estimates._weight
 
         def counted(job_id: str) -> float:
@@ -480,7 +481,7 @@
 
 def check_observations(model: Model, seen: list[float]) -> None:
     """All that was seen is in the records, once."""
-    waiting = sum(host.core.keeper.estimates.fresh.get("any", new_row())[N] for host in model.hosts)
+    waiting = sum(host.core.estimate_store.estimates.fresh.get("any", new_row())[N] for host in model.hosts)
     assert waiting == pytest.approx(0.0, abs=0.01)
     assert kept_observations(model) == pytest.approx(sum(seen), rel=0.001)
 
@@ -826,7 +827,7 @@
     found = set()
     for _, key, value in model.state.log:
         if key.startswith(GROUP) and value is not None:
-            for machine in lean.unpack(value[0])["machines"].values():
+            for machine in compact_record.unpack(value[0])["machines"].values():
                 for hold in msgspec.convert(machine, MachineRecord).holds:
                     if hold.stop_us >= 0:
                         found |= {(hold.job, hold.attempt, task) for task in decode_runs(hold.tasks)}
@@ -878,7 +879,7 @@
 
 def tokens_in(group: Any) -> dict[str, int]:
     """The token of each machine of a group's record."""
-    return {name: machine.get("token", 0) for name, machine in lean.unpack(group)["machines"].items()}
+    return {name: machine.get("token", 0) for name, machine in compact_record.unpack(group)["machines"].items()}
 
 
 @pytest.mark.parametrize("fate", Fate)
