--- a/ashtray/placement/picture.py
+++ b/ashtray/placement/picture.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from itertools import islice
 from typing import Any
 
 import msgspec
 
+from ashtray.jobs.cancellations import CancellationLog
 from ashtray.jobs.model import LIVE, MOST_LATER, OVER, UNLIMITED, Job
 from ashtray.jobs.needs import Needs
 from ashtray.placement import lean
@@ -124,19 +125,50 @@
         self.tasks = decode_runs(record.tasks)
 
 
+def _holds(records: list[HoldRecord], before: list[Hold]) -> list[Hold]:
+    """The holds of a machine; those that were there `before` are the very same objects."""
+    holds: list[Hold] = []
+    left = list(before)
+    for record in records:
+        for known in left:
+            if known.record == record:
+                left.remove(known)
+                holds.append(known)
+                break
+        else:
+            holds.append(Hold(record))
+    return holds
+
+
 class Machine:
     """A machine in the picture, with the room its holds take.  `raw` is its part of the group's value."""
 
-    __slots__ = ("name", "group", "type", "zone", "raw", "record", "holds", "cpus", "gpus", "memory_gb", "images")
-
-    def __init__(self, name: str, group: str, kind: str, zone: str, raw: Any) -> None:
+    __slots__ = (
+        "name",
+        "group",
+        "type",
+        "zone",
+        "raw",
+        "record",
+        "sort",
+        "holds",
+        "cpus",
+        "gpus",
+        "memory_gb",
+        "images",
+    )
+
+    def __init__(self, name: str, group: str, kind: str, zone: str, raw: Any, before: Machine | None = None) -> None:
+        """`before` is the same machine as it was read last, if it was: its holds that are the same are kept."""
         self.name = name
         self.group = group
         self.type = kind
         self.zone = zone
         self.raw = raw
         self.record = msgspec.convert(raw, MachineRecord)
-        self.holds = [Hold(h) for h in self.record.holds]
+        self.sort = (kind, zone, self.record.spot, self.record.retiring)
+        """What the rules go by that does not depend on what is on it.  A change of the record makes a new machine."""
+        self.holds: list[Hold] = _holds(self.record.holds, before.holds if before is not None else [])
         self.images = {name for name, _ in self.record.images}
         self.cpus = self.gpus = self.memory_gb = 0.0
         for hold in self.holds:
@@ -269,6 +301,8 @@
         """Whether a record in lean form was seen: then no controller of the version before is about."""
         self.over: dict[str, Any] = {}
         """Final states of jobs, read or seen lately; they never change."""
+        self.cancellations = CancellationLog()
+        """The cancellations that were seen lately, for peers that cannot read the state service."""
         self.job_bytes = job_bytes
         """What a job's record may take."""
         self.clear()
@@ -311,8 +345,19 @@
         self._finished: dict[str, set[int]] = {}
         self._waiting: dict[str, list[int]] = {}
         self._stale: set[str] = set()
+        self._leaving: dict[str, list[tuple[str, Hold]]] = {}
+        """For each job, and the machines they are on, its holds whose tasks are about to end.
+
+        True of all jobs but those in `_leaving_stale`: of these a hold or the record has changed since.
+        """
+        self._leaving_stale: set[str] = set()
         self._unsure: set[str] = set()
         """Jobs all of whose tasks are done by changes that are later than what was read."""
+        self.cancelled_elsewhere: set[str] = set()
+        """Jobs that are cancelled by the word of a peer, while this controller has not read so itself.
+
+        Some may be unknown here: accepted, placed and cancelled since the last read.
+        """
         self._gone: dict[str, int] = {}
         """What this process has removed itself, later than what was read: older changes of it may still come in."""
 
@@ -328,7 +373,7 @@
 
     def put(self, key: str, value: Any, version: int) -> None:
         if key.startswith(OVER):
-            self.note_over(key[len(OVER) :], value)
+            self.note_over(key[len(OVER) :], value, version)
             return
         if max(self._versions.get(key, 0), self._gone.get(key, 0)) >= version:
             return
@@ -408,8 +453,12 @@
             # Its size is of no more use: it is not written again.
             self._put_group(key, group.value, group.version)
 
-    def note_over(self, job_id: str, state: Any) -> None:
+    def note_over(self, job_id: str, state: Any, version: int) -> None:
+        """Take in a job's final state, written by the change of revision `version`."""
+        if job_id not in self.over and state["status"] == "cancelled":
+            self.cancellations.note(version, job_id)
         self.over[job_id] = state
+        self.cancelled_elsewhere.discard(job_id)
         self.absent.pop(job_id, None)
         after = self.needs.over(job_id, state)
         if after:
@@ -439,15 +488,8 @@
                 continue
             machine = was.get(name)
             if machine is None or (machine.raw is not raw and machine.raw != raw):
-                if machine is not None:
-                    self._drop_machine(machine)
-                machine = Machine(name, key, group.type, group.zone, raw)
-                self.machines[name] = machine
-                self.touched.add(name)
-                self._count(machine, 1)
-                for n, hold in enumerate(machine.holds):
-                    self.held.setdefault(hold.job, {})[(name, n)] = hold
-                    self._holds_changed(hold.job)
+                before, machine = machine, Machine(name, key, group.type, group.zone, raw, machine)
+                self._put_machine(machine, before)
             group.machines[name] = machine
         for name, machine in was.items():
             if name not in group.machines:
@@ -473,34 +515,58 @@
                     self.done.pop(job_id, None)
                 self._holds_changed(job_id)
 
+    def _put_machine(self, machine: Machine, before: Machine | None) -> None:
+        """Show a machine; what jobs and teams hold is worked out anew only where its holds differ from `before`."""
+        name = machine.name
+        if before is not None and self.machines.get(name) is before:
+            # The machine that changed last stands last.
+            del self.machines[name]
+        self.machines[name] = machine
+        self.touched.add(name)
+        old = before.holds if before is not None else []
+        for n, hold in enumerate(old):
+            self._drop_hold((name, n), hold)
+        for n, hold in enumerate(machine.holds):
+            self.held.setdefault(hold.job, {})[(name, n)] = hold
+        # Those that are the same on both sides are the same objects (`_holds`).
+        for hold in old:
+            if hold not in machine.holds:
+                self._note_hold(hold, -1)
+        for hold in machine.holds:
+            if hold not in old:
+                self._note_hold(hold, 1)
+
     def _drop_machine(self, machine: Machine) -> None:
         if self.machines.get(machine.name) is machine:
             del self.machines[machine.name]
         self.touched.add(machine.name)
-        self._count(machine, -1)
         for n, hold in enumerate(machine.holds):
-            holds = self.held.get(hold.job)
-            if holds is not None and holds.get((machine.name, n)) is hold:
-                del holds[(machine.name, n)]
-                if not holds:
-                    del self.held[hold.job]
-            self._holds_changed(hold.job)
-
-    def _count(self, machine: Machine, sign: int) -> None:
-        """Add a machine's holds to their teams' usage, in millionths, so that sums stay exact."""
-        for hold in machine.holds:
-            record = hold.record
-            n = sign * len(hold.tasks)
-            more = n * round(record.cpus * MICRO), n * round(record.gpus * MICRO)
-            cpus, gpus = self._usage.get(record.team, NO_USAGE)
-            self._usage[record.team] = (cpus + more[0], gpus + more[1])
-            cpus, gpus = self._usage_by.get((record.team, record.by), NO_USAGE)
-            self._usage_by[(record.team, record.by)] = (cpus + more[0], gpus + more[1])
+            self._drop_hold((machine.name, n), hold)
+            self._note_hold(hold, -1)
+
+    def _drop_hold(self, key: HoldKey, hold: Hold) -> None:
+        holds = self.held.get(hold.job)
+        if holds is not None and holds.get(key) is hold:
+            del holds[key]
+            if not holds:
+                del self.held[hold.job]
+
+    def _note_hold(self, hold: Hold, sign: int) -> None:
+        """Add a hold to its team's usage, in millionths, so that sums stay exact, and note that its job's changed."""
+        record = hold.record
+        n = sign * len(hold.tasks)
+        more = n * round(record.cpus * MICRO), n * round(record.gpus * MICRO)
+        cpus, gpus = self._usage.get(record.team, NO_USAGE)
+        self._usage[record.team] = (cpus + more[0], gpus + more[1])
+        cpus, gpus = self._usage_by.get((record.team, record.by), NO_USAGE)
+        self._usage_by[(record.team, record.by)] = (cpus + more[0], gpus + more[1])
+        self._holds_changed(hold.job)
 
     def _holds_changed(self, job_id: str) -> None:
         self._placed.pop(job_id, None)
         self._finished.pop(job_id, None)
         self._stale.add(job_id)
+        self._leaving_stale.add(job_id)
 
     def _job_changed(self, job_id: str) -> None:
         self._holds_changed(job_id)
@@ -578,6 +644,24 @@
         """Whether all tasks of a job are done by what is shown, read or not."""
         return job.spec.kind != "service" and len(self.finished(job)) >= job.spec.tasks
 
+    def leaving(self) -> dict[str, list[tuple[str, Hold]]]:
+        """By job, the holds whose tasks were told to stop or are not to be started any more, and their machines."""
+        if self._leaving_stale:
+            stale, self._leaving_stale = self._leaving_stale, set()
+            for job_id in sorted(stale):
+                job = self.jobs.get(job_id)
+                broken = UNLIMITED if job is None else job.record.broken
+                found = [
+                    (name, hold)
+                    for (name, _), hold in self.held.get(job_id, {}).items()
+                    if hold.record.stop_us >= 0 or hold.attempt <= broken
+                ]
+                if found:
+                    self._leaving[job_id] = found
+                else:
+                    self._leaving.pop(job_id, None)
+        return self._leaving
+
     def version(self, key: str) -> int:
         return self._versions.get(key, 0)
 
@@ -590,8 +674,21 @@
 
     def is_over(self, job_id: str) -> bool:
         """Whether a job is known to be over; one that is merely not known yet is not."""
+        if job_id in self.cancelled_elsewhere:
+            return True
         return job_id not in self.jobs and (job_id in self.over or job_id in self.held)
 
+    def note_cancelled_elsewhere(self, job_ids: Iterable[str]) -> bool:
+        """Take a peer's word that jobs are cancelled; says whether that is news.
+
+        None of their tasks may run any more.  Their records are read once the state service can be.
+        """
+        news = {job_id for job_id in job_ids if job_id not in self.over} - self.cancelled_elsewhere
+        self.cancelled_elsewhere |= news
+        for job_id in sorted(news):
+            self.touched |= {machine for machine, _ in self.held.get(job_id, ())}
+        return bool(news)
+
     def placed(self, job_id: str) -> set[int]:
         """The tasks of a job that hold room somewhere."""
         tasks = self._placed.get(job_id)
