Split JobDesk by duty and let all answers about jobs leave through one module

JobDesk becomes JobService (jobs/service.py) over Submitting, JobStates, Cancelling and Forwarder. Answers are typed (jobs/answers.py), and AnswerSender alone turns them into statuses and bodies. JobStates makes all states that are said; the guard of safety point 6 is named there.

--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -17,7 +17,7 @@
 from ashtray.fleet.runner import FleetRunner
 from ashtray.jobs.model import JOB_ID, NOW, ROOT
 from ashtray.jobs.pace import Pace
-from ashtray.jobs.service import JobDesk
+from ashtray.jobs.service import JobService
 from ashtray.kernel import SECOND_US, Fiber, Kernel, Output, Reply
 from ashtray.peers import announcements
 from ashtray.peers.announcements import CancellationNotice
@@ -76,7 +76,7 @@
         )
         self.desk = Desk(base, self.presence, self.peers, pace, self.renewal)
         self.placer = Placer(base, self.presence, self.grants, pace, planner, self.desk)
-        self.jobs = JobDesk(base, self.presence, self.peers, planner, pace.estimates, self.placer.changed)
+        self.jobs = JobService(base, self.presence, self.peers, planner, pace.estimates, self.placer.changed)
         self.runner = FleetRunner(base, self.presence, self.peers, pace, planner)
         self.splitter = Splitter(base, self.presence)
         self.keeper = Keeper(base, self.presence, pace.estimates)
@@ -179,8 +179,8 @@
         kernel.forever(self.desk.tidy, SECOND_US)
         kernel.forever(self.splitter.run, 0)
         kernel.forever(self.keeper.run, 0)
-        kernel.forever(self.jobs.resolve, 0)
-        kernel.forever(self.jobs.bury, 0)
+        kernel.forever(self.jobs.states.resolve, 0)
+        kernel.forever(self.jobs.cancelling.bury, 0)
         kernel.forever(self._count, COUNT_US)
         kernel.forever(self.desk.sweep, 20 * SECOND_US)
         return kernel.run()
--- /dev/null
+++ b/ashtray/jobs/states.py
@@ -0,0 +1,156 @@
+"""What may be said of a job's state: read after the question was asked, or final."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ashtray.base import Base
+from ashtray.jobs.answers import UNREADABLE, JobState, NeverAccepted, RetryLater
+from ashtray.jobs.model import OVER, Job
+from ashtray.kernel import SECOND_US, Fiber, Signal, Sleep, Wait
+from ashtray.store.client import Urgency
+from ashtray.workers.folding import ends_later
+
+MAX_RESOLVING = 8
+"""Final states of needed jobs that are read at one time."""
+RESOLVE_US = SECOND_US // 20
+MAX_LOOKING = 30
+"""Final states that are read for polls at one time: they may not take the requests that leases and commits need."""
+FOUND = (200, 404)
+
+LookUp = JobState | NeverAccepted | RetryLater
+
+
+class JobStates:
+    """Looks up the states of jobs for whoever asks, and the final states that live jobs need."""
+
+    def __init__(self, base: Base, needs_known: Callable[[], None]) -> None:
+        """`needs_known` is told when a needed job's final state was looked for."""
+        self.base = base
+        self.kernel = base.kernel
+        self._needs_known = needs_known
+        self._looking: dict[str, Signal] = {}
+        """Final states that are being read for somebody: whoever else asks meanwhile waits for the same reading."""
+        self._resolved = -1
+        """The picture's changes when all that is needed was last seen to be known, or asked for."""
+
+    def final(self, job_id: str) -> JobState | None:
+        """The final state of a job, if it is known here; it never changes, so it may be said without a read."""
+        picture = self.base.picture
+        over = picture.over.get(job_id)
+        if over is not None:
+            return JobState(job_id, over["status"], over["done"])
+        if job_id in picture.needs.doomed:
+            return JobState(job_id, "cancelled")
+        return None
+
+    def look_up(self, job_id: str, urgency: Urgency = Urgency.ACCEPT) -> Fiber[LookUp]:
+        """A job's state as of a moment after the question came."""
+        picture = self.base.picture
+        while job_id not in picture.over:
+            # Safety point 6: what is not final is said only after a read that began after the question.
+            if not (yield from self.base.follower.barrier(patient=True)):
+                return UNREADABLE
+            job = picture.jobs.get(job_id)
+            if job is not None:
+                known = yield from self._know_needs(job, urgency)
+                if known is False:
+                    return UNREADABLE
+                state = self._live(job) if known else None
+                if state is None:
+                    # Reading took a while, or a later change is shown: what the barrier read may not be so any more.
+                    continue
+                return state
+            if job_id in picture.over:
+                break
+            if job_id in picture.absent:
+                return NeverAccepted()
+            # It ended before this picture was read, or there is no such job: read once, and known from then on.
+            failed = yield from self._find_final(job_id, urgency)
+            if failed is not None:
+                return failed
+        over = picture.over[job_id]
+        return JobState(job_id, over["status"], over["done"])
+
+    def _live(self, job: Job) -> JobState | None:
+        """The state of a job that is live in the picture; None if the picture does not tell yet."""
+        picture = self.base.picture
+        if job.id in picture.needs.doomed:
+            return JobState(job.id, "cancelled")
+        if ends_later(job, self.base.limits):
+            if job.id in picture.completed():
+                return JobState(job.id, "done", job.spec.tasks)
+            if picture.all_done(job):
+                # A change of this process is shown that is later than what the barrier read.  Another controller
+                # may have said `done` already, so only a later barrier tells (points 6 and 13).
+                return None
+        running = len(picture.placed(job.id))
+        status = "running" if running else "pending"
+        return JobState(job.id, status, len(picture.finished(job)), running, tuple(picture.needs.open(job)))
+
+    def _find_final(self, job_id: str, urgency: Urgency) -> Fiber[RetryLater | None]:
+        """Read a final state, or wait for somebody else's reading of it; what to say if that fails."""
+        looking = self._looking.get(job_id)
+        if looking is not None:
+            return UNREADABLE if (yield Wait(looking, 2 * SECOND_US)) is None else None
+        if len(self._looking) >= MAX_LOOKING and urgency > Urgency.ACCEPT:
+            return RetryLater("too many questions")
+        return None if (yield from self._read_final(job_id, urgency)) in FOUND else UNREADABLE
+
+    def _know_needs(self, job: Job, urgency: Urgency) -> Fiber[bool | None]:
+        """Read what is not known of the jobs before a live one: it may be cancelled with one of them.
+
+        True: all was known.  None: something was read.  False: it cannot be.
+        """
+        picture = self.base.picture
+        known: bool | None = True
+        while unknown := [need for need in picture.needs.unknown([job.id]) if need not in picture.absent]:
+            known = None
+            looking = self._looking.get(unknown[0])
+            if looking is not None:
+                if (yield Wait(looking, 2 * SECOND_US)) is None:
+                    return False
+            elif (yield from self._read_final(unknown[0], urgency)) not in FOUND:
+                return False
+        return known
+
+    def resolve(self) -> Fiber[None]:
+        """Read the final states of needed jobs that ended before the picture was read.
+
+        They are not loaded at a start, for they grow with history; a job is not ready before all are known.
+        """
+        base = self.base
+        picture = base.picture
+        if base.follower.loaded and picture.changes != self._resolved:
+            self._resolved = picture.changes
+            for need in picture.needs.unknown():
+                if len(self._looking) >= MAX_RESOLVING:
+                    self._resolved = -1
+                    break
+                if need not in self._looking and need not in picture.absent:
+                    self.kernel.spawn(self._resolve(need))
+        yield Sleep(RESOLVE_US)
+
+    def _resolve(self, job_id: str) -> Fiber[None]:
+        if job_id not in self._looking:
+            if (yield from self._read_final(job_id, Urgency.PLACE)) not in FOUND:
+                self._resolved = -1
+            self._needs_known()
+
+    def _read_final(self, job_id: str, urgency: Urgency) -> Fiber[int]:
+        """Read a job's final state into the picture, or that there is none; the state service's status."""
+        picture = self.base.picture
+        signal = self._looking[job_id] = Signal()
+        loads, followed = picture.loads, self.base.follower.loaded
+        try:
+            reply = yield from self.base.store.read(OVER + job_id, urgency)
+        finally:
+            del self._looking[job_id]
+        if reply.status == 200:
+            picture.note_over(job_id, reply.body["value"], reply.body["stamp"])
+        elif reply.status == 404 and followed and picture.loads == loads:
+            # Only if all changes since then have been read: an end written before the first page was read is in no
+            # page, and in none of the changes that follow it (point 14).
+            picture.note_absent(job_id)
+        self.kernel.fire(signal)
+        return reply.status
--- a/tests/mutants/answers.py
+++ b/tests/mutants/answers.py
@@ -1,12 +1,12 @@
 """Mutants of the guards that keep answers to users from going back."""
 
 TESTS = ["tests/test_meetings_answers.py"]
-SERVICE, FOLLOWER = "ashtray/jobs/service.py", "ashtray/store/follower.py"
+STATES, FOLLOWER = "ashtray/jobs/states.py", "ashtray/store/follower.py"
 
 MUTANTS: dict[str, tuple[str, str, str]] = {
     "done-not-read-is-answered": (
-        SERVICE,
-        "if picture.all_done(job) and ends_later(job, self.base.limits):",
+        STATES,
+        "if picture.all_done(job):",
         "if False:",
     ),
     "shown-into-a-reload": (
@@ -14,14 +14,14 @@
         "key.startswith(self.prefix) and (self._paged or not key.startswith(self.start))",
         "key.startswith(self.prefix)",
     ),
-    "absent-in-a-reload": (SERVICE, "reply.status == 404 and followed and", "reply.status == 404 and"),
+    "absent-in-a-reload": (STATES, "reply.status == 404 and followed and", "reply.status == 404 and"),
     "question-shares-a-round-under-way": (
         FOLLOWER,
         "            for signal in waiters:\n",
         "            for signal in [*waiters, *self._waiters]:\n",
     ),
     "cancelled-whatever-its-groups-say": (
-        SERVICE,
+        "ashtray/jobs/cancelling.py",
         "                txn.guard(key, picture.groups[key].version)",
         "                pass",
     ),
@@ -30,5 +30,9 @@
         ".guard(LIVE + job.job_id, 0).guard(OVER + job.job_id, 0).put(",
         ".guard(LIVE + job.job_id, 0).put(",
     ),
-    "judged-before-the-types-are-known": (SERVICE, "if not self.base.picture.types:", "if False:"),
+    "judged-before-the-types-are-known": (
+        "ashtray/jobs/submitting.py",
+        "if not self.base.picture.types:",
+        "if False:",
+    ),
 }
--- a/tests/mutants/gap.py
+++ b/tests/mutants/gap.py
@@ -3,7 +3,7 @@
 TESTS = ["tests/test_meetings_gap.py"]
 RENEWAL, LOG = "ashtray/workers/renewal.py", "ashtray/jobs/cancellations.py"
 PICTURE, PRESENCE = "ashtray/placement/picture.py", "ashtray/peers/presence.py"
-SERVICE = "ashtray/jobs/service.py"
+CANCELLING = "ashtray/jobs/cancelling.py"
 
 MUTANTS: dict[str, tuple[str, str, str]] = {
     "bound-without-the-lease": (
@@ -42,7 +42,7 @@
         "pass",
     ),
     "cancellations-are-not-announced": (
-        SERVICE,
+        CANCELLING,
         "yield from self.peers.announcer.announce(job_id)",
         "pass",
     ),
--- a/tests/mutants/safety.py
+++ b/tests/mutants/safety.py
@@ -30,7 +30,8 @@
 DECOMMISSIONING, PLACER = "ashtray/fleet/decommissioning.py", "ashtray/placement/placer.py"
 FOLLOWER, GRANTS = "ashtray/store/follower.py", "ashtray/teams/grants.py"
 NEEDS, ORDER = "ashtray/jobs/needs.py", "ashtray/placement/order.py"
-SERVICE, PICTURE = "ashtray/jobs/service.py", "ashtray/placement/picture.py"
+STATES, CANCELLING, SUBMITTING = (f"ashtray/jobs/{name}.py" for name in ("states", "cancelling", "submitting"))
+PICTURE = "ashtray/placement/picture.py"
 
 MUTANTS: dict[str, tuple[str, str, str]] = {
     "absence-is-proof": (FOLDING, "sure = evidence.exact and record.token == evidence.token", "sure = True"),
@@ -217,7 +218,7 @@
     ),
     "gang-portions-of-two-attempts": (PLACER, "return job.record.attempt if job.portion else", "return"),
     "answers-without-barrier": (
-        SERVICE,
+        STATES,
         "if not (yield from self.base.follower.barrier(patient=True)):",
         "if False:",
     ),
@@ -246,7 +247,7 @@
     "all-late-given-up": ("ashtray/fleet/boot_times.py", "LONGER = 3.0", "LONGER = 1.0"),
     "mistakes-condemn": (PICTURE, "total += 0 if job.suspect else 1", "total += 1"),
     "done-may-be-cancelled": (
-        SERVICE,
+        CANCELLING,
         "                txn.guard(key, picture.groups[key].version)",
         "                pass",
     ),
@@ -258,11 +259,11 @@
         "return [need for need in job.spec.needs if need in self._jobs or self._ends.get(need, 0) is None]",
     ),
     "cancellation-stays": (NEEDS, "left += [(child, job_id) for child in self.after.get(job_id, ())]", "pass"),
-    "needed-not-read": (SERVICE, "self.kernel.spawn(self._resolve(need))", "pass"),
-    "answers-without-needs": (SERVICE, "known = yield from self._know_needs(job, urgency)", "known = True"),
+    "needed-not-read": (STATES, "self.kernel.spawn(self._resolve(need))", "pass"),
+    "answers-without-needs": (STATES, "known = yield from self._know_needs(job, urgency)", "known = True"),
     "never-accepted-not-looked-up": (
-        SERVICE,
-        "            if status != 200:\n                #",
+        SUBMITTING,
+        "            if isinstance(state, NeverAccepted):\n                #",
         "            if False:\n                #",
     ),
     "lean-form-too-early": (
@@ -290,7 +291,7 @@
     "own-change-counts-as-read": (PICTURE, "return job.version <= self.upto and all(", "return True or all("),
     "late-change-comes-back": (FOLLOWER, "        if version <= self.revision:\n            return\n", ""),
     "removed-comes-back": (PICTURE, "        if version > self.upto:\n            self._gone[key] = version\n", ""),
-    "split-not-guarded-by-cancellation": (SERVICE, "txn.guard(lock, picture.version(lock))", "pass"),
+    "split-not-guarded-by-cancellation": (CANCELLING, "txn.guard(lock, picture.version(lock))", "pass"),
     "notice-taken-for-nothing-new": (DESK, "worker.quiet if report.notice_us is None else None", "worker.quiet"),
     "alone-keeps-its-workers": (
         "ashtray/peers/presence.py",
--- a/tests/test_bad_nights.py
+++ b/tests/test_bad_nights.py
@@ -234,14 +234,14 @@
     model.submit(submission("job-1", pieces=2, crew="free", expect_s=9.0))
     while "job-1" not in core.picture.held:
         model.run(0.1)
-    txn = core.jobs._cancellation("job-1")
+    txn = core.jobs.cancelling.transaction("job-1")
     groups = {core.picture.machines[name].group for name, _ in core.picture.held["job-1"]}
     assert groups and groups <= set(txn.guards)
     # One that is being split is not changed itself while its machines are moved, and folded, elsewhere.
     locks = {SPLIT + key[len(GROUP) :] for key in groups}
     assert not locks & set(txn.guards)
     core.limits.value_bytes = 10
-    assert locks <= set(core.jobs._cancellation("job-1").guards)
+    assert locks <= set(core.jobs.cancelling.transaction("job-1").guards)
 
 
 def test_a_swarm_of_single_tasks_is_ranked_once():
--- a/tests/test_meetings_answers.py
+++ b/tests/test_meetings_answers.py
@@ -250,7 +250,7 @@
     play._arrive(play.pending[0])
     assert not node.core.follower.loaded
     # As one that looks for the jobs before another one: its read is executed before the first page is.
-    node.core.kernel.spawn(node.core.jobs._read_over("job-1", Urgency.PLACE))
+    node.core.kernel.spawn(node.core.jobs.states._read_final("job-1", Urgency.PLACE))
     play._carry_out(node, node.core.kernel.run())
     play._arrive(next(message for message in play.pending if message.call.path.endswith("job-1")))
     over = {"put": OVER + "job-1", "value": {"status": "done", "done": 1, "at_us": 1}}
@@ -423,11 +423,11 @@
     users = CloseUsers(model, 1)
     poll = model.hosts[1].core.jobs.poll
 
-    def stale(request_id: int, job_id: str, handed: bool = False) -> None:
+    def stale(request_id: int, job_id: str, forwarded: bool = False) -> None:
         if model.jobs[job_id].told == "done":
             model.hosts[1].core.kernel.answer(request_id, 200, {"name_id": job_id, "status": "running"})
         else:
-            poll(request_id, job_id, handed)
+            poll(request_id, job_id, forwarded)
 
     model.hosts[1].core.jobs.poll = stale
     users.submit("job-1", pieces=1)
--- a/tests/test_meetings_load.py
+++ b/tests/test_meetings_load.py
@@ -144,7 +144,7 @@
     def queues(self) -> int:
         """What waits in the controllers: transactions for their budget, and jobs for their acceptance."""
         stores = [host.core.store for host in self.hosts]
-        accepting = sum(host.core.jobs.accepting.waiting() for host in self.hosts)
+        accepting = sum(host.core.jobs.submitting.accepting.waiting() for host in self.hosts)
         return accepting + sum(len(store.changes.waiting) + len(store.requests.waiting) for store in stores)
 
 
