--- a/tests/mutants/machines.py
+++ b/tests/mutants/machines.py
@@ -13,8 +13,8 @@
     "old-report-after-newer-ones": (DESK, "if (report.session, report.tick) <= worker.newest:", "if False:"),
     "old-reports-count-as-heard": (DESK, "        if met or worker.exact:\n", "        if True:\n"),
     "small-jobs-done-only-once-moved": (
-        "ashtray/jobs/service.py",
-        "if job_id in picture.completed() and ends_later(job, self.base.limits):",
+        "ashtray/jobs/states.py",
+        "if job.id in picture.completed():",
         "if False:",
     ),
     "versions-of-what-is-over-kept": (PICTURE, "        self._versions.pop(key, None)\n", ""),
