--- a/tests/test_meetings_machines.py
+++ b/tests/test_meetings_machines.py
@@ -678,10 +678,11 @@
     since_us = model.now
     model.mute[name] = model.now + 300 * SECOND
     # Small jobs come all the time, and some of them are given room there.
-    for n in range(60):
-        job = submission(f"job-{10 + n}", pieces=1, cpus=0.5, crew="free", hulls=["small"], expect_s=4.0)
-        model.at(n * SECOND // 2, lambda job=job: model.submit(job))
-    assert model.until(lambda: name not in model.workers, LEASE_S + 4 + 4)
+    model.run_s = lambda key: 60.0 if int(key[0].removeprefix("job-")) < 10 else 1.0
+    for n in range(80):
+        job = submission(f"job-{10 + n}", pieces=1, cpus=0.5, crew="free", hulls=["small"], expect_s=1.0)
+        model.at(n * SECOND // 4, lambda job=job: model.submit(job))
+    assert model.until(lambda: name not in model.workers, LEASE_S + 4 + 2)
     assert name in model.cloud.deleted
     # The meeting: orders reached it straight, some of them to begin tasks.
     orders = [order for sent in direct_to(model, name, since_us) for order in sent]
