--- a/tools/ledger.py
+++ b/tools/ledger.py
@@ -56,7 +56,7 @@
     "needs": "service.py:resolve",
     "words to peers": "presence.py:_send",
     "words from peers": "presence.py:on_word",
-    "estimates": "keeping.py:run",
+    "estimates": "estimate_store.py:run",
 }
 """What the time is told by: the first function of each duty, with all that it calls."""
 
@@ -227,6 +227,7 @@
 
 
 def main() -> int:
+    """Run the model and print where the time of one core goes; the exit code."""
     if os.environ.get("PYTHONHASHSEED") != "0":
         # Somewhere the order of a set matters: without this the counts do not repeat.
         os.execve(sys.executable, [sys.executable, *sys.argv], {**os.environ, "PYTHONHASHSEED": "0"})
