Test limits while starts are under way, and all meetings of owners and leaders at once

Cause: usage given back before a start that is under way is void, and troubles that only break rules together, were not brought about at a limit.

Change: a start held up on its way at a cancellation, at the limit, with and without a change of owner; generated runs of changes, cuts, hangs, late commands, outages and cancellations with two limits in full use.

--- a/tests/test_meetings_limits.py
+++ b/tests/test_meetings_limits.py
@@ -5,12 +5,16 @@
 from typing import Any
 
 import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
 
 from ashtray.config.settings import Team
 from tests import model as models
 from tests.fakes.worker import Key
-from tests.meeting_model import Meeting, batch, some
-from tests.model import CANCEL_S, LEASE_S, REPORT_S, SECOND, TEAM, RuleBroken
+from tests.meeting_model import STEP_S, Meeting, batch, some
+from tests.model import CANCEL_S, FORGOTTEN_S, LEASE_S, REPORT_S, SECOND, TEAM, RuleBroken
+from tests.test_meetings_ownership import CHANGES
+from tests.test_model import RUNS
 
 RENDER = Team("render", gpus_max=8.0)
 """A second team, with a limit of GPUs."""
@@ -75,6 +79,15 @@
         raise ValueError(trouble)
 
 
+def launches_of(model: Meeting, job_id: str) -> set[int]:
+    """The controllers that have sent starts of a job's tasks directly."""
+    return {
+        int(source[1:])
+        for source, _, body in model.sent
+        if any(order["verb"] == "launch" and order["piece"].startswith(f"{job_id}/") for order in body["orders"])
+    }
+
+
 # Row 4
 
 
@@ -121,3 +134,97 @@
     model.run(40)
     assert model.use() >= used[0] and model.cards() >= used[1]
     assert {job_id for job_id, _ in model.on} > {"job-1", "job-11", "job-12"}
+
+
+@pytest.mark.parametrize("how", [None, "crash", "halt"])
+@pytest.mark.parametrize("late_s", some([1.2, 4.0], [0.4, 2.5, 9.0]))
+def test_a_start_under_way_counts_until_it_is_void(late_s: float, how: str | None) -> None:
+    model = Meeting(82)
+    # Machines with room, for a job of a team that is at its limit with it.
+    model.begin([*(batch(n, crew="crew", pieces=4) for n in range(2)), *(batch(n, cpus=1.0) for n in range(10, 14))])
+    for n in (10, 11, 12):
+        model.cancel(f"job-{n}")
+    model.run(0.8)
+    for name in model.workers:
+        model.held_orders[name] = model.now + int(late_s * SECOND)
+    model.long |= {"job-50", "job-51"}
+    model.sent.clear()
+    # The controller that has not used its share yet.
+    model.nodes = [2]
+    model.submit(batch(50, crew="crew"))
+    model.run(0.05)
+    model.submit(batch(51, crew="crew"))
+    senders = launches_of(model, "job-50")
+    while not senders:
+        model.run(STEP_S)
+        senders = launches_of(model, "job-50")
+    # The meeting: what is placed is the whole limit, and the start of a part of it is under way at the cancellation.
+    picture = model.hosts[0].core.picture
+    placed = picture.team_usage("crew")[0]
+    former = sorted(senders)[0]
+    model.nodes = [number for number in range(3) if number != former]
+    if how is not None:
+        model.change(how, former, 25)
+    model.cancel("job-50")
+    model.run(late_s + 0.1)
+    assert placed == TEAM["cpus_max"] and model.jobs["job-50"].told == "cancelled"
+    assert any(found.at_us > (model.jobs["job-50"].cancelled_us or 0) for found in model.delivered)
+    model.run(CANCEL_S + 30)
+    assert model.gone_s("job-50") < LEASE_S + REPORT_S
+    assert {job_id for job_id, _ in model.on} >= {"job-0", "job-1", "job-51"}
+
+
+# Everything at once
+
+
+TROUBLE = st.one_of(
+    st.tuples(st.just("change"), st.sampled_from(CHANGES), st.booleans(), st.floats(0.3, 20)),
+    st.tuples(st.just("away"), st.sampled_from(["cut", "held", "hang", "deaf"]), st.integers(0, 3), st.floats(1, 16)),
+    st.tuples(st.just("cancel"), st.integers(0, 25)),
+    st.tuples(st.just("cancel"), st.integers(0, 25)),
+    st.tuples(st.just("orders"), st.integers(0, 3), st.floats(0.5, 16)),
+    st.tuples(st.just("outage"), st.floats(1, 12)),
+    st.tuples(st.just("all end"), st.floats(0.1, 14)),
+)
+
+
+def strike(model: Limited, trouble: tuple[Any, ...]) -> None:
+    """Bring one trouble about, for the runner of the fleet or another controller, or for every fourth machine."""
+    kind, *rest = trouble
+    if kind == "change":
+        leader = model.runner()
+        number = leader if rest[1] and leader is not None else model.rng.randrange(len(model.hosts))
+        model.change(rest[0], number, rest[2])
+    elif kind == "away":
+        out_of_reach(model, rest[0], sorted(model.workers)[rest[1] :: 4], rest[2])
+    elif kind == "cancel":
+        model.cancel(f"job-{rest[0]}")
+    elif kind == "orders":
+        for name in sorted(model.workers)[rest[0] :: 4]:
+            model.held_orders[name] = model.now + int(rest[1] * SECOND)
+    elif kind == "outage" and not model.state.down:
+        model.outage(rest[0])
+    elif kind == "all end":
+        for host in model.hosts:
+            model.crash(host.number, rest[0] + 0.2 * host.number)
+
+
+@pytest.mark.usefixtures("two_limits")
+@settings(
+    max_examples=max(RUNS // 20, 2),
+    phases=[Phase.explicit, Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+@given(st.integers(0, 10**6), st.lists(st.tuples(st.floats(0, 25), TROUBLE), min_size=6, max_size=16))
+def test_no_rule_breaks_at_the_limits_under_changes_of_owner_and_leader(
+    seed: int, troubles: list[tuple[float, tuple[Any, ...]]]
+) -> None:
+    model = at_the_limit(seed)
+    for at_s, trouble in troubles:
+        model.at(int(at_s * SECOND), lambda trouble=trouble: strike(model, trouble))
+    model.run(60)
+    model.calm()
+    model.run(FORGOTTEN_S + 5)
+    told = [job for job in model.jobs.values() if job.cancel_asked and job.accepted_us is not None]
+    assert all(job.told == "cancelled" for job in told)
+    assert all(model.owner(name) is not None for name in model.workers)
