--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -7,16 +7,20 @@
 from functools import partial
 from typing import Any
 
+import msgspec
+
 from ashtray.base import Base
 from ashtray.config.operators import Knobs
 from ashtray.config.settings import Settings
 from ashtray.estimates.keeping import Keeper
 from ashtray.estimates.operators import operate
-from ashtray.fleet.runner import Runner
+from ashtray.fleet.runner import FleetRunner
 from ashtray.jobs.model import JOB_ID, NOW, ROOT
 from ashtray.jobs.pace import Pace
 from ashtray.jobs.service import JobDesk
 from ashtray.kernel import SECOND_US, Fiber, Kernel, Output, Reply
+from ashtray.peers import announcements
+from ashtray.peers.announcements import CancellationNotice
 from ashtray.peers.presence import Peers, Presence, word_us
 from ashtray.placement.floor import Floor
 from ashtray.placement.order import StatedTimes
@@ -29,6 +33,7 @@
 from ashtray.teams.grants import Grants
 from ashtray.workers.desk import Desk
 from ashtray.workers.folding import most_later
+from ashtray.workers.renewal import RenewalGuard
 from ashtray.workers.splitting import Splitter
 
 UNWELL_US = 5 * SECOND_US
@@ -36,6 +41,12 @@
 
 
 class Controller:
+    """The deterministic core of one controller.
+
+    Each method that takes an input is given the monotonic time and the time of day in microseconds, and returns what
+    is to be sent, answered and logged.
+    """
+
     def __init__(self, settings: Settings, knobs: Knobs, rng: random.Random, verbose: bool = False) -> None:
         self.settings = settings
         self.knobs = knobs
@@ -59,11 +70,14 @@
         times = StatedTimes(settings.cluster.objectives, pace)
         planner = Planner(base, times, Floor(self.picture, pace))
         self.presence = Presence(base, self.grants, Notice(hosts, word_us(len(hosts))))
-        self.peers = Peers(base, self.presence, lambda: self.desk.heard_us(), lambda: self._duties_moved())
-        self.desk = Desk(base, self.presence, self.peers, pace)
+        self.renewal = RenewalGuard(settings.cluster.workers, hosts)
+        self.peers = Peers(
+            base, self.presence, lambda: self.desk.heard_us(), lambda: self._duties_moved(), self._peer_stated
+        )
+        self.desk = Desk(base, self.presence, self.peers, pace, self.renewal)
         self.placer = Placer(base, self.presence, self.grants, pace, planner, self.desk)
         self.jobs = JobDesk(base, self.presence, self.peers, planner, pace.estimates, self.placer.changed)
-        self.runner = Runner(base, self.presence, self.peers, pace, planner)
+        self.runner = FleetRunner(base, self.presence, self.peers, pace, planner)
         self.splitter = Splitter(base, self.presence)
         self.keeper = Keeper(base, self.presence, pace.estimates)
 
@@ -72,6 +86,27 @@
         self.kernel.fire(self.placer.kick)
         self.kernel.fire(self.runner.kick)
 
+    def _cancelled_elsewhere(self, job_ids: list[str]) -> None:
+        """A peer knows of cancellations that this controller may not have read: end the jobs' tasks."""
+        if self.picture.note_cancelled_elsewhere(job_ids):
+            self.desk.tend_all(self.picture.take_touched())
+
+    def _peer_stated(self, host: str, asked_us: int, cancelled: list[str]) -> None:
+        """A peer has stated all cancellations that it knows and this controller had not read."""
+        self._cancelled_elsewhere(cancelled)
+        self.renewal.stated(host, asked_us)
+
+    def _on_cancellation_notice(self, request_id: int, body: Any) -> None:
+        try:
+            notice = msgspec.convert(body, CancellationNotice)
+        except msgspec.ValidationError as error:
+            self.kernel.answer(request_id, 400, {"error": str(error)[:200]})
+            return
+        if self.follower.loaded:
+            # What is not read yet is read later than this cancellation.
+            self._cancelled_elsewhere(notice.cancelled)
+        self.kernel.answer(request_id, 200, {})
+
     def _changed(self) -> None:
         self.limits.refused = self.store.refused
         if not self.limits.alike and (self.presence.upgraded() or self.picture.lean or self.store.refused):
@@ -127,9 +162,10 @@
         yield
 
     def start(self, now_us: int, wall_us: int) -> list[Output]:
+        """Begin all fibers; to be called once, before any other input."""
         kernel = self.kernel
         kernel.advance(now_us, wall_us)
-        for bucket in (self.store.requests.bucket, self.store.changes.bucket, self.runner.bucket):
+        for bucket in (self.store.requests.bucket, self.store.changes.bucket, self.runner.cloud.bucket):
             bucket.at_us = kernel.now_us
         kernel.forever(self.follower.run, 0)
         kernel.forever(self.presence.run, 0)
@@ -150,6 +186,7 @@
         return kernel.run()
 
     def wake(self, now_us: int, wall_us: int) -> list[Output]:
+        """A timer has fired: let pass the time until now."""
         self.kernel.advance(now_us, wall_us)
         return self.kernel.run()
 
@@ -166,6 +203,7 @@
         self.ended = True
 
     def reply(self, now_us: int, wall_us: int, call_id: int, reply: Reply) -> list[Output]:
+        """The reply to a call that the core has sent."""
         self.kernel.advance(now_us, wall_us)
         self.kernel.reply(call_id, reply)
         return self.kernel.run()
@@ -185,6 +223,8 @@
         self.kernel.advance(now_us, wall_us)
         if path == "/peer/word" and method == "POST":
             self.peers.on_word(request_id, body)
+        elif path == announcements.PATH and method == "POST":
+            self._on_cancellation_notice(request_id, body)
         elif path == "/peer/request" and method == "POST" and isinstance(body, dict):
             self._route(
                 request_id, str(body.get("method")), str(body.get("path")), body.get("body"), True, handed=True
