Follow the split of the model and of the fleet's runner in the tests of meetings

Cause: the model's constants and late starts, and the review of silent machines, have moved.

Change: the tests and one mutant name the new places; late starts are the model's own.

--- a/tests/meeting_model.py
+++ b/tests/meeting_model.py
@@ -9,9 +9,8 @@
 
 from ashtray.config.operators import Knobs
 from ashtray.kernel import Call, Reply
-from tests import model as models
 from tests.fakes.worker import Key
-from tests.model import REPORT_S, SECOND, Host, Model, RuleBroken, submission
+from tests.model import CANCEL_S, REPORT_S, SECOND, Host, Model, RuleBroken, submission
 
 LONG_S = 600.0
 """How long a task runs that is to outlast its test."""
@@ -40,8 +39,6 @@
     def __init__(self, seed: int, hosts: int = 3) -> None:
         self.long: set[str] = set()
         """Jobs whose tasks outlast the test."""
-        self.late_starts: list[tuple[str, int]] = []
-        """Tasks that started after their job was reported as cancelled, and how long after."""
         self.last_on_us: dict[str, int] = {}
         """When a task of each cancelled job was last on a machine."""
         self.cancelled_at: dict[str, float] = {}
@@ -68,12 +65,6 @@
     def _run_us(self, key: Key) -> int:
         return int(LONG_S * SECOND) if key[0] in self.long else super()._run_us(key)
 
-    def _started(self, machine: str, key: Key) -> None:
-        super()._started(machine, key)
-        cancelled_us = self.jobs[key[0]].cancelled_us
-        if cancelled_us is not None:
-            self.late_starts.append((key[0], self.now - cancelled_us))
-
     def _ask(
         self,
         method: str,
@@ -255,7 +246,7 @@
         super().check()
         for (job_id, number), machines in self.on.items():
             cancelled_us = self.jobs[job_id].cancelled_us
-            if cancelled_us is not None and self.now - cancelled_us > models.CANCEL_S * SECOND:
+            if cancelled_us is not None and self.now - cancelled_us > CANCEL_S * SECOND:
                 raise RuleBroken(f"ran_cancelled: {job_id}/{number} is on {sorted(machines)}")
 
 
--- a/tests/mutants/ownership.py
+++ b/tests/mutants/ownership.py
@@ -1,7 +1,8 @@
 """Mutants of the guards on which the meetings with changes of owner and leader rest."""
 
 TESTS = [f"tests/test_meetings_{name}.py" for name in ("ownership", "leaders", "limits")] + ["tests/test_grants.py"]
-FOLDING, GRANTS, RUNNER = "ashtray/workers/folding.py", "ashtray/teams/grants.py", "ashtray/fleet/runner.py"
+FOLDING, GRANTS = "ashtray/workers/folding.py", "ashtray/teams/grants.py"
+REVIEW = "ashtray/fleet/machine_review.py"
 
 MUTANTS: dict[str, tuple[str, str, str]] = {
     "former-owner-frees": (FOLDING, "    if record.token > evidence.token:\n", "    if False:\n"),
@@ -20,5 +21,5 @@
         "shares.get(host, (0.0, 0.0))[n] for host in others",
     ),
     "small-rest-is-kept": (GRANTS, "idle = pressed or unused < wants[host].least[n] - EPS", "idle = pressed"),
-    "silent-within-its-lease": (RUNNER, "if us > lease_us + 4 * SECOND_US}", "if us > lease_us // 3}"),
+    "silent-within-its-lease": (REVIEW, "if us > self._lease_us + SILENT_US}", "if us > self._lease_us // 3}"),
 }
--- a/tests/test_meetings_leaders.py
+++ b/tests/test_meetings_leaders.py
@@ -116,8 +116,9 @@
 ) -> None:
     # As long as a large site's: two reports that are given up after 4 s fit into it.
     lease_s, cancel_s = 14.0, 34.0
-    monkeypatch.setattr("tests.model.LEASE_S", lease_s)
-    monkeypatch.setattr("tests.model.CANCEL_S", cancel_s)
+    for module in ("model", "model_basis", "model_checks", "meeting_model"):
+        monkeypatch.setattr(f"tests.{module}.LEASE_S", lease_s, raising=False)
+        monkeypatch.setattr(f"tests.{module}.CANCEL_S", cancel_s, raising=False)
     model = Meeting(51)
     model.begin(batch(n) for n in range(6))
     model.run(5)
--- a/tests/test_meetings_limits.py
+++ b/tests/test_meetings_limits.py
@@ -12,7 +12,8 @@
 from tests import model as models
 from tests.fakes.worker import Key
 from tests.meeting_model import STEP_S, Meeting, batch, some
-from tests.model import CANCEL_S, FORGOTTEN_S, LEASE_S, REPORT_S, SECOND, TEAM, RuleBroken
+from tests.model import CANCEL_S, LEASE_S, REPORT_S, SECOND, TEAM, RuleBroken
+from tests.model_basis import FORGOTTEN_S
 from tests.test_meetings_ownership import CHANGES
 from tests.test_model import RUNS
 
--- a/tests/test_meetings_ownership.py
+++ b/tests/test_meetings_ownership.py
@@ -115,7 +115,7 @@
     # The former owner's token still matches until the machine has heard the new one.
     assert sent[-1].status == (200 if late_s < 3 else 409)
     # Once the machine has seen a new owner's token the start is void; before, an answer to a report undoes it.
-    assert all(late_us <= 4 * SECOND for _, late_us in model.late_starts)
+    assert all(start.after_us <= 4 * SECOND for start in model.late_starts)
     assert model.gone_s("job-50") < LEASE_S + REPORT_S
 
 
