--- a/tests/test_meetings_machines.py
+++ b/tests/test_meetings_machines.py
@@ -284,11 +284,11 @@
     leader = model.leader()
     assert leader is not None
     model.crash(leader.number, CRASH_BACK_S)
-    assert model.until(lambda: (heir := model.leader()) is not None and heir.core.runner.listed_us > 0, 10)
+    assert model.until(lambda: (heir := model.leader()) is not None and heir.core.runner.inventory.listed_us > 0, 10)
     heir = model.leader()
     there = {machine for machines in model.on.values() for machine in machines}
     # The meeting: the heir has read its list, and what works is not in it.
-    assert there - set(heir.core.runner.listed)
+    assert there - set(heir.core.runner.inventory.listed)
     settle(model)
     assert all(len(starts) == 1 for starts in model.task_starts.values())
 
@@ -308,7 +308,7 @@
     name = next(iter(model.workers))
     model.run(5)
     # The meeting: it is listed as running, and has reported to nobody.
-    assert model.leader().core.runner.listed.get(name) == "running" and model.refused_connections
+    assert model.leader().core.runner.inventory.listed.get(name) == "running" and model.refused_connections
     assert model.groups_of(name) == []
     settle(model)
     assert all(len(model.groups_of(name)) <= 1 for name in model.workers)
@@ -408,7 +408,7 @@
         model.cut(f"c{model.leader().number}", report["berth"], 4, False)
     former, heir = end_of_leader(model, back_s=1.0 if at_once else CRASH_BACK_S)
     if when == "after it has decided":
-        assert model.until(lambda: model.hosts[heir].core.runner.takeover.decided, 20)
+        assert model.until(lambda: model.hosts[heir].core.runner.handover.takeover.decided, 20)
     elif at_once:
         assert model.until(lambda: ready(model.hosts[former]), 20)
     there = [host.number for host in model.hosts if host.core is not None]
