Rename Knobs to OperatorSettings

Cause: the name did not say that these are the settings of the operators' file.

Change: OperatorSettings and load_operator_settings in config/operators.py, and the names of arguments in the command line, the daemon and the controller. The attribute of Base and the arguments of the placement rules are still called knobs.

--- a/ashtray/base.py
+++ b/ashtray/base.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.config.settings import Settings, Team
 from ashtray.kernel import Kernel
 from ashtray.placement.picture import Picture
@@ -17,7 +17,7 @@
     """Settings, time, and the way to the state service with the late picture of what is in it."""
 
     settings: Settings
-    knobs: Knobs
+    knobs: OperatorSettings
     teams: dict[str, Team]
     kernel: Kernel
     limits: Limits
--- a/ashtray/cli.py
+++ b/ashtray/cli.py
@@ -12,7 +12,7 @@
 from urllib.parse import quote
 
 from ashtray import __version__
-from ashtray.config.operators import SETTINGS, Knobs, load_knobs, load_token, place_of
+from ashtray.config.operators import SETTINGS, OperatorSettings, load_operator_settings, load_token, place_of
 from ashtray.config.settings import Settings, SettingsError, load_settings, warnings
 
 EXIT_OK, EXIT_FAILED, EXIT_USAGE, EXIT_UNREACHABLE = 0, 1, 2, 3
@@ -31,26 +31,27 @@
         logging.getLogger(noisy).setLevel(logging.ERROR)
 
 
-def _load(config: str, operators: str | None) -> tuple[Settings, Knobs]:
+def _load(config: str, operators: str | None) -> tuple[Settings, OperatorSettings]:
     """Both files, each checked, and the operators' against what the platform allows."""
-    settings, knobs = load_settings(config), load_knobs(operators)
+    settings, operator_settings = load_settings(config), load_operator_settings(operators)
     from ashtray.store.client import Limits
     from ashtray.workers.folding import most_group_size
 
     most = most_group_size(Limits.of(settings.cluster.state))
-    if operators is not None and knobs.group_size is not None and knobs.group_size > most:
-        reason = f"{knobs.group_size} machines do not fit a value of the state service (cluster.state in {config})"
+    if operators is not None and operator_settings.group_size is not None and operator_settings.group_size > most:
+        number = operator_settings.group_size
+        reason = f"{number} machines do not fit a value of the state service (cluster.state in {config})"
         raise SettingsError(f"{operators}: {place_of(operators, 'group-size')}: group-size: {reason}: at most {most}")
-    load_token(knobs)
-    return settings, knobs
+    load_token(operator_settings)
+    return settings, operator_settings
 
 
 def _run(args: argparse.Namespace) -> int:
-    settings, knobs = _load(args.config, args.operators)
+    settings, operator_settings = _load(args.config, args.operators)
     _logging()
     from ashtray.daemon.server import run
 
-    run(settings, knobs, load_token(knobs))
+    run(settings, operator_settings, load_token(operator_settings))
     return EXIT_OK
 
 
@@ -59,11 +60,11 @@
         return _fail("check needs --config, --operators or both", EXIT_USAGE)
     shown: dict[str, Any] = {}
     if args.config is not None:
-        settings, knobs = _load(args.config, args.operators)
+        settings, operator_settings = _load(args.config, args.operators)
         shown["config"] = {"host_name": settings.host_name, "others": [p.host_name for p in settings.others]}
     else:
-        knobs = load_knobs(args.operators)
-    shown["operators"] = {name: getattr(knobs, setting.field) for name, setting in SETTINGS.items()}
+        operator_settings = load_operator_settings(args.operators)
+    shown["operators"] = {name: getattr(operator_settings, setting.field) for name, setting in SETTINGS.items()}
     if args.json:
         print(json.dumps(shown))
         return EXIT_OK
@@ -74,7 +75,7 @@
     if args.operators is not None:
         print(f"{args.operators}: good")
     for name, setting in SETTINGS.items():
-        value = getattr(knobs, setting.field)
+        value = getattr(operator_settings, setting.field)
         text = " ".join(map(str, value)) if isinstance(value, tuple) else value
         text = {True: "yes", False: "no"}[value] if isinstance(value, bool) else text
         print(f"  ({name} {text})  ; {setting.meaning}; {setting.range}")
--- a/ashtray/config/operators.py
+++ b/ashtray/config/operators.py
@@ -21,8 +21,8 @@
 RULES = ("trust", "changes", "image", "scarce", "spot", "few-groups", "packing")
 
 
-class Knobs(msgspec.Struct, frozen=True):
-    """What operators may set, with the defaults."""
+class OperatorSettings(msgspec.Struct, frozen=True):
+    """The operators' settings, with their defaults: see `docs/operations.md`."""
 
     buckets: int = 3
     window: int = 50
@@ -131,18 +131,20 @@
 LEAST_TOKEN = 16
 
 
-def load_token(knobs: Knobs) -> str | None:
+def load_token(operator_settings: OperatorSettings) -> str | None:
     """The operators' bearer token; raises `SettingsError` with one line.  None: their paths are off."""
-    if knobs.token_file is None:
+    if operator_settings.token_file is None:
         return None
     try:
-        token = Path(knobs.token_file).read_text(encoding="ascii").strip()
+        token = Path(operator_settings.token_file).read_text(encoding="ascii").strip()
     except OSError as error:
-        raise SettingsError(f"operators-token: {knobs.token_file}: {error.strerror or error}") from None
+        raise SettingsError(f"operators-token: {operator_settings.token_file}: {error.strerror or error}") from None
     except UnicodeDecodeError:
-        raise SettingsError(f"operators-token: {knobs.token_file}: not ASCII text") from None
+        raise SettingsError(f"operators-token: {operator_settings.token_file}: not ASCII text") from None
     if len(token) < LEAST_TOKEN or len(token.split()) != 1:
-        raise SettingsError(f"operators-token: {knobs.token_file}: expected one word of at least {LEAST_TOKEN} signs")
+        raise SettingsError(
+            f"operators-token: {operator_settings.token_file}: expected one word of at least {LEAST_TOKEN} signs"
+        )
     return token
 
 
@@ -151,10 +153,10 @@
     return _place(Path(path).read_text(encoding="utf-8"), name)
 
 
-def load_knobs(path: str | None) -> Knobs:
+def load_operator_settings(path: str | None) -> OperatorSettings:
     """Read and check the operators' file; raises `SettingsError` with one line."""
     if path is None:
-        return Knobs()
+        return OperatorSettings()
     file = Path(path)
     try:
         text = file.read_text(encoding="utf-8")
@@ -183,4 +185,4 @@
             found[setting.field] = setting.read(entry[1:])
         except ValueError:
             raise SettingsError(f"{file}: {_place(text, name)}: {name}: expected {setting.range}") from None
-    return Knobs(**found)
+    return OperatorSettings(**found)
--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ashtray.base import Base
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.config.settings import Settings
 from ashtray.estimates.estimate_store import EstimateStore
 from ashtray.estimates.operators import operate
@@ -47,9 +47,11 @@
     is to be sent, answered and logged.
     """
 
-    def __init__(self, settings: Settings, knobs: Knobs, rng: random.Random, verbose: bool = False) -> None:
+    def __init__(
+        self, settings: Settings, operator_settings: OperatorSettings, rng: random.Random, verbose: bool = False
+    ) -> None:
         self.settings = settings
-        self.knobs = knobs
+        self.operator_settings = operator_settings
         self.teams = {team.name: team for team in settings.cluster.teams}
         self.kernel = Kernel(rng, verbose)
         self.limits = Limits.of(settings.cluster.state)
@@ -65,8 +67,12 @@
             self.kernel, settings.services.state, settings.cluster.state, nodes=max(settings.cluster.nodes, 1)
         )
         self.follower = Follower(self.kernel, self.store, ROOT, NOW, self.picture, self._changed)
-        base = Base(settings, knobs, self.teams, self.kernel, self.limits, self.picture, self.store, self.follower)
-        pace = Pace(settings.cluster.objectives, knobs.patience_s, lambda job_id: self.picture.jobs.get(job_id))
+        base = Base(
+            settings, operator_settings, self.teams, self.kernel, self.limits, self.picture, self.store, self.follower
+        )
+        pace = Pace(
+            settings.cluster.objectives, operator_settings.patience_s, lambda job_id: self.picture.jobs.get(job_id)
+        )
         times = StatedTimes(settings.cluster.objectives, pace)
         planner = Planner(base, times, MinimumShare(self.picture, pace))
         self.presence = Presence(base, self.grants, Notice(hosts, word_us(len(hosts))))
--- a/ashtray/daemon/server.py
+++ b/ashtray/daemon/server.py
@@ -20,7 +20,7 @@
 from aiohttp import web
 from yarl import URL
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.config.settings import Settings
 from ashtray.controller import Controller
 from ashtray.inbox import FOR_EVER_US, Inbox, Rank, rank_of, rank_of_reply
@@ -67,11 +67,11 @@
 class Daemon:
     """The process around a core: its sockets, its timers and its log."""
 
-    def __init__(self, settings: Settings, knobs: Knobs, token: str | None = None) -> None:
+    def __init__(self, settings: Settings, operator_settings: OperatorSettings, token: str | None = None) -> None:
         """`token` is the operators': without one their paths are off."""
         self.settings = settings
         self._bearer = None if token is None else f"Bearer {token}".encode()
-        self.core = Controller(settings, knobs, random.Random(), log.isEnabledFor(logging.DEBUG))
+        self.core = Controller(settings, operator_settings, random.Random(), log.isEnabledFor(logging.DEBUG))
         self.loop = asyncio.get_running_loop()
         self._wake: asyncio.TimerHandle | None = None
         self._wake_us: int | None = None
@@ -319,14 +319,14 @@
         await self.client.close()
 
 
-async def _main(settings: Settings, knobs: Knobs, token: str | None) -> None:
-    await Daemon(settings, knobs, token).serve()
+async def _main(settings: Settings, operator_settings: OperatorSettings, token: str | None) -> None:
+    await Daemon(settings, operator_settings, token).serve()
 
 
-def run(settings: Settings, knobs: Knobs, token: str | None = None) -> Any:
+def run(settings: Settings, operator_settings: OperatorSettings, token: str | None = None) -> Any:
     """Run a controller until it is told to end."""
     # Records are decoded into thousands of small objects, which nearly all live on or go by themselves: looking for
     # circles among them after each 700 took a tenth of the time of reading a record.
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
-    return uvloop.run(_main(settings, knobs, token))
+    return uvloop.run(_main(settings, operator_settings, token))
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from ashtray.base import Base
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.config.settings import Team
 from ashtray.jobs.model import PRIORITIES, UNLIMITED, Job, JobSpec
 from ashtray.kernel import SECOND_US
@@ -112,7 +112,7 @@
     """Room and limits that are left while jobs are given places, in the queue's order."""
 
     def __init__(
-        self, picture: Picture, teams: dict[str, Team], knobs: Knobs, rng: random.Random, limits: Limits
+        self, picture: Picture, teams: dict[str, Team], knobs: OperatorSettings, rng: random.Random, limits: Limits
     ) -> None:
         self.picture = picture
         self.teams = teams
--- a/ashtray/placement/rules.py
+++ b/ashtray/placement/rules.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.jobs.model import JobSpec
 from ashtray.placement.picture import EPS, Machine, MachineType
 
@@ -86,7 +86,7 @@
 class Preference:
     name: str
     reason: str
-    score: Callable[[Room, Ask, Knobs], float]
+    score: Callable[[Room, Ask, OperatorSettings], float]
 
 
 def fetch_s(room: Room, ask: Ask) -> float:
@@ -120,21 +120,21 @@
 ]
 
 
-def _trust(room: Room, ask: Ask, knobs: Knobs) -> float:
+def _trust(room: Room, ask: Ask, knobs: OperatorSettings) -> float:
     return min(room.blame, 3) + (2 if room.machine.name in ask.failed_on else 0)
 
 
-def _image(room: Room, ask: Ask, knobs: Knobs) -> float:
+def _image(room: Room, ask: Ask, knobs: OperatorSettings) -> float:
     seconds = fetch_s(room, ask)
     # A fetch can eat an urgent job's whole wait; to the others it matters only when it is long.
     return math.ceil(min(seconds / (3.0 if ask.priority <= 1 else 20.0), 6.0))
 
 
-def _scarce(room: Room, ask: Ask, knobs: Knobs) -> float:
+def _scarce(room: Room, ask: Ask, knobs: OperatorSettings) -> float:
     return 1 if room.type.gpus > 0 and ask.spec.gpus == 0 else 0
 
 
-def _spot(room: Room, ask: Ask, knobs: Knobs) -> float:
+def _spot(room: Room, ask: Ask, knobs: OperatorSettings) -> float:
     return 0 if room.machine.record.spot == ask.spec.spot else 1
 
 
@@ -152,18 +152,18 @@
     return left / whole if whole else 0.0
 
 
-def _packing(room: Room, ask: Ask, knobs: Knobs) -> float:
+def _packing(room: Room, ask: Ask, knobs: OperatorSettings) -> float:
     return math.ceil(packing_score(room, ask) * knobs.buckets)
 
 
 FEW_GROUPS = "few-groups"
 
 
-def _few_groups(room: Room, ask: Ask, knobs: Knobs) -> float:
+def _few_groups(room: Room, ask: Ask, knobs: OperatorSettings) -> float:
     return ask.few.get(room.machine.group, 0)
 
 
-def _changes(room: Room, ask: Ask, knobs: Knobs) -> float:
+def _changes(room: Room, ask: Ask, knobs: OperatorSettings) -> float:
     # While changes are scarce, room in few records is worth more than a cached image; not to what is urgent.
     return ask.few.get(room.machine.group, 0) if ask.sparing and ask.priority > 1 else 0
 
@@ -186,7 +186,7 @@
     return all(rule.holds(room, ask) for rule in VALIDATORS)
 
 
-def rank(rooms: list[Room], ask: Ask, count: int, knobs: Knobs, rng: random.Random) -> list[Room]:
+def rank(rooms: list[Room], ask: Ask, count: int, knobs: OperatorSettings, rng: random.Random) -> list[Room]:
     """Filter, then rank strictly; among equals the order is random.  Equal machines share one verdict.
 
     After each machine come first those of its group that no rule up to `few-groups` tells from it: a commit costs
--- a/tests/interleavings.py
+++ b/tests/interleavings.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.controller import Controller
 from ashtray.jobs.messages import parse_submission
 from ashtray.jobs.model import LIVE, JobRecord
@@ -105,7 +105,7 @@
     def __init__(self, number: int, hosts: int) -> None:
         self.number = number
         self.now_us = BEGIN_US
-        self.core = Controller(settings_for(number, hosts), Knobs(), random.Random(number))
+        self.core = Controller(settings_for(number, hosts), OperatorSettings(), random.Random(number))
         core = self.core
         core.kernel.strict = True
         core.presence.incarnation = 1
--- a/tests/model.py
+++ b/tests/model.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.config.settings import Settings
 from ashtray.controller import Controller
 from ashtray.inbox import FOR_EVER_US, Inbox, Rank, rank_of, rank_of_reply
@@ -160,12 +160,12 @@
         self,
         seed: int,
         hosts: int = 3,
-        knobs: Knobs | None = None,
+        knobs: OperatorSettings | None = None,
         following: Next | None = None,
         before: Any = None,
     ) -> None:
         """`following`: the limits to come; `before`: the package of the version that all hosts begin with."""
-        self.knobs = knobs or Knobs()
+        self.knobs = knobs or OperatorSettings()
         self.following = following
         self.before = before
         self.rng = random.Random(seed)
--- a/tests/test_bad_nights.py
+++ b/tests/test_bad_nights.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.fleet.boot_times import BootTimes
 from ashtray.fleet.machine_kind import MachineKind
 from ashtray.jobs.model import LIVE, OVER, JobRecord, JobSpec
@@ -166,7 +166,7 @@
     picture.types = {"small": MachineType("small", 8.0, 0.0, 16.0, 20.0, 1.0, 1.0, 0.4, 5, ("a",))}
     picture.put(LIVE + "job-1", job(errors=4, failed_on=["vm-1", "vm-2"], error_us=0), 1)
     picture.put(LIVE + "job-2", job(), 2)
-    plan = Plan(picture, {}, Knobs(), random.Random(1), Limits(16, 60_000, 32_768))
+    plan = Plan(picture, {}, OperatorSettings(), random.Random(1), Limits(16, 60_000, 32_768))
     bad = picture.jobs["job-1"]
     assert plan.wanted(bad, 10 * SECOND) == [] and back_off_us(bad) > 10 * SECOND
     assert plan.wanted(bad, 100 * SECOND) == [0]
@@ -253,7 +253,7 @@
     for n in range(200):
         spec = JobSpec("swarm", "crew", "array", 3, 1, rng.uniform(0.26, 0.49), 0.0, 0.8, "img", 1.0)
         picture.put(f"{LIVE}job-{n}", msgspec.to_builtins(JobRecord(spec, "berth-0", n)), n + 2)
-    plan = Plan(picture, {}, Knobs(), random.Random(1), Limits(16, 60_000, 32_768))
+    plan = Plan(picture, {}, OperatorSettings(), random.Random(1), Limits(16, 60_000, 32_768))
     placed = [plan.place(job, 1, 0.0) for job in queue(picture, {})[0]]
     assert all(placed)
     assert plan.visits <= 2 * 50
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -14,7 +14,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ashtray.config.operators import Knobs, load_token
+from ashtray.config.operators import OperatorSettings, load_token
 from ashtray.config.settings import SettingsError
 from ashtray.estimates.estimate_store import (
     SHARDS,
@@ -266,5 +266,5 @@
     if text is not None:
         file.write_text(text)
     with pytest.raises(SettingsError, match=named):
-        load_token(Knobs(token_file=str(file)))
-    assert load_token(Knobs()) is None
+        load_token(OperatorSettings(token_file=str(file)))
+    assert load_token(OperatorSettings()) is None
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.placement import compact_record
 from ashtray.placement.picture import GROUP, GroupRecord, HoldRecord, MachineRecord, MachineType, Picture
 from ashtray.standby.book import latest
@@ -91,7 +91,7 @@
         left = {name: Report(name, "10.1.0.1:9000", "big", "a", False, 1, 1, 0, None, {}) for name in names(number)}
         version = spent = 0
         while left:
-            txn, taken = adoption(picture, left, Knobs().group_size, limits)
+            txn, taken = adoption(picture, left, OperatorSettings().group_size, limits)
             assert taken
             version += 1
             spent += txn.changes()
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.config.settings import Team
 from ashtray.jobs.model import LIVE, JobRecord, JobSpec
 from ashtray.placement.picture import (
@@ -77,7 +77,7 @@
     def stopping(self, picture: Picture, job_id: str, count: int, by: str = "berth-0") -> Txn | None:
         """What one controller would commit on its picture to make room for so many tasks of a job."""
         _, inside = queue(picture, TEAMS)
-        plan = Plan(picture, TEAMS, Knobs(), random.Random(1), LIMITS)
+        plan = Plan(picture, TEAMS, OperatorSettings(), random.Random(1), LIMITS)
         job = picture.jobs[job_id]
         victims = choose_victims(plan, job, count, Right(picture, inside, job, plan.excess()), 10**9, None)
         return stop_for(picture, TEAMS, inside, job, victims, LIMITS, by, 10**9) if victims else None
@@ -135,7 +135,7 @@
     world.put({LIVE + "job-2": job_record("a", 1)})
     picture = world.picture()
     _, inside = queue(picture, TEAMS)
-    plan = Plan(picture, TEAMS, Knobs(), random.Random(1), LIMITS)
+    plan = Plan(picture, TEAMS, OperatorSettings(), random.Random(1), LIMITS)
     job = picture.jobs["job-2"]
     victims = choose_victims(plan, job, 1, Right(picture, inside, job, plan.excess()), 10**9, None)
     assert victims
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.jobs.model import LIVE, Job, JobRecord, JobSpec
 from ashtray.kernel import Kernel
 from ashtray.placement import compact_record
@@ -200,7 +200,7 @@
     for n in range(96):
         spec = JobSpec("any", "crew", "array", 2, 1, 1.0, 0.0, 1.0, f"img-{n % 3}", 1.0)
         picture.put(f"{LIVE}job-{n:06}", msgspec.to_builtins(JobRecord(spec, "berth-0", 0)), 6)
-    plan = Plan(picture, {}, Knobs(), random.Random(1), limits)
+    plan = Plan(picture, {}, OperatorSettings(), random.Random(1), limits)
     machine = record.machines["vm-0"]
     for job in picture.jobs.values():
         for _ in plan.place(job, 1, 0.0):
--- a/tests/test_meetings_answers.py
+++ b/tests/test_meetings_answers.py
@@ -12,7 +12,7 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.controller import Controller
 from ashtray.jobs.model import LIVE, OVER
 from ashtray.placement.picture import TYPES
@@ -365,7 +365,7 @@
 
 def look_closely(seed: int, jobs: int, seconds: float, **shares: float) -> CloseUsers:
     """One-task jobs and some of two tasks or gangs, four a second, on three controllers, with no other trouble."""
-    model = Model(seed, 3, Knobs(group_size=2))
+    model = Model(seed, 3, OperatorSettings(group_size=2))
     model.checks()
     model.run(3)
     users = CloseUsers(model, seed, **shares)
--- a/tests/test_meetings_machines.py
+++ b/tests/test_meetings_machines.py
@@ -15,7 +15,7 @@
 import msgspec
 import pytest
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.jobs.model import LIVE, Job, JobRecord, JobSpec
 from ashtray.kernel import Call, Reply
 from ashtray.placement import compact_record
@@ -70,7 +70,7 @@
 class MeetingModel(Model):
     """The model, with the troubles that only these meetings need, and with a record of what happened."""
 
-    def __init__(self, seed: int, hosts: int = 3, knobs: Knobs | None = None) -> None:
+    def __init__(self, seed: int, hosts: int = 3, knobs: OperatorSettings | None = None) -> None:
         self.fate_of: Callable[[dict[str, Any]], str | None] = lambda body: None
         """What becomes of a transaction; None: it is carried out and answered as ever."""
         self.unanswered: list[Unanswered] = []
@@ -200,7 +200,7 @@
 
 
 def meeting(seed: int, hosts: int = 3, group_size: int | None = 2) -> MeetingModel:
-    model = MeetingModel(seed, hosts, Knobs(group_size=group_size))
+    model = MeetingModel(seed, hosts, OperatorSettings(group_size=group_size))
     model.checks()
     model.run(3)
     return model
@@ -765,7 +765,7 @@
             records[f"vm-{zone}{n}"] = MachineRecord("x:1", holds=[hold])
             task += 1
         picture.put(GROUP + zone, msgspec.to_builtins(GroupRecord("small", zone, records)), version)
-    plan = Plan(picture, {}, Knobs(), random.Random(1), Limits(16, 60_000, 32_768))
+    plan = Plan(picture, {}, OperatorSettings(), random.Random(1), Limits(16, 60_000, 32_768))
     return plan, picture.jobs["job-1"]
 
 
--- a/tests/test_meetings_transactions.py
+++ b/tests/test_meetings_transactions.py
@@ -20,7 +20,7 @@
 import msgspec
 import pytest
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.controller import Controller
 from ashtray.estimates.estimate_store import unpack
 from ashtray.estimates.model import N, new_row
@@ -395,7 +395,7 @@
 @pytest.mark.parametrize(("name", "fate", "sender"), MATRIX, ids=lambda value: getattr(value, "name", value))
 def test_no_rule_breaks_and_nothing_is_left_when_an_answer_is_lost(name: str, fate: Fate, sender: Sender) -> None:
     for seed in range(1, 4 if WIDE else 2):
-        model = Model(seed, 3, Knobs(group_size=2))
+        model = Model(seed, 3, OperatorSettings(group_size=2))
         model.checks()
         skip = PASSED.get(name, 0) * seed
         troubles = Troubles(model, KINDS[name], fate, sender, skip, rng=random.Random(seed))
@@ -437,7 +437,7 @@
 @pytest.mark.parametrize("fate", Fate)
 @pytest.mark.parametrize("back_s", [0.3, 12.0])
 def test_a_lease_whose_end_is_not_confirmed_takes_nothing_from_the_next_process(fate: Fate, back_s: float) -> None:
-    model = Model(2, 3, Knobs(group_size=2))
+    model = Model(2, 3, OperatorSettings(group_size=2))
     model.checks()
     troubles = Troubles(model, KINDS["close lease"], fate)
     work(model)
@@ -490,7 +490,7 @@
 @pytest.mark.parametrize(("hosts", "skip"), [(1, 0), (1, 2), (3, 1)])
 def test_a_fold_of_run_times_without_an_answer_counts_once(fate: Fate, skip: int, hosts: int) -> None:
     # Found here: the record is read before the answer is given up, so nothing was in doubt yet when it changed.
-    model = Model(1 + skip, hosts, Knobs(group_size=2))
+    model = Model(1 + skip, hosts, OperatorSettings(group_size=2))
     seen = count_observations(model)
     troubles = Troubles(model, KINDS["estimate"], fate, skip=skip, count=3)
     submit_steadily(model, 60)
@@ -501,7 +501,7 @@
 
 def test_a_fold_of_run_times_that_arrives_as_it_is_repeated_counts_once() -> None:
     # Both guard the same version. What the late one held was folded anew with what had come since.
-    model = Model(2, 1, Knobs(group_size=2))
+    model = Model(2, 1, OperatorSettings(group_size=2))
     seen = count_observations(model)
     troubles = Troubles(model, KINDS["estimate"], Fate.LATE, late_s=(NEVER_S, NEVER_S))
     repeated: list[Meeting] = []
@@ -567,7 +567,7 @@
         self.met: set[str] = set()
 
     def _node(self, number: int) -> Node:
-        core = Controller(settings_for(number, 2), Knobs(), random.Random(number))
+        core = Controller(settings_for(number, 2), OperatorSettings(), random.Random(number))
         core.kernel.strict = True
         core.presence.incarnation = 1
         node = Node(core)
@@ -837,7 +837,7 @@
 @pytest.mark.parametrize("fate", Fate)
 @pytest.mark.parametrize("sender", Sender)
 def test_a_preemption_without_an_answer_stops_no_more_than_the_job_needs(fate: Fate, sender: Sender) -> None:
-    model = Model(6, 3, Knobs(group_size=2))
+    model = Model(6, 3, OperatorSettings(group_size=2))
     model.checks()
     model.run(3)
     model._run_us = lambda key: 60 * SECOND  # type: ignore[method-assign]
@@ -856,7 +856,7 @@
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_a_cancellation_that_arrives_after_the_end_does_not_take_it_back(seed: int) -> None:
-    model = Model(seed, 3, Knobs(group_size=2))
+    model = Model(seed, 3, OperatorSettings(group_size=2))
     model.checks()
     model.run(3)
     # More tasks than a job may have that is done by its groups' word.
@@ -885,7 +885,7 @@
 @pytest.mark.parametrize("fate", Fate)
 @pytest.mark.parametrize("sender", [Sender.ALIVE, Sender.BACK])
 def test_a_token_written_without_an_answer_leaves_one_owner(fate: Fate, sender: Sender) -> None:
-    model = Model(5, 3, Knobs(group_size=2))
+    model = Model(5, 3, OperatorSettings(group_size=2))
     model.checks()
     model.run(2)
 
@@ -933,7 +933,7 @@
 @pytest.mark.parametrize("seed", range(1, 31 if WIDE else 4))
 def test_no_rule_breaks_in_a_storm_of_lost_answers_with_controllers_that_end(seed: int) -> None:
     rng = random.Random(seed)
-    model = Model(seed, 3, Knobs(group_size=rng.choice([None, 2])))
+    model = Model(seed, 3, OperatorSettings(group_size=rng.choice([None, 2])))
     model.checks()
     model.run(2)
     storm = Storm(model, KINDS["place"], Fate.LATE, rng=rng, until_us=42 * SECOND)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -9,7 +9,7 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from tests.model import Model, submission
 
 SECOND = 1_000_000
@@ -174,7 +174,7 @@
 
 
 def play(seed: int, jobs: list[dict], faults: list[tuple], hosts: int = 3, group_size: int | None = None) -> Model:
-    model = Model(seed, hosts, Knobs(group_size=group_size))
+    model = Model(seed, hosts, OperatorSettings(group_size=group_size))
     begin(model, seed, jobs)
     strike(model, faults)
     model.run(90)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -8,18 +8,18 @@
 from hypothesis import strategies as st
 
 from ashtray.cli import main
-from ashtray.config.operators import SETTINGS, Knobs, load_knobs
+from ashtray.config.operators import SETTINGS, OperatorSettings, load_operator_settings
 from ashtray.config.settings import SettingsError
 
 
-def load(directory: Path, text: str) -> Knobs:
+def load(directory: Path, text: str) -> OperatorSettings:
     file = directory / "operators.sexp"
     file.write_text(text)
-    return load_knobs(str(file))
+    return load_operator_settings(str(file))
 
 
 def test_every_setting_has_a_default_within_its_range():
-    knobs = Knobs()
+    knobs = OperatorSettings()
     for setting in SETTINGS.values():
         value = getattr(knobs, setting.field)
         if isinstance(value, bool):
@@ -31,7 +31,7 @@
 def test_settings_are_read(tmp_path: Path):
     knobs = load(tmp_path, "(ashtray (group-size 8) ; eight\n (rules packing trust) (weights 1 2 0.5))")
     assert (knobs.group_size, knobs.rules, knobs.weights) == (8, ("packing", "trust"), (1.0, 2.0, 0.5))
-    assert load(tmp_path, "(ashtray)") == Knobs()
+    assert load(tmp_path, "(ashtray)") == OperatorSettings()
 
 
 @pytest.mark.parametrize(
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.jobs.messages import Malformed, parse_submission
 from ashtray.jobs.model import LIVE, OVER, JobRecord, JobSpec
 from ashtray.kernel import Reply
@@ -172,7 +172,7 @@
 
 def test_the_next_stage_does_not_wait_for_lazy_folds():
     # Found on simulated days: where no controller heard of all that was left of a job, its end waited up to 20 s.
-    model = Model(7, knobs=Knobs(group_size=1), following=(2.0, 5))
+    model = Model(7, knobs=OperatorSettings(group_size=1), following=(2.0, 5))
     model.run(3)
     for host in model.hosts:
         host.core.store.changes.scarce = lambda: True
@@ -221,7 +221,7 @@
 def test_a_fold_after_a_cancellation_that_was_not_read_yet_makes_nothing_done(shape, pieces):
     # Found on a simulated day and by the model: the controller that folded took a job for done by its own change,
     # without the cancellation before it, called the jobs after it pending for ever, and let them run.
-    model = Model(7, knobs=Knobs(group_size=4))
+    model = Model(7, knobs=OperatorSettings(group_size=4))
     model.checks()
     model.run(3)
     model.submit(submission("job-0", pieces=pieces, shape=shape, crew="free", cpus=1.0, hulls=["small"]))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.jobs.model import LIVE, JobRecord, JobSpec
 from ashtray.kernel import Kernel
 from ashtray.placement import picture as picture_module
@@ -141,7 +141,7 @@
 
 
 def test_a_gang_that_needs_more_groups_than_a_transaction_may_change_runs():
-    model = Model(11, knobs=Knobs(group_size=1))
+    model = Model(11, knobs=OperatorSettings(group_size=1))
     model.checks()
     model.run(2)
     model.submit(submission("job-0", shape="gang", pieces=12, cpus=3.0, crew="free", hulls=["small"], loaners=False))
@@ -173,7 +173,7 @@
     picture.waiting()
     assert (len(built), len(settled), picture.take_touched()) == (1, 1, ["vm-0-0"])
     # Of all the machines a plan looks closely at those with room only, and not again once they are known to be full.
-    plan = Plan(picture, {}, Knobs(), random.Random(1), Limits(16, 60_000, 32_768))
+    plan = Plan(picture, {}, OperatorSettings(), random.Random(1), Limits(16, 60_000, 32_768))
     for job in queue(picture, {})[0]:
         plan.place(job, len(plan.wanted(job, 10)), 0.0)
     assert plan.visits <= 2
@@ -189,7 +189,7 @@
     large = JobSpec("large", "crew", "array", 2, 2, 5.0, 1.0, 27.0, "img", 1.0)
     for n, spec in enumerate((small, large)):
         picture.put(f"{LIVE}job-{n}", msgspec.to_builtins(JobRecord(spec, "berth-0", n)), n + 2)
-    plan = Plan(picture, {}, Knobs(), random.Random(1), Limits(16, 60_000, 32_768))
+    plan = Plan(picture, {}, OperatorSettings(), random.Random(1), Limits(16, 60_000, 32_768))
     first, second = queue(picture, {})[0]
     assert sum(n for _, n in plan.place(first, 40, 0.0)) == 0
     assert sum(n for _, n in plan.place(second, 2, 0.0)) == 2
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from tests.model import SECOND, Model, UserJob, submission
 
 HOSTS = 5
@@ -29,7 +29,7 @@
 
 def fall(machines: int, idle: int, seed: int = 1) -> Cost:
     """A fleet full of idle work; all controllers end; an urgent gang is submitted meanwhile."""
-    model = Model(seed, hosts=HOSTS, knobs=Knobs(group_size=GROUP))
+    model = Model(seed, hosts=HOSTS, knobs=OperatorSettings(group_size=GROUP))
     model.cloud.capacity = machines
     model._run_us = lambda key: 600 * SECOND  # type: ignore[method-assign]
     model.run(3)
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -11,7 +11,7 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.daemon.server import Daemon
 from ashtray.standby.takeover import Check
 from tests.model import SECOND, Model, settings_for, submission
@@ -170,7 +170,7 @@
     st.lists(st.tuples(st.floats(4, 75), st.integers(0, 4), st.floats(0.01, 0.9)), min_size=4, max_size=20),
 )
 def test_no_rule_breaks_when_processes_are_back_at_once(seed, jobs, faults, ends) -> None:
-    model = Model(seed, 3, Knobs())
+    model = Model(seed, 3, OperatorSettings())
     begin(model, seed, jobs)
     strike(model, faults[:5])
     for at_s, number, back_s in ends:
@@ -183,7 +183,7 @@
 
 def test_an_address_that_is_still_in_use_is_waited_for(caplog: pytest.LogCaptureFixture) -> None:
     async def play() -> None:
-        daemon = Daemon(settings_for(0, 1), Knobs())
+        daemon = Daemon(settings_for(0, 1), OperatorSettings())
         held = socket.socket()
         held.bind(("127.0.0.1", 0))
         held.listen()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -6,7 +6,7 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from tests import production
 from tests.model import Model, submission
 from tests.test_model import FAULT, JOB, begin, finish, strike
@@ -104,7 +104,7 @@
 def test_both_versions_serve_side_by_side_until_all_are_new(
     before, seed, jobs, stages, order, every_s, crashes, faults, following, fall_s
 ):
-    model = Model(seed, knobs=Knobs(), following=following, before=before)
+    model = Model(seed, knobs=OperatorSettings(), following=following, before=before)
     begin(model, seed, jobs, 60)
     over_s = upgrade(model, order, every_s, crashes)
     # What holds a controller back for long would have the new form asked for while an old one is about.
--- a/tools/ledger.py
+++ b/tools/ledger.py
@@ -34,7 +34,7 @@
 
 import msgspec  # noqa: E402
 
-from ashtray.config.operators import Knobs  # noqa: E402
+from ashtray.config.operators import OperatorSettings  # noqa: E402
 from ashtray.config.settings import Settings  # noqa: E402
 from ashtray.placement.picture import Picture  # noqa: E402
 from tests import model as models  # noqa: E402
@@ -68,7 +68,7 @@
         self.size, self.load = machines, load
         self.profile: cProfile.Profile | None = None
         self.counts: Counter[str] = Counter()
-        super().__init__(seed, controllers, Knobs())
+        super().__init__(seed, controllers, OperatorSettings())
         self.cloud.capacity = machines
         self.state.txn_ops = 16
         self.state.write_rps = 25.0
