--- a/tests/meeting_model.py
+++ b/tests/meeting_model.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.kernel import Call, Reply
 from tests.fakes.worker import Key
 from tests.model import CANCEL_S, REPORT_S, SECOND, Host, Model, RuleBroken, submission
@@ -55,7 +55,7 @@
         """Who ran the fleet, each change: the controller and its process."""
         self.nodes: list[int] | None = None
         """The controllers that users reach; None: all."""
-        super().__init__(seed, hosts, Knobs(group_size=2))
+        super().__init__(seed, hosts, OperatorSettings(group_size=2))
         self.cloud.capacity = 40
         self.checks()
         self.watch()
--- a/tests/nights.py
+++ b/tests/nights.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from tests.model import SECOND, Model, RuleBroken, submission
 from tests.model_troubles import Refusal
 
@@ -209,7 +209,7 @@
     """Play one night; a RuleBroken carries what was broken."""
     rng = random.Random(seed)
     hosts = rng.choice([3, 3, 5])
-    model = Model(seed, hosts, Knobs(group_size=rng.choice([None, 1, 2])))
+    model = Model(seed, hosts, OperatorSettings(group_size=rng.choice([None, 1, 2])))
     NIGHTS[:] = [model]
     model.drift(DRIFT_PPM)
     model.checks()
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from ashtray.jobs.model import LIVE, JobRecord, JobSpec
 from ashtray.placement import compact_record
 from ashtray.placement.picture import GROUP, GroupRecord, HoldRecord, Machine, MachineRecord, MachineType, Picture
@@ -96,7 +96,7 @@
         left = {name: Report(name, "10.1.0.1:9000", "big", "a", False, 1, 1, 0, None, {}) for name in names(number)}
         version = spent = 0
         while left:
-            txn, taken = adoption(picture, left, Knobs().group_size, limits)
+            txn, taken = adoption(picture, left, OperatorSettings().group_size, limits)
             assert taken
             version += 1
             spent += txn.changes()
@@ -158,7 +158,9 @@
     assert parse_report({**report, "pieces": [{**pieces[0], "piece": "job-1"}]}) is None
 
 
-def ranked_one_by_one(rooms: list[Room], ask: Ask, count: int, knobs: Knobs, rng: random.Random) -> list[Room]:
+def ranked_one_by_one(
+    rooms: list[Room], ask: Ask, count: int, knobs: OperatorSettings, rng: random.Random
+) -> list[Room]:
     """What `rank` promises, with each machine judged by itself."""
     rules = [PREFERENCES[name] for name in knobs.rules]
     upto = knobs.rules.index(FEW_GROUPS) + 1 if FEW_GROUPS in knobs.rules else 0
@@ -198,7 +200,7 @@
     cpus, gpus = draw.choice([0.0, 2.0, 3.5]), draw.choice([0.0, 0.0, 1.0])
     kind_of = "gang" if gang else "array"
     spec = JobSpec("any", "crew", kind_of, priority, count, cpus, gpus, 8.0, "img", 3.0, spot=draw.random() < 0.5)
-    knobs = Knobs() if draw.random() < 0.7 else Knobs(rules=("trust", "image", "packing"))
+    knobs = OperatorSettings() if draw.random() < 0.7 else OperatorSettings(rules=("trust", "image", "packing"))
     ask = Ask(spec, priority=priority, sparing=sparing, due={"group-1"}, failed_on=frozenset({"vm-1", "vm-2"}))
     plain = Ask(spec, priority=priority, sparing=sparing, due={"group-1"}, failed_on=frozenset({"vm-1", "vm-2"}))
     found = rank(list(rooms), ask, count, knobs, random.Random(seed))
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -4,7 +4,7 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from ashtray.config.operators import Knobs
+from ashtray.config.operators import OperatorSettings
 from tests.model import CANCEL_S, SECOND, LateStart, Model, RuleBroken, submission
 from tests.model_troubles import Refusal
 from tests.test_addition import NEW, at_work, trouble
@@ -73,7 +73,7 @@
 
 
 def play(seed: int, jobs: list[dict], faults: list[tuple], hosts: int, group_size: int | None) -> Model:
-    model = Model(seed, hosts, Knobs(group_size=group_size))
+    model = Model(seed, hosts, OperatorSettings(group_size=group_size))
     begin(model, seed, jobs)
     for at_s, fault in faults:
         model.at(int(at_s * SECOND), lambda fault=fault: strike(model, fault))
