--- a/tests/test_meetings_load.py
+++ b/tests/test_meetings_load.py
@@ -17,7 +17,7 @@
 from ashtray.estimates.learned import MOST_CLASSES, MOST_JOBS, MOST_MEDIANS
 from ashtray.jobs.model import LIVE, OVER
 from ashtray.kernel import Reply
-from ashtray.placement.floor import MOST as MOST_SERVED
+from ashtray.placement.minimum_share import MOST as MOST_SERVED
 from ashtray.placement.picture import EPS, GROUP, MAX_OVER
 from tests import model as model_module
 from tests.fakes.worker import Key
@@ -170,7 +170,7 @@
 
 HISTORIES = {
     "Picture.over": MAX_OVER,
-    "Floor._served": MOST_SERVED,
+    "MinimumShare._served": MOST_SERVED,
     "Estimates._medians": MOST_MEDIANS,
     "Estimates._jobs": MOST_JOBS,
     # As many entries for each of the cached distributions.
--- a/tests/test_meetings_machines.py
+++ b/tests/test_meetings_machines.py
@@ -18,7 +18,7 @@
 from ashtray.config.operators import Knobs
 from ashtray.jobs.model import LIVE, Job, JobRecord, JobSpec
 from ashtray.kernel import Call, Reply
-from ashtray.placement import lean
+from ashtray.placement import compact_record
 from ashtray.placement.picture import (
     ADOPTED,
     GROUP,
@@ -99,7 +99,7 @@
         if path == "/txn" and status == 200:
             for change in body.get("apply", ()):
                 if change.get("put", "").startswith(GROUP):
-                    machines = lean.unpack(change["value"])["machines"]
+                    machines = compact_record.unpack(change["value"])["machines"]
                     self.signed.update((name, raw.get("token", 0)) for name, raw in machines.items())
         return status, answer
 
@@ -183,7 +183,7 @@
         return [
             key
             for key, (value, _, _) in self.state.keys.items()
-            if key.startswith(GROUP) and name in lean.unpack(value)["machines"]
+            if key.startswith(GROUP) and name in compact_record.unpack(value)["machines"]
         ]
 
     def until(self, happened: Callable[[], bool], seconds: float, step_s: float = 0.05) -> bool:
@@ -284,11 +284,11 @@
     leader = model.leader()
     assert leader is not None
     model.crash(leader.number, CRASH_BACK_S)
-    assert model.until(lambda: (heir := model.leader()) is not None and heir.core.runner.listed_us > 0, 10)
+    assert model.until(lambda: (heir := model.leader()) is not None and heir.core.runner.inventory.listed_us > 0, 10)
     heir = model.leader()
     there = {machine for machines in model.on.values() for machine in machines}
     # The meeting: the heir has read its list, and what works is not in it.
-    assert there - set(heir.core.runner.listed)
+    assert there - set(heir.core.runner.inventory.listed)
     settle(model)
     assert all(len(starts) == 1 for starts in model.task_starts.values())
 
@@ -308,7 +308,7 @@
     name = next(iter(model.workers))
     model.run(5)
     # The meeting: it is listed as running, and has reported to nobody.
-    assert model.leader().core.runner.listed.get(name) == "running" and model.refused_connections
+    assert model.leader().core.runner.inventory.listed.get(name) == "running" and model.refused_connections
     assert model.groups_of(name) == []
     settle(model)
     assert all(len(model.groups_of(name)) <= 1 for name in model.workers)
@@ -408,7 +408,7 @@
         model.cut(f"c{model.leader().number}", report["berth"], 4, False)
     former, heir = end_of_leader(model, back_s=1.0 if at_once else CRASH_BACK_S)
     if when == "after it has decided":
-        assert model.until(lambda: model.hosts[heir].core.runner.takeover.decided, 20)
+        assert model.until(lambda: model.hosts[heir].core.runner.handover.takeover.decided, 20)
     elif at_once:
         assert model.until(lambda: ready(model.hosts[former]), 20)
     there = [host.number for host in model.hosts if host.core is not None]
@@ -554,7 +554,8 @@
     """Whether the records in the state service say that a task is done, or that its job is."""
     if f"ashtray/over/{job_id}" in model.state.keys:
         return True
-    groups = [lean.unpack(value) for key, (value, _, _) in model.state.keys.items() if key.startswith(GROUP)]
+    records = [value for key, (value, _, _) in model.state.keys.items() if key.startswith(GROUP)]
+    groups = map(compact_record.unpack, records)
     by_groups = (decode_runs(group.get("done", {}).get(job_id, "")) for group in groups)
     return any(task in tasks for tasks in by_groups)
 
@@ -564,7 +565,7 @@
 
     def says(body: dict[str, Any]) -> bool:
         puts = (c["value"] for c in body["apply"] if c.get("put", "").startswith(GROUP))
-        return any(0 in decode_runs(lean.unpack(value).get("done", {}).get(job_id, "")) for value in puts)
+        return any(0 in decode_runs(compact_record.unpack(value).get("done", {}).get(job_id, "")) for value in puts)
 
     return says
 
@@ -678,10 +679,11 @@
     since_us = model.now
     model.mute[name] = model.now + 300 * SECOND
     # Small jobs come all the time, and some of them are given room there.
-    for n in range(60):
-        job = submission(f"job-{10 + n}", pieces=1, cpus=0.5, crew="free", hulls=["small"], expect_s=4.0)
-        model.at(n * SECOND // 2, lambda job=job: model.submit(job))
-    assert model.until(lambda: name not in model.workers, LEASE_S + 4 + 4)
+    model.run_s = lambda key: 60.0 if int(key[0].removeprefix("job-")) < 10 else 1.0
+    for n in range(80):
+        job = submission(f"job-{10 + n}", pieces=1, cpus=0.5, crew="free", hulls=["small"], expect_s=1.0)
+        model.at(n * SECOND // 4, lambda job=job: model.submit(job))
+    assert model.until(lambda: name not in model.workers, LEASE_S + 4 + 2)
     assert name in model.cloud.deleted
     # The meeting: orders reached it straight, some of them to begin tasks.
     orders = [order for sent in direct_to(model, name, since_us) for order in sent]
