--- a/ashtray/placement/picture.py
+++ b/ashtray/placement/picture.py
@@ -11,7 +11,7 @@
 from ashtray.jobs.cancellations import CancellationLog
 from ashtray.jobs.model import LIVE, MOST_LATER, OVER, UNLIMITED, Job
 from ashtray.jobs.needs import Needs
-from ashtray.placement import lean
+from ashtray.placement import compact_record as lean
 from ashtray.runs import decode_runs, encode_runs
 from ashtray.store.client import Limits, Txn
 
@@ -28,7 +28,7 @@
 SPLIT = "ashtray/now/split/"
 """For a group that is too large to be written: up to which of its machines have been moved to other groups."""
 ESTIMATE = "ashtray/now/estimate/"
-"""What was learnt of run times: see `estimates/keeping.py`."""
+"""What was learnt of run times: see `estimates/estimate_store.py`."""
 EPS = 1e-6
 SICK = 3
 """The blame from which on a machine is returned: two jobs, at least one of which works elsewhere, or three."""
--- a/tests/test_meetings_load.py
+++ b/tests/test_meetings_load.py
@@ -17,7 +17,7 @@
 from ashtray.estimates.learned import MOST_CLASSES, MOST_JOBS, MOST_MEDIANS
 from ashtray.jobs.model import LIVE, OVER
 from ashtray.kernel import Reply
-from ashtray.placement.floor import MOST as MOST_SERVED
+from ashtray.placement.minimum_share import MOST as MOST_SERVED
 from ashtray.placement.picture import EPS, GROUP, MAX_OVER
 from tests import model as model_module
 from tests.fakes.worker import Key
@@ -139,7 +139,7 @@
     def queues(self) -> int:
         """What waits in the controllers: transactions for their budget, and jobs for their acceptance."""
         stores = [host.core.store for host in self.hosts]
-        accepting = sum(host.core.jobs.accepting.waiting() for host in self.hosts)
+        accepting = sum(host.core.jobs.submitting.accepting.waiting() for host in self.hosts)
         return accepting + sum(len(store.changes.waiting) + len(store.requests.waiting) for store in stores)
 
 
@@ -170,7 +170,7 @@
 
 HISTORIES = {
     "Picture.over": MAX_OVER,
-    "Floor._served": MOST_SERVED,
+    "MinimumShare._served": MOST_SERVED,
     "Estimates._medians": MOST_MEDIANS,
     "Estimates._jobs": MOST_JOBS,
     # As many entries for each of the cached distributions.
