--- a/tests/model_troubles.py
+++ b/tests/model_troubles.py
@@ -242,6 +242,8 @@
 
     def _look_for_new_leader(self, host: Host) -> None:
         """Give the kept copies to everybody as soon as another controller runs the fleet."""
+        if host.core is None:
+            return
         key = (host.number, host.life)
         if host.core.runner.running and key not in self._leaders:
             self._leaders.add(key)
