Let a new runner of the fleet go on counting the silence of machines

Cause: each term counted it anew, and tasks of cancelled jobs on hung machines outlasted cancel_s when the leader changed.

Change: the book told to heirs says how long machines that have missed reports have been silent; it counts once the peers have had time to say whom they hear.

--- a/ashtray/fleet/handover.py
+++ b/ashtray/fleet/handover.py
@@ -68,6 +68,7 @@
                 if refusal.until_us > now_us
             ],
             [(*kind, ratio) for kind, ratio in sorted(self.boot_times.ratios().items())],
+            latest(self.inventory.quiet()),
         )
 
     def _read_book(self, term: NewTerm) -> None:
@@ -79,6 +80,8 @@
             return
         self.inventory.deleted.update((name, at_us - age_us) for name, age_us in book.gone.items())
         self.inventory.idle_since.update((name, at_us - age_us) for name, age_us in book.idle.items())
+        # Counted anew with each term, a silent machine would keep the tasks of a cancelled job beyond `cancel_s`.
+        self.inventory.told_heard_us.update((name, at_us - age_us) for name, age_us in book.silent.items())
         for name, zone, spot, pause_us, times in book.blocked:
             self.backoff.refusals[MachineKind(name, zone, spot)] = Refusal(at_us + pause_us, times)
         for name, zone, spot, ratio in book.boots:
--- a/ashtray/fleet/machine_inventory.py
+++ b/ashtray/fleet/machine_inventory.py
@@ -20,6 +20,10 @@
 PAGE_SIZE = 500
 RUNNING, FAILED = "running", "failed"
 """States of a machine in the cloud's list."""
+INFORMED_WORDS = 3
+"""After so many pauses between their words all peers have told a new runner whom they hear."""
+QUIET_REPORTS = 2.5
+"""A machine is quiet after so many times the interval of reports: two are missing, each up to a quarter late."""
 DELETED_LAGS = 10
 """For how many times the list's lag a deleted machine is remembered."""
 
@@ -57,6 +61,10 @@
         self.idle_since: dict[str, int] = {}
         self.known_since: dict[str, int] = {}
         """When each machine with a record was first seen in this term."""
+        self.told_heard_us: dict[str, int] = {}
+        """When machines that had missed reports were last heard, by what the predecessor told."""
+        self._term_us = 0
+        """When this term began."""
         self._newest = ""
         """The last name that was ever listed."""
 
@@ -66,6 +74,8 @@
         self.listed_us = 0
         self.idle_since.clear()
         self.known_since.clear()
+        self.told_heard_us.clear()
+        self._term_us = self.kernel.now_us
 
     def list_lag_us(self) -> int:
         """How far the cloud's list may be behind, with a reserve."""
@@ -149,8 +159,18 @@
         until = min(now, self.peers.all_word_us(mute))
         heard = self.peers.last_heard()
         awake_us = self.kernel.awake_us
+        # Only the runner is told who hears which worker: peers need some time to say so to a new one.
+        informed = until - self._term_us > INFORMED_WORDS * self.peers.word_us
         found = {}
         for name, machine in self.base.picture.machines.items():
-            last = max(heard.get(name, 0), self.known_since.setdefault(name, now), awake_us)
+            since_us = self.known_since.setdefault(name, now)
+            if informed:
+                since_us = min(since_us, self.told_heard_us.get(name, since_us))
+            last = max(heard.get(name, 0), since_us, awake_us)
             found[name] = 0 if mute and presence.foreman(machine.group) in mute else max(until - last, 0)
         return found
+
+    def quiet(self) -> dict[str, int]:
+        """The silences (us) of machines that have missed reports, for the successor of this runner."""
+        quiet_us = QUIET_REPORTS * self.base.settings.cluster.workers.report_s * SECOND_US
+        return {name: us for name, us in self.silences().items() if us > quiet_us}
--- a/ashtray/standby/book.py
+++ b/ashtray/standby/book.py
@@ -33,6 +33,8 @@
     """Kinds that the cloud refused: for how much longer not to ask, and how often it was."""
     boots: list[tuple[str, str, bool, Annotated[float, msgspec.Meta(gt=0, le=100)]]] = []
     """How many times the catalogue's boot time each kind takes."""
+    silent: dict[str, Age] = {}
+    """For how long nobody has heard machines that have missed some reports."""
 
 
 def latest(ages: dict[str, int]) -> dict[str, int]:
--- a/tests/meeting_model.py
+++ b/tests/meeting_model.py
@@ -154,7 +154,8 @@
 
     def runner(self) -> int | None:
         """The controller that runs the fleet."""
-        return next((host.number for host in self.live() if host.core.runner.running), None)
+        awake = [host for host in self.live() if host.halted_until <= self.now]
+        return next((host.number for host in awake if host.core.runner.running), None)
 
     def live(self) -> list[Host]:
         """The controllers that run."""
--- a/tests/mutants/ownership.py
+++ b/tests/mutants/ownership.py
@@ -27,4 +27,9 @@
         "tasks = self._placeable(job, tasks, theirs)",
         "pass",
     ),
+    "silence-counted-anew": (
+        "ashtray/fleet/machine_inventory.py",
+        "since_us = min(since_us, self.told_heard_us.get(name, since_us))",
+        "pass",
+    ),
 }
--- a/tests/test_meetings_limits.py
+++ b/tests/test_meetings_limits.py
@@ -191,6 +191,48 @@
     assert model.state.revision - changes < 20
 
 
+@pytest.mark.parametrize("change_s", some([4.0, 9.0], [6.0, 11.0]))
+@pytest.mark.parametrize("how", ["crash", "hand over", "refused", "halt"])
+def test_cancelled_tasks_on_hung_machines_are_gone_in_time_though_the_leader_changes(
+    how: str, change_s: float
+) -> None:
+    # Found here: each new runner counted the silence anew, and 26 s passed with one change.
+    model = Meeting(83)
+    model.begin(batch(n) for n in range(6))
+    names = sorted(model.machines_of("job-0"))
+    leader = model.runner()
+    assert leader is not None
+    model.nodes = [number for number in range(3) if number != leader]
+    model.hang(names, 60)
+    model.cancel("job-0")
+    model.run(change_s)
+    # The meeting: the tasks are on machines that hang as the leader changes.
+    assert model.jobs["job-0"].told == "cancelled" and model.machines_of("job-0") == set(names)
+    model.change(how, leader, 40)
+    # The model's check, each half second, would see what is left after `CANCEL_S`.
+    model.run(CANCEL_S + 5)
+    assert model.runner() not in (None, leader)
+    assert model.gone_s("job-0") <= CANCEL_S
+
+
+@pytest.mark.parametrize("away_s", [3.0, 6.5])
+def test_a_machine_that_was_silent_for_a_while_before_the_leader_changed_is_kept(away_s: float) -> None:
+    model = Meeting(84)
+    model.begin(batch(n) for n in range(6))
+    leader = model.runner()
+    assert leader is not None
+    # One that reports to the leader would be silent for the timeout of its next report as well.
+    names = [name for name in sorted(model.workers) if model.owner(name) != leader][:3]
+    assert names
+    model.hang(names, away_s)
+    # What the leader tells last is that they are silent; they are heard again before another one follows.
+    model.run(away_s - 0.2)
+    model.hosts[leader].halted_until = model.now + 40 * SECOND
+    model.run(40)
+    assert model.runner() not in (None, leader)
+    assert set(names) <= set(model.workers)
+
+
 # Everything at once
 
 
