--- a/ashtray/fleet/machine_inventory.py
+++ b/ashtray/fleet/machine_inventory.py
@@ -163,10 +163,10 @@
         informed = until - self._term_us > INFORMED_WORDS * self.peers.word_us
         found = {}
         for name, machine in self.base.picture.machines.items():
-            since_us = self.known_since.setdefault(name, now)
-            if informed:
-                since_us = min(since_us, self.told_heard_us.get(name, since_us))
-            last = max(heard.get(name, 0), since_us, awake_us)
+            last = max(heard.get(name, 0), self.known_since.setdefault(name, now), awake_us)
+            told_us = self.told_heard_us.get(name)
+            if informed and told_us is not None:
+                last = max(heard.get(name, 0), told_us, awake_us)
             found[name] = 0 if mute and presence.foreman(machine.group) in mute else max(until - last, 0)
         return found
 
--- a/tests/mutants/ownership.py
+++ b/tests/mutants/ownership.py
@@ -29,7 +29,7 @@
     ),
     "silence-counted-anew": (
         "ashtray/fleet/machine_inventory.py",
-        "since_us = min(since_us, self.told_heard_us.get(name, since_us))",
-        "pass",
+        "if informed and told_us is not None:",
+        "if False:",
     ),
 }
