--- a/ashtray/estimates/keeping.py
+++ b/ashtray/estimates/estimate_store.py
@@ -1,9 +1,10 @@
-"""What was learnt, kept in the state service: few bounded records, into which each controller folds what it has seen.
+"""Learnt run times in the state service: a few bounded records, to which each controller adds what it has observed.
 
-A record says which of each controller's folds it holds, so that one without an answer counts once: a later version of
-the record shows whether it was applied, and until there is one the same fold is sent again.  All of these guard the
-same version, so one at most is applied.  The records lie under `now/`, so a controller that starts has them with its
-first picture, before its first placement.
+Such an addition is called a fold.  A record names the last fold of each controller that is in it, so that one whose
+commit got no answer counts once (safety point 20 of `docs/design.md`): a later version of the record shows whether it
+was applied, and until there is one the same fold is sent again.  All of these guard the same version, so one at most
+is applied.  The records lie under `now/`, so a controller that starts has them with its first picture, before its
+first placement.
 """
 
 from __future__ import annotations
@@ -34,7 +35,7 @@
 MOST_COUNT = 60_000.0
 
 
-class Record(msgspec.Struct):
+class EstimateRecord(msgspec.Struct):
     """`rows`: for each level its numbers; `applied`: for each controller its incarnation and its last fold here."""
 
     form: int
@@ -42,7 +43,7 @@
     rows: dict[str, str]
 
 
-class Unreadable(Exception):
+class UnreadableRecord(Exception):
     """A record that this version cannot read, or that is damaged."""
 
 
@@ -57,27 +58,30 @@
 
 
 def pack(row: array[float]) -> str:
+    """The text of a level's numbers in a record."""
     counts = [min(count, MOST_COUNT) for count in row[MOMENTS:]]
     return base64.b64encode(_ROW.pack(*row[:MOMENTS], *counts)).decode("ascii")
 
 
 def unpack(text: str) -> array[float]:
+    """The numbers of a level; raises `UnreadableRecord` where the text is damaged."""
     try:
         numbers = _ROW.unpack(base64.b64decode(text, validate=True))
     except (ValueError, struct.error) as error:
-        raise Unreadable(f"a row cannot be read: {error}") from None
+        raise UnreadableRecord(f"a row cannot be read: {error}") from None
     if len(numbers) != WIDTH or any(number != number or abs(number) > 1e9 for number in numbers):
-        raise Unreadable("a row holds what is no number")
+        raise UnreadableRecord("a row holds what is no number")
     return array("f", numbers)
 
 
-def read(value: Any) -> Record:
+def read(value: Any) -> EstimateRecord:
+    """A record from its value; raises `UnreadableRecord` for one that is damaged or of a later form."""
     try:
-        record = msgspec.convert(value, Record)
+        record = msgspec.convert(value, EstimateRecord)
     except msgspec.ValidationError as error:
-        raise Unreadable(str(error)) from None
+        raise UnreadableRecord(str(error)) from None
     if record.form > FORM:
-        raise Unreadable(f"it is of form {record.form}, and this version reads up to {FORM}")
+        raise UnreadableRecord(f"it is of form {record.form}, and this version reads up to {FORM}")
     return record
 
 
@@ -90,14 +94,14 @@
 
 
 def folded(
-    record: Record | None, host: str, fold: tuple[int, int], rows: dict[str, array[float]], most_bytes: int
-) -> Record:
+    record: EstimateRecord | None, host: str, fold: tuple[int, int], rows: dict[str, array[float]], most_bytes: int
+) -> EstimateRecord:
     """A record with one controller's fold added; of too many levels those with the least data give way."""
-    old = record or Record(FORM, {}, {})
+    old = record or EstimateRecord(FORM, {}, {})
     found = {key: unpack(text) for key, text in old.rows.items()}
     for key, row in rows.items():
         found[key] = merge(found[key], row) if key in found else row
-    new = Record(FORM, {**old.applied, host: fold}, {key: pack(row) for key, row in found.items()})
+    new = EstimateRecord(FORM, {**old.applied, host: fold}, {key: pack(row) for key, row in found.items()})
     size = len(msgspec.json.encode(new))
     for key, _ in sorted(found.items(), key=lambda entry: (entry[0] != "", entry[1][N])):
         if size <= most_bytes:
@@ -107,7 +111,7 @@
     return new
 
 
-class Keeper:
+class EstimateStore:
     """Reads the records into what this controller knows, and folds into them what it has seen."""
 
     def __init__(self, base: Base, presence: Presence, estimates: Estimates) -> None:
@@ -123,6 +127,7 @@
         self._folded_us = 0
 
     def key(self, shard: int) -> str:
+        """The key of a shard's record."""
         return f"{ESTIMATE}{shard}"
 
     def changed(self) -> None:
@@ -136,7 +141,7 @@
             try:
                 record = read(value)
                 rows = {name: unpack(text) for name, text in record.rows.items()}
-            except Unreadable as error:
+            except UnreadableRecord as error:
                 if key not in self._broken:
                     self._broken.add(key)
                     self.base.kernel.log("error", f"{key} is left alone: {error}")
@@ -145,7 +150,7 @@
             self._settle(int(key.removeprefix(ESTIMATE)), record)
             self.estimates.know(rows)
 
-    def _settle(self, shard: int, record: Record) -> None:
+    def _settle(self, shard: int, record: EstimateRecord) -> None:
         """See in a record whether it holds the fold without an answer; no later version can, if this one does not."""
         sent = self._unanswered.get(shard)
         if sent is None or self.base.picture.version(self.key(shard)) <= sent.version:
@@ -155,6 +160,7 @@
             self.estimates.unfold(sent.rows)
 
     def run(self) -> Fiber[None]:
+        """Add what was observed to the record of one shard, if it is time for that and changes are not scarce."""
         base = self.base
         yield Sleep(LOOK_US)
         if not base.knobs.keep_estimates:
@@ -217,6 +223,6 @@
             record = read(base.picture.estimates[key]) if key in base.picture.estimates else None
             most = int(base.limits.least_value_bytes * 0.9)
             new = folded(record, base.settings.host_name, fold, rows, most)
-        except Unreadable:
+        except UnreadableRecord:
             return None
         return Txn().guard(key, base.picture.version(key)).put(key, msgspec.to_builtins(new))
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -10,7 +10,7 @@
 
 from ashtray.config.operators import Knobs
 from ashtray.jobs.model import LIVE, JobRecord, JobSpec
-from ashtray.placement import lean
+from ashtray.placement import compact_record
 from ashtray.placement.picture import GROUP, GroupRecord, HoldRecord, Machine, MachineRecord, MachineType, Picture
 from ashtray.placement.rules import FEW_GROUPS, PREFERENCES, Ask, Room, rank, valid
 from ashtray.standby.book import latest
@@ -84,7 +84,7 @@
         for n, name in enumerate(names(group_size(KIND, limits)))
     }
     value = msgspec.to_builtins(GroupRecord("big", "a", machines))
-    assert lean.size_of(lean.pack(value) if alike else value) <= limits.value_bytes
+    assert compact_record.size_of(compact_record.pack(value) if alike else value) <= limits.value_bytes
 
 
 def test_a_start_reads_pages_by_the_keys_that_are_live_and_adopts_by_the_group() -> None:
@@ -257,6 +257,17 @@
         job: {key: (hold.record, hold.tasks) for key, hold in held.items()} for job, held in picture.held.items()
     }
     names = ["crew", "free"]
+    leaving = {}
+    for job, held in picture.held.items():
+        live = picture.jobs.get(job)
+        ends = [
+            (name, id(hold))
+            for (name, _), hold in held.items()
+            if live is None or hold.record.stop_us >= 0 or hold.attempt <= live.record.broken
+        ]
+        if ends:
+            leaving[job] = sorted(ends)
+    assert {job: sorted((name, id(h)) for name, h in held) for job, held in picture.leaving().items()} == leaving
     return {
         "machines": {name: (machine.raw, machine.group) for name, machine in picture.machines.items()},
         "holds": holds,
@@ -287,7 +298,7 @@
             value = plain[key]
             if packed:
                 before = stored.get(key)
-                value = lean.pack(value, before and before[0], set(value["machines"]))
+                value = compact_record.pack(value, before and before[0], set(value["machines"]))
         if value is None:
             stored.pop(key, None)
             picture.remove(key, version)
