--- a/tests/test_addition.py
+++ b/tests/test_addition.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from ashtray.config.operators import Knobs
-from ashtray.placement import order
+from ashtray.placement import queue_order
 from tests.model import LEASE_S, REPORT_S, Model, RuleBroken, submission
 from tests.test_model import JOB, RUNS, apply, begin, finish
 
@@ -283,7 +283,7 @@
 
 
 def test_the_largest_begins_on_one_machine_and_leaves_the_room_to_the_others(monkeypatch):
-    monkeypatch.setattr(order, "BEGIN_US", 8 * SECOND)
+    monkeypatch.setattr(queue_order, "BEGIN_US", 8 * SECOND)
     model = Model(5, 3)
     model.checks()
     for host in model.hosts:
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -403,7 +403,7 @@
 def test_the_checker_sees_a_job_that_is_accepted_though_it_can_never_run():
     model = busy()
     for host in model.hosts:
-        host.core.jobs.refusal = lambda spec: None
+        host.core.jobs.submitting.refusal = lambda spec: None
     model.odd_requests(5)
     with pytest.raises(RuleBroken, match="accepted: 201 instead of 422"):
         model.run(5)
