Ask for a share for the job behind gangs only

A controller asks for its first job, and for the next one where that is a gang, which may fit nowhere.

--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -46,7 +46,7 @@
 
 
 MOST_SHORT = 8
-"""So many jobs of a team that its share does not allow are remembered in one round."""
+"""So many gangs of a team that its share does not allow are remembered in one round, at the most."""
 
 
 @dataclass(frozen=True)
@@ -342,8 +342,13 @@
                 self._again()
 
     def _note_short(self, short: ShortJob) -> None:
+        """Remember a job to ask a share for: the first of its team, and the one behind gangs, which may fit nowhere.
+
+        Asking for more of them moved shares to and fro between controllers that all had use for them.
+        """
         jobs = self._short.setdefault(short.job.spec.team, [])
-        if len(jobs) < MOST_SHORT:
+        behind_gangs = all(known.job.spec.kind == "gang" for known in jobs)
+        if behind_gangs and len(jobs) < MOST_SHORT:
             jobs.append(short)
 
     def _shares_for(self, team: str, jobs: list[ShortJob]) -> Txn | None:
