--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -377,7 +377,7 @@
         full fleet nearly all processor time went into looking for it again for each gang that waited.
         """
         spec = job.spec
-        # How a job that is spread may go on depends on where its own tasks are, and one of a single zone is bound to it.
+        # How a job that is spread may go on depends on where its own tasks are; one of a single zone is bound to it.
         alone = (spec.spread and job.id, plan.ask(job).zone)
         spared = self.planner.floor.spared(job)
         alike = (*demand(spec), job.priority, spec.team, job.id in inside, alone, spared)
--- a/tests/test_meetings_machines.py
+++ b/tests/test_meetings_machines.py
@@ -922,7 +922,7 @@
     full = {"vm-a0": MachineRecord("x:1", holds=[hold])}
     picture.put(GROUP + "a", msgspec.to_builtins(GroupRecord("small", "a", full)), 3)
     picture.put(GROUP + "b", msgspec.to_builtins(GroupRecord("small", "b", {"vm-b0": MachineRecord("x:1")})), 4)
-    plan = Plan(picture, {}, Knobs(), random.Random(1), Limits(16, 60_000, 32_768))
+    plan = Plan(picture, {}, OperatorSettings(), random.Random(1), Limits(16, 60_000, 32_768))
     # The first has a task in zone a, where there is no room; the second, which is like it, has none yet.
     assert plan.place(picture.jobs["job-1"], 2, 0.0) == []
     assert [(room.machine.name, n) for room, n in plan.place(picture.jobs["job-2"], 3, 0.0)] == [("vm-b0", 1)]
