Test that a statement of cancellations counts from when it was asked for

The mutant that counts it from its arrival was not caught: a statement is waited for a second at most, which the bound's reserve covers. The test compares the moment that is counted with the one at which the peer made the statement.

--- a/tests/test_meetings_gap.py
+++ b/tests/test_meetings_gap.py
@@ -431,3 +431,34 @@
     # Some were started before, and some were cancelled before that.
     assert all(told) and 10 < model.starts - before < 80
     assert late == []
+
+
+def test_a_statement_counts_from_when_it_was_asked_for(monkeypatch):
+    model = Model(3, HOSTS)
+    # Answers between controllers take most of the time that they are waited for.
+    path = model._path
+    monkeypatch.setattr(model, "_path", lambda a, b: 300_000 if a[0] == b[0] == "c" else path(a, b))
+    made: dict[str, int] = {}
+    counted: list[tuple[int, int]] = []
+    for host in model.hosts:
+        peers, name = host.core.peers, host.core.settings.host_name
+        statement = peers._statement
+
+        def state(beyond, statement=statement, name=name):
+            made[name] = model.now
+            return statement(beyond)
+
+        monkeypatch.setattr(peers, "_statement", state)
+    core = model.hosts[0].core
+    stated = core.renewal.stated
+
+    def count(peer, asked_us):
+        counted.append((asked_us - SECOND, made[peer]))
+        stated(peer, asked_us)
+
+    monkeypatch.setattr(core.renewal, "stated", count)
+    model.run(20)
+    assert len(counted) > 10
+    # What a peer told between its statement and the arrival of that is not in it.
+    assert all(asked_us < made_us < model.now for asked_us, made_us in counted)
+    assert min(made_us - asked_us for asked_us, made_us in counted) >= 300_000
