--- a/tests/test_meetings_gap.py
+++ b/tests/test_meetings_gap.py
@@ -12,6 +12,8 @@
 
 from ashtray.config.settings import WorkerTimes
 from ashtray.jobs.cancellations import MOST_ENTRIES, CancellationLog
+from ashtray.kernel import Reply
+from ashtray.peers.announcements import PATH
 from ashtray.workers.renewal import CLOCK_DRIFT, WORKER_DELAY_US, RenewalGuard, renewal_bound_us
 from tests.model import CANCEL_S, LEASE_S, REPORT_S, Model, RuleBroken, submission
 from tests.test_model import RUNS
@@ -462,3 +464,23 @@
     # What a peer told between its statement and the arrival of that is not in it.
     assert all(asked_us < made_us < model.now for asked_us, made_us in counted)
     assert min(made_us - asked_us for asked_us, made_us in counted) >= 300_000
+
+
+@pytest.mark.parametrize("how", REFUSALS)
+def test_statements_alone_end_the_tasks_where_every_announcement_is_lost(how):
+    model, owner = deploy(3)
+    send = model.send
+    lost = []
+
+    def losing(source, call, deliver):
+        if call.path == PATH:
+            lost.append(call.body["cancelled"])
+            model.at(call.timeout_us, lambda: deliver(Reply(0)))
+        else:
+            send(source, call, deliver)
+
+    model.send = losing
+    cancelled = meet(model, owner, how)
+    model.run(2 + 2 * REPORT_S)
+    assert lost and not left_of(model, cancelled)
+    assert len(model.on) == 9
