--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,31 +1,35 @@
-"""Case 1: more tasks on a machine than a report may name.  See claim.txt."""
+"""Case 1: placements that are too large for one transaction are sent again without end.  See claim.txt."""
 
 from __future__ import annotations
 
 import asyncio
 from pathlib import Path
 
-from review.standins.stage import Stage, job, play
+from review.standins.stage import SPINNER, Stage, job, play
 
-# The machine type of the protocol page's example, in one zone.
-G8 = {
-    "name": "g8", "cpus": 96.0, "cards": 8.0, "memory_gb": 768.0, "local_gb": 200.0, "pull_gb_per_s": 1.0,
-    "rate": 12.0, "spot_price": 4.5, "ready_s": 5.0, "yards": ["a"],
-}  # fmt: skip
-TASKS, RUN_S = 480, 20.0
+JOBS = 6
+"""How many jobs of the class come at once."""
 BURST = 4
-"""How many times as many jobs of the class come (the page's days have 2 to 4)."""
-WAIT_S = 90.0
-"""The page's time after which no job may be left waiting; a job's own tasks run for RUN_S, all at once."""
+"""How many times as many come in a burst (the page's days have 2 to 4)."""
+TYPES = [
+    {**SPINNER, "name": f"standard-16cpu-64gb-trent-rack-gen-{n:03d}", "rate": 0.86 + 0.01 * n} for n in range(1, 121)
+]
+"""The machine types of the cloud.  The jobs allow all but four of them: 5 KB of a submission's 64 KiB."""
+RUN_S = 5.0
+LIMIT_S = 90.0
+"""The page's time for which no job may be left waiting while a machine that fits has room."""
 
 
 async def case(folder: Path, trouble: bool) -> int:
     """Play the case and return the exit code."""
     stage = Stage(
         folder,
-        types=[G8],
-        teams=[{"name": "reader-app", "cpus": 520.0, "cpus_max": 1744.0}],
-        boot_s=lambda machine: 2.0,
+        types=TYPES,
+        teams=[
+            {"name": "reader-app", "cpus": 520.0, "cpus_max": 1744.0},
+            {"name": "studio-tools", "cpus": 584.0, "cpus_max": 1456.0},
+        ],
+        boot_s=lambda machine: 3.0,
         run_s=lambda key: RUN_S,
     )
     try:
@@ -34,33 +38,36 @@
             await stage.run_controller(n)
         if not await stage.wait_up():
             return 2
-        jobs = [f"job-{n:06d}" for n in range(1, (BURST if trouble else 1) + 1)]
-        for n, name in enumerate(jobs):
-            fields = {"lane": "thumb-swarm", "pieces": TASKS, "cpus": 0.05, "memory_gb": 0.1, "expect_s": RUN_S}
-            if not await stage.submit(job(name, **fields), n % stage.controllers):
-                return 2
-        submitted_at = stage.at()
-        states: dict[str, str | None] = {}
-        while stage.at() < submitted_at + WAIT_S + 5.0:
-            await asyncio.sleep(3.0)
-            for n, name in enumerate(jobs):
-                states[name] = await stage.poll(name, n % stage.controllers) or states.get(name)
-            for name, worker in stage.workers.items():
-                going = sum(task.on_machine for task in worker.tasks.values())
-                done = len(worker.done)
-                stage.note(f"{name}: {going} tasks are going, {done} have completed, session {worker.session}")
-            if all(states[name] == "done" for name in jobs):
-                stage.note("all jobs are done")
-                return 0
-        if not stage.starts:
+        await asyncio.sleep(1.0)
+        names = [f"job-{n:06d}" for n in range(1, JOBS * (BURST if trouble else 1) + 1)]
+        hulls = [kind["name"] for kind in TYPES[:-4]]
+        fields = {"lane": "thumb-swarm", "cpus": 0.5, "memory_gb": 1.0, "expect_s": RUN_S, "hulls": hulls}
+        accepted = await asyncio.gather(*(stage.submit(job(name, **fields)) for name in names))
+        other = "job-000900"
+        await asyncio.sleep(1.0)
+        await stage.submit(job(other, crew="studio-tools", expect_s=RUN_S))
+        names.append(other)
+        if not all(accepted):
             return 2
-        unfinished = [name for name in jobs if states[name] != "done"]
-        killed = sum(tasks for _, _, tasks in stage.expired)
-        stage.note(
-            f"broken: {WAIT_S:.0f} s after their submission {unfinished} are not done; {len(stage.refused_reports)} "
-            f"reports were refused, {len(stage.expired)} leases ended, {killed} tasks were killed by that"
-        )
-        return 1
+        since: dict[str, float] = {}
+        asked_at = 0.0
+        while True:
+            await asyncio.sleep(0.5)
+            waiting = set(names) - {key[0] for _, _, key in stage.starts}
+            if not waiting:
+                stage.note("all jobs have started")
+                return 0
+            room = set.intersection(*(stage.with_room(stage.jobs[name]) for name in waiting))
+            since = {name: since.get(name, stage.at()) for name in room}
+            if stage.at() - asked_at > 10.0:
+                asked_at = stage.at()
+                for name in (names[0], other):
+                    await stage.poll(name, 1)
+                stage.note(f"{len(waiting)} jobs wait; machines with room for them: {sorted(room)}")
+            waited = max((stage.at() - at for at in since.values()), default=0.0)
+            if waited > LIMIT_S:
+                stage.note(f"broken: {sorted(waiting)} have waited for {waited:.0f} s while {sorted(since)} had room")
+                return 1
     finally:
         await stage.stop()
 
--- a/review/standins/stage.py
+++ b/review/standins/stage.py
@@ -330,6 +330,19 @@
         }
         return len(there) == self.jobs[job]["pieces"]
 
+    def with_room(self, spec: dict[str, Any]) -> set[str]:
+        """The machines that a job allows, that are up without a notice, and that have room for one of its tasks."""
+        found = set()
+        names = ("cpus", "cards", "memory_gb")
+        for name, worker in self.workers.items():
+            if worker.notice_us is not None or (spec["hulls"] is not None and worker.type not in spec["hulls"]):
+                continue
+            kind = next(kind for kind in self.types if kind["name"] == worker.type)
+            going = [self.jobs[task.key[0]] for task in worker.tasks.values() if task.state != "ended"]
+            if all(kind[n] - sum(known[n] for known in going) >= spec[n] for n in names):
+                found.add(name)
+        return found
+
     async def _worker(self, machine: Rented, boot_s: float) -> None:
         await asyncio.sleep(boot_s)
         if machine.ended_us is not None:
