Review: the records show orders and the ends of tasks

Cause: the record of a run lacked what workers were told and when tasks left their machines.

Change: the stand-ins write both.

--- a/review/standins/stage.py
+++ b/review/standins/stage.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 import tomllib
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -190,7 +191,6 @@
         self.muted: set[str] = set()
         self.jobs: dict[str, dict[str, Any]] = {}
         self.starts: list[tuple[float, str, Key]] = []
-        self.ends: list[tuple[float, str, Key, str]] = []
         self.refused_reports: list[tuple[float, str, int, int]] = []
         """When a report was answered with another status than 200 and 421: time, machine, status, bytes."""
         self.expired: list[tuple[float, str, int]] = []
@@ -300,11 +300,13 @@
         self.note(f"{machine}: {key[0]}/{key[2]} attempt {key[1]} starts")
 
     def _left(self, machine: str, key: Key) -> None:
-        worker = self.workers.get(machine)
-        cause = "machine gone"
-        if worker is not None:
-            cause = "done" if (key[0], key[2]) in worker.done else "stopped"
-        self.ends.append((self.at(), machine, key, cause))
+        self.note(f"{machine}: {key[0]}/{key[2]} attempt {key[1]} leaves the machine")
+
+    def _note_orders(self, machine: str, how: str, orders: list[dict[str, Any]], status: int) -> None:
+        if orders:
+            verbs = Counter(str(order["verb"]) for order in orders)
+            what = ", ".join(f"{count} {verb}" for verb, count in sorted(verbs.items()))
+            self.note(f"{machine} gets orders {how}: {what}; first {orders[0]}; the answer is {status}")
 
     def _boot(self, machine: Rented) -> int:
         self.addresses[machine.name] = f"127.0.0.1:{free_ports(1)[0]}"
@@ -319,7 +321,6 @@
             for task in worker.tasks.values():
                 if task.on_machine:
                     self.note(f"{name}: {task.key[0]}/{task.key[2]} attempt {task.key[1]} is lost with its machine")
-                    self.ends.append((self.at(), name, task.key, "machine gone"))
 
     def _gang_ready(self, job: str, attempt: int) -> bool:
         there = {
@@ -365,7 +366,11 @@
         self.note(f"{machine.name} ({machine.type}) is up")
 
         async def handle(method: str, path: str, body: Any) -> tuple[int, Any]:
-            return worker.orders(now_us(), body) if path == "/orders" else (200, worker.report())
+            if path != "/orders":
+                return 200, worker.report()
+            status, report = worker.orders(now_us(), body)
+            self._note_orders(machine.name, "directly", body.get("orders", []), status)
+            return status, report
 
         site = await self._serve(int(address.rpartition(":")[2]), handle)
         node = int(machine.name.removeprefix("vm-")) % self.controllers
@@ -404,6 +409,7 @@
                 if response.status == 200:
                     self._advance(worker)
                     worker.take_answer(now_us(), sent, sent_us, body)
+                    self._note_orders(worker.name, f"by berth-{node} in an answer", body.get("orders", []), 200)
                     return node
                 if response.status == 421 and body.get("foreman", f"berth-{node}") != f"berth-{node}":
                     await asyncio.sleep(0.3)
