Log the size of a transaction that the state service refuses

Cause: the log line of a refused transaction named its purpose alone. Writes, guards, the size of a value and the size of the whole request are limited separately, so the line could not tell which limit was exceeded. The fake of the state service counted the values only, where the protocol limits the whole request.

--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -303,7 +303,8 @@
                 # The same transaction must not be sent again.  If it exceeds the lower limits, they are in force now;
                 # any other refusal says nothing about the limits or about peers of the previous version.
                 self.refused = self.refused or self._exceeds_next_limits(txn)
-                self.kernel.log("error", f"the state service refuses a transaction ({purpose}): {reply.body}")
+                size = txn.describe_size()
+                self.kernel.log("error", f"the state service refuses a transaction ({purpose}, {size}): {reply.body}")
             if reply.status != 429:
                 break
             self.note_write_throttled()
@@ -447,6 +448,12 @@
         """Return the number of writes: puts and removals."""
         return len(self.puts) + len(self.removes)
 
+    def describe_size(self) -> str:
+        """Return what the state service limits, for the log: writes, guards, and bytes in all and of one value."""
+        total = len(msgspec.json.encode(self.body()))
+        largest = max((len(msgspec.json.encode(value)) for value in self.puts.values()), default=0)
+        return f"{self.write_count()} writes, {len(self.guards)} guards, {total} bytes, largest value {largest} bytes"
+
     def body(self) -> dict[str, Any]:
         """Return the body of the request in the state service's format."""
         apply: list[dict[str, Any]] = []
--- a/tests/fakes/state.py
+++ b/tests/fakes/state.py
@@ -9,6 +9,8 @@
 import msgspec
 
 Answer = tuple[int, Any]
+MAX_TXN_BYTES = 64 * 1024
+"""The largest transaction that is accepted, as JSON, with its guards and keys."""
 
 
 class State:
@@ -108,8 +110,9 @@
         apply = body.get("apply", [])
         sizes = [len(msgspec.json.encode(change["value"])) for change in apply if "put" in change]
         too_large = len(apply) > self.txn_ops or len(body.get("guards", [])) > 4 * self.txn_ops
-        if too_large or any(size > self.value_kb * 1024 for size in sizes) or sum(sizes) > 64 * 1024:
-            self.refused.append(f"{len(apply)} changes, values of {max(sizes, default=0)} bytes")
+        total = len(msgspec.json.encode(body))
+        if too_large or any(size > self.value_kb * 1024 for size in sizes) or total > MAX_TXN_BYTES:
+            self.refused.append(f"{len(apply)} changes, values of {max(sizes, default=0)} bytes, {total} in all")
             return 400, {"error": "too large"}
         failed = [g["k"] for g in body.get("guards", []) if self.keys.get(g["k"], (None, 0))[1] != g["stamp"]]
         if any(c.get("permit") is not None and c["permit"] not in self.leases for c in apply):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -258,3 +258,10 @@
     value = job.updated_record(finished=set(range(50_000)) | set(range(50_001, 60_000, 2)))
     assert len(msgspec.json.encode(value)) <= 1900
     assert set(range(50_000)) <= decode_runs(value["finished"])
+
+
+def test_the_size_of_a_transaction_is_told_by_each_quantity_that_is_limited():
+    # Guards against a log line that does not tell which limit a refused transaction exceeds.
+    txn = Txn().guard("ashtray/a", 7).put("ashtray/a", "x" * 100).put("ashtray/b", 1).remove("ashtray/c")
+    size = len(msgspec.json.encode(txn.body()))
+    assert txn.describe_size() == f"3 writes, 1 guards, {size} bytes, largest value 102 bytes"
