Split limits, transactions and rate limiters from the client of the state service

Change: `store/limits.py`, `store/transaction.py` and `store/rate_limiter.py` take over what their names say; `size_of` is the one function that measures a record as the state service counts it. No behaviour changes.

--- a/ashtray/base.py
+++ b/ashtray/base.py
@@ -11,8 +11,9 @@
 from ashtray.config.settings import Settings, Team
 from ashtray.kernel import Kernel
 from ashtray.placement.cluster_state import ClusterState
-from ashtray.store.client import Limits, StoreClient
+from ashtray.store.client import StoreClient
 from ashtray.store.follower import Follower
+from ashtray.store.limits import Limits
 
 
 @dataclass(frozen=True)
--- a/ashtray/cli.py
+++ b/ashtray/cli.py
@@ -37,7 +37,7 @@
     Raises `SettingsError` with one line.
     """
     settings, operator_settings = load_settings(config), load_operator_settings(operators)
-    from ashtray.store.client import Limits
+    from ashtray.store.limits import Limits
     from ashtray.workers.folding import max_group_size
 
     most = max_group_size(Limits.of(settings.cluster.state))
--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -28,8 +28,9 @@
 from ashtray.placement.plan import Planner
 from ashtray.placement.queue_order import StatedTimes
 from ashtray.standby.failure_detector import FailureDetector
-from ashtray.store.client import VALUE_SHARE, Limits, StoreClient
+from ashtray.store.client import StoreClient
 from ashtray.store.follower import Follower
+from ashtray.store.limits import VALUE_SHARE, Limits
 from ashtray.teams.grants import Grants
 from ashtray.workers.folding import max_deferred_tasks
 from ashtray.workers.renewal import RenewalGuard
--- a/ashtray/estimates/estimate_store.py
+++ b/ashtray/estimates/estimate_store.py
@@ -24,7 +24,8 @@
 from ashtray.kernel import SECOND_US, Coroutine, Sleep
 from ashtray.peers.presence import Presence
 from ashtray.placement.state_keys import ESTIMATE
-from ashtray.store.client import Txn, Urgency
+from ashtray.store.rate_limiter import Urgency
+from ashtray.store.transaction import Txn, size_of
 
 FORM = 1
 SHARD_COUNT = 4
@@ -113,12 +114,12 @@
     for key, row in rows.items():
         found[key] = merge(found[key], row) if key in found else row
     new = EstimateRecord(FORM, {**old.applied, host: fold}, {key: pack(row) for key, row in found.items()})
-    size = len(msgspec.json.encode(new))
+    size = size_of(new)
     for key, _ in sorted(found.items(), key=lambda entry: (entry[0] != "", entry[1][WEIGHT])):
         if size <= max_bytes:
             break
         if key:
-            size -= len(msgspec.json.encode(key)) + len(new.rows.pop(key)) + 4
+            size -= size_of(key) + len(new.rows.pop(key)) + 4
     return new
 
 
--- a/ashtray/fleet/cloud_client.py
+++ b/ashtray/fleet/cloud_client.py
@@ -7,7 +7,7 @@
 
 from ashtray.base import Base
 from ashtray.kernel import SECOND_US, Call, Coroutine, Reply, Sleep
-from ashtray.store.client import Bucket
+from ashtray.store.rate_limiter import Bucket
 
 TIMEOUT_US = 5 * SECOND_US
 RATE_SHARE = 0.8
--- a/ashtray/fleet/decommissioning.py
+++ b/ashtray/fleet/decommissioning.py
@@ -20,7 +20,8 @@
 from ashtray.kernel import Coroutine
 from ashtray.placement.machine_groups import Machine
 from ashtray.placement.preemption import Victims, can_checkpoint, stop_victims
-from ashtray.store.client import Txn, Urgency
+from ashtray.store.rate_limiter import Urgency
+from ashtray.store.transaction import Txn
 
 MAX_COMMITS = 12
 """The most commits in a row for one step; the remaining machines wait for the next round."""
--- a/ashtray/fleet/fleet_lease.py
+++ b/ashtray/fleet/fleet_lease.py
@@ -14,7 +14,8 @@
 from ashtray.kernel import SECOND_US, Coroutine
 from ashtray.peers.presence import Presence
 from ashtray.placement.state_keys import FLEET
-from ashtray.store.client import Txn, Urgency
+from ashtray.store.rate_limiter import Urgency
+from ashtray.store.transaction import Txn
 
 MAX_READ_AGE_US = 3 * SECOND_US
 """The key is taken only if the cluster state was last read less than this time ago."""
--- a/ashtray/fleet/group_edits.py
+++ b/ashtray/fleet/group_edits.py
@@ -5,7 +5,7 @@
 from ashtray.base import Base
 from ashtray.placement.group_edit import GroupEdit
 from ashtray.placement.machine_groups import Machine
-from ashtray.store.client import Txn
+from ashtray.store.transaction import Txn
 
 
 class GroupEdits:
--- a/ashtray/fleet/provisioning.py
+++ b/ashtray/fleet/provisioning.py
@@ -22,7 +22,9 @@
 from ashtray.placement.state_keys import RENTALS
 from ashtray.standby.intents import Intent, Intents
 from ashtray.standby.takeover import Takeover
-from ashtray.store.client import VALUE_SHARE, Txn, Urgency
+from ashtray.store.limits import VALUE_SHARE
+from ashtray.store.rate_limiter import Urgency
+from ashtray.store.transaction import Txn
 
 FORECAST_PAUSE_PER_MACHINE_US = 3_500
 """The pause between two forecasts, for each machine of the fleet."""
--- a/ashtray/fleet/type_catalogue.py
+++ b/ashtray/fleet/type_catalogue.py
@@ -11,10 +11,10 @@
 from ashtray.fleet.cloud_client import CloudClient
 from ashtray.fleet.messages import parse_types
 from ashtray.kernel import SECOND_US, Coroutine
-from ashtray.placement import compact_record
 from ashtray.placement.records import MachineType
 from ashtray.placement.state_keys import TYPES
-from ashtray.store.client import Txn, Urgency
+from ashtray.store.rate_limiter import Urgency
+from ashtray.store.transaction import Txn, size_of
 
 Types = dict[str, MachineType]
 """Machine types by name."""
@@ -78,7 +78,7 @@
 
     def _records(self, types: Types) -> dict[str, Types]:
         """Return the records to store: one with all types, or if that is too large an empty one and one for each."""
-        size = compact_record.size_of(msgspec.to_builtins(types))
+        size = size_of(msgspec.to_builtins(types))
         if self.base.limits.takes(size):
             return {TYPES: types}
         return {TYPES: {}, **{f"{TYPES}/{name}": {name: machine_type} for name, machine_type in types.items()}}
@@ -99,7 +99,7 @@
         txn, free_bytes = Txn(), self.base.limits.txn_bytes
         for key, record in changes[: self.base.limits.ops]:
             value = None if record is None else msgspec.to_builtins(record)
-            free_bytes -= 0 if value is None else compact_record.size_of(value)
+            free_bytes -= 0 if value is None else size_of(value)
             if free_bytes < 0 and txn.write_count():
                 break
             txn.guard(key, self.base.cluster_state.version(key))
--- a/ashtray/jobs/accepting.py
+++ b/ashtray/jobs/accepting.py
@@ -11,11 +11,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import msgspec
-
 from ashtray.jobs.model import FINAL_STATE_PREFIX, LIVE_JOB_PREFIX
 from ashtray.kernel import Coroutine, Kernel, Reply, Signal
-from ashtray.store.client import Limits, StoreClient, Txn, Urgency
+from ashtray.store.client import StoreClient
+from ashtray.store.limits import Limits
+from ashtray.store.rate_limiter import Urgency
+from ashtray.store.transaction import Txn, size_of
 
 MAX_CONCURRENT_TXNS = 4
 """Most transactions in flight at a time.  While there are fewer, a new job is written at once and not batched."""
@@ -66,7 +67,7 @@
             # The same job is being written for another request, so this one shares its outcome.
             status, revision = yield first.outcome
             return (409 if status == 200 else status), revision
-        job = self._pending[job_id] = PendingJob(job_id, value, len(msgspec.json.encode(value)))
+        job = self._pending[job_id] = PendingJob(job_id, value, size_of(value))
         if self._committers < MAX_CONCURRENT_TXNS:
             self._committers += 1
             self._kernel.spawn(self._commit_pending())
--- a/ashtray/jobs/cancelling.py
+++ b/ashtray/jobs/cancelling.py
@@ -11,7 +11,8 @@
 from ashtray.kernel import SECOND_US, Coroutine, Sleep
 from ashtray.peers.presence import Peers, Presence
 from ashtray.placement.state_keys import split_key
-from ashtray.store.client import Txn, Urgency
+from ashtray.store.rate_limiter import Urgency
+from ashtray.store.transaction import Txn
 from ashtray.workers.folding import end_job
 
 CONFLICT_RETRY_US = 3 * SECOND_US
--- a/ashtray/jobs/service.py
+++ b/ashtray/jobs/service.py
@@ -18,7 +18,7 @@
 from ashtray.peers.presence import Peers, Presence
 from ashtray.placement.explain import explain
 from ashtray.placement.plan import Planner
-from ashtray.store.client import Urgency
+from ashtray.store.rate_limiter import Urgency
 
 MAX_BACKLOG = 150
 """New submissions are answered 429 while so many submissions and requests to the state service are waiting."""
--- a/ashtray/jobs/states.py
+++ b/ashtray/jobs/states.py
@@ -8,7 +8,7 @@
 from ashtray.jobs.answers import STATE_UNREADABLE, JobState, NeverAccepted, RetryLater
 from ashtray.jobs.model import FINAL_STATE_PREFIX, Job
 from ashtray.kernel import SECOND_US, Coroutine, Signal, Sleep, Wait
-from ashtray.store.client import Urgency
+from ashtray.store.rate_limiter import Urgency
 from ashtray.workers.folding import may_defer_move
 
 MAX_DEPENDENCY_READS = 8
--- a/ashtray/jobs/submitting.py
+++ b/ashtray/jobs/submitting.py
@@ -14,7 +14,8 @@
 from ashtray.jobs.states import JobStates
 from ashtray.kernel import Coroutine
 from ashtray.peers.presence import Presence
-from ashtray.store.client import VALUE_SHARE
+from ashtray.store.limits import VALUE_SHARE
+from ashtray.store.transaction import size_of
 from ashtray.teams.limits import can_ever_run
 
 Objection = Refused | RetryLater
@@ -103,7 +104,7 @@
     def _check_job(self, spec: JobSpec, value: Any) -> Objection | None:
         """Return the objection to a job that its own description gives rise to."""
         max_bytes = int(self.base.limits.final_value_bytes * VALUE_SHARE) - SPARE_BYTES - SHORT_RUNS_BYTES
-        size = len(msgspec.json.encode(value))
+        size = size_of(value)
         if size > max_bytes:
             # The first record could be written, but not the larger ones that follow.
             return Refused(400, f"the description takes {size} bytes of the job's record, which may hold {max_bytes}")
--- a/ashtray/peers/presence.py
+++ b/ashtray/peers/presence.py
@@ -19,7 +19,8 @@
 from ashtray.placement.state_keys import CONTROLLER, FLEET
 from ashtray.standby.failure_detector import DOUBT_RECIPIENTS, FailureDetector
 from ashtray.standby.leader_notes import SUCCESSORS, LeaderNotes
-from ashtray.store.client import Txn, Urgency
+from ashtray.store.rate_limiter import Urgency
+from ashtray.store.transaction import Txn
 from ashtray.teams.grants import Grants
 
 PROTOCOL_VERSION = 2
--- a/ashtray/placement/compact_record.py
+++ b/ashtray/placement/compact_record.py
@@ -12,8 +12,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-import msgspec
-
 from ashtray.kernel import SECOND_US
 from ashtray.placement.records import AllocationRecord
 
@@ -184,8 +182,3 @@
     if FORM not in before or value["since"] != before["since"]:
         return False
     return all(value[table][: len(before[table])] == before[table] for table in ("kinds", "images"))
-
-
-def size_of(value: dict[str, Any]) -> int:
-    """Return the size of a record in bytes, in either form, as the state service counts it."""
-    return len(msgspec.json.encode(value))
--- a/ashtray/placement/group_edit.py
+++ b/ashtray/placement/group_edit.py
@@ -12,7 +12,8 @@
 from ashtray.placement.records import MachineRecord
 from ashtray.placement.state_keys import split_key
 from ashtray.runs import decode_runs, encode_runs
-from ashtray.store.client import Limits, Txn
+from ashtray.store.limits import Limits
+from ashtray.store.transaction import Txn, size_of
 
 
 class GroupEdit:
@@ -62,7 +63,7 @@
         edit.machines = dict(self.machines)
         edit.done = done
         edit._changed = {**self._changed, name: record}
-        return compact_record.size_of(edit._packed(edit.value(lambda job_id: True), limits))
+        return size_of(edit._packed(edit.value(lambda job_id: True), limits))
 
     def value(self, live: Callable[[str], bool]) -> dict[str, Any]:
         """Return the record in full form, without the completed tasks of jobs that are not `live` any more."""
@@ -82,7 +83,7 @@
         """
         group = self.group
         value = self._packed(self.value(live), limits)
-        size = compact_record.size_of(value)
+        size = size_of(value)
         alone = len(group.machines) == 1 and size < group.size
         if group.moving or not limits.takes(size, alone):
             return False
--- a/ashtray/placement/machine_groups.py
+++ b/ashtray/placement/machine_groups.py
@@ -14,6 +14,7 @@
 from ashtray.placement import compact_record
 from ashtray.placement.records import AllocationRecord, MachineRecord
 from ashtray.runs import decode_runs
+from ashtray.store.transaction import size_of
 
 AllocationKey = tuple[str, int]
 """The name of a machine, and the index of one of its allocations.
@@ -113,7 +114,7 @@
         self.version = version
         self.packed: dict[str, Any] | None = value if compact_record.FORM in value else None
         """The record, if it is in compact form."""
-        self.size = compact_record.size_of(value)
+        self.size = size_of(value)
         """The size of the record in bytes, in the form in which it was read."""
         known_packed = before.packed if before is not None else None
         known_machines = before.value["machines"] if before is not None else None
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -23,7 +23,9 @@
 from ashtray.placement.records import AMOUNT_TOLERANCE, AllocationRecord
 from ashtray.placement.state_keys import TEAM
 from ashtray.runs import encode_runs
-from ashtray.store.client import Limits, Txn, Urgency
+from ashtray.store.limits import Limits
+from ashtray.store.rate_limiter import Urgency
+from ashtray.store.transaction import Txn
 from ashtray.teams.grants import URGENT_PRIORITY, Grants, Share
 from ashtray.workers.folding import Fold
 from ashtray.workers.worker_manager import WorkerManager
--- a/ashtray/placement/plan.py
+++ b/ashtray/placement/plan.py
@@ -19,7 +19,7 @@
 from ashtray.placement.queue_order import StatedTimes
 from ashtray.placement.records import AMOUNT_TOLERANCE
 from ashtray.placement.rules import MachineCapacity, PlacementRequest, rank
-from ashtray.store.client import Limits
+from ashtray.store.limits import Limits
 from ashtray.teams.guarantees import Excess
 from ashtray.teams.limits import tasks_within, within_guarantee
 
--- a/ashtray/placement/preemption.py
+++ b/ashtray/placement/preemption.py
@@ -16,7 +16,8 @@
 from ashtray.placement.plan import Plan
 from ashtray.placement.rules import VALIDATORS, MachineCapacity, PlacementRequest
 from ashtray.runs import encode_runs
-from ashtray.store.client import Limits, Txn
+from ashtray.store.limits import Limits
+from ashtray.store.transaction import Txn
 from ashtray.teams.guarantees import Amounts, Excess, add_amounts, amounts_of, claim
 
 Victims = dict[str, dict[tuple[str, int], set[int]]]
--- a/ashtray/standby/intents.py
+++ b/ashtray/standby/intents.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from ashtray.fleet.machine_kind import MachineKind
+from ashtray.store.transaction import size_of
 
 
 class Intent(msgspec.Struct, array_like=True, frozen=True):
@@ -103,13 +104,13 @@
         soonest.
         """
         kept = [*self.open.values(), *batch]
-        sizes = [len(msgspec.json.encode(intent)) + 1 for intent in kept]
-        size = len(msgspec.json.encode(IntentsRecord(by, self.all))) + 16 + sum(sizes)
+        sizes = [size_of(intent) + 1 for intent in kept]
+        size = size_of(IntentsRecord(by, self.all)) + 16 + sum(sizes)
         for n, intent in enumerate(kept):
             if size > max_bytes and intent.names is not None:
                 shortened = msgspec.structs.replace(intent, names=None)
-                size += len(msgspec.json.encode(shortened)) + 1 - sizes[n]
-                kept[n], sizes[n] = shortened, len(msgspec.json.encode(shortened)) + 1
+                size += size_of(shortened) + 1 - sizes[n]
+                kept[n], sizes[n] = shortened, size_of(shortened) + 1
         while kept and size > max_bytes:
             size -= sizes.pop(0)
             kept.pop(0)
--- a/ashtray/store/follower.py
+++ b/ashtray/store/follower.py
@@ -6,7 +6,9 @@
 from typing import Any, Protocol
 
 from ashtray.kernel import SECOND_US, Coroutine, Kernel, Reply, Signal, Sleep, Wait
-from ashtray.store.client import StoreClient, Txn, Urgency
+from ashtray.store.client import StoreClient
+from ashtray.store.rate_limiter import Urgency
+from ashtray.store.transaction import Txn
 
 FOLLOW_SHARE = 0.15
 """The part of the state service's request rate that all controllers together spend on following while no caller needs
--- a/ashtray/teams/grants.py
+++ b/ashtray/teams/grants.py
@@ -20,7 +20,7 @@
 from ashtray.placement.cluster_state import ClusterState
 from ashtray.placement.records import AMOUNT_TOLERANCE
 from ashtray.placement.state_keys import TEAM
-from ashtray.store.client import Txn
+from ashtray.store.transaction import Txn
 from ashtray.teams.limits import has_limit, tasks_within
 
 Share = tuple[float, float]
--- a/ashtray/teams/guarantees.py
+++ b/ashtray/teams/guarantees.py
@@ -22,7 +22,7 @@
 from ashtray.placement.machine_groups import Allocation
 from ashtray.placement.records import AMOUNT_TOLERANCE
 from ashtray.placement.state_keys import CLAIM
-from ashtray.store.client import Txn
+from ashtray.store.transaction import Txn
 
 Amounts = tuple[float, float]
 """CPUs and GPUs."""
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -17,7 +17,8 @@
 from ashtray.placement.records import AllocationRecord, MachineRecord, MachineType
 from ashtray.placement.state_keys import ADOPTED, GROUP
 from ashtray.runs import decode_runs, encode_runs
-from ashtray.store.client import Limits, Txn
+from ashtray.store.limits import Limits
+from ashtray.store.transaction import Txn
 from ashtray.workers.messages import Report, TaskState
 
 SAVE_LEAD_US = 5 * SECOND_US
--- a/ashtray/workers/splitting.py
+++ b/ashtray/workers/splitting.py
@@ -18,7 +18,9 @@
 from ashtray.placement.machine_groups import Group
 from ashtray.placement.state_keys import GROUP, split_key
 from ashtray.runs import encode_runs
-from ashtray.store.client import Limits, Txn, Urgency
+from ashtray.store.limits import Limits
+from ashtray.store.rate_limiter import Urgency
+from ashtray.store.transaction import Txn, size_of
 from ashtray.workers.folding import MAX_RECORD_SHARE_TO_GROW, group_size
 
 CHECK_INTERVAL_US = SECOND_US // 4
@@ -91,7 +93,7 @@
             if job_id in parts[-1].done:
                 parts.append(GroupPart(group))
             parts[-1].done[job_id] = runs
-            if compact_record.size_of(parts[-1].value()) > max_bytes and len(parts[-1].done) > 1:
+            if size_of(parts[-1].value()) > max_bytes and len(parts[-1].done) > 1:
                 del parts[-1].done[job_id]
                 parts.append(GroupPart(group, done={job_id: runs}))
 
@@ -104,7 +106,7 @@
     for name in sorted(group.machines):
         raw = group.machines[name].raw
         parts[-1].machines[name] = raw
-        too_large = len(parts[-1].machines) > count or compact_record.size_of(parts[-1].value()) > max_bytes
+        too_large = len(parts[-1].machines) > count or size_of(parts[-1].value()) > max_bytes
         if too_large and (len(parts[-1].machines) > 1 or parts[-1].done):
             del parts[-1].machines[name]
             parts.append(GroupPart(group, {name: raw}))
@@ -232,4 +234,4 @@
 
 
 def _may_be_written(part: GroupPart, limits: Limits) -> bool:
-    return limits.takes(compact_record.size_of(part.value()), len(part.machines) == 1)
+    return limits.takes(size_of(part.value()), len(part.machines) == 1)
--- a/ashtray/workers/worker_manager.py
+++ b/ashtray/workers/worker_manager.py
@@ -14,7 +14,8 @@
 from ashtray.kernel import SECOND_US, Coroutine, Signal, Sleep, Wait
 from ashtray.peers.presence import Peers, Presence
 from ashtray.placement.machine_groups import Group, Machine
-from ashtray.store.client import Txn, Urgency
+from ashtray.store.rate_limiter import Urgency
+from ashtray.store.transaction import Txn
 from ashtray.workers import messages
 from ashtray.workers.folding import Evidence, Fold, adoption, allocation_is_dead, may_defer_move, must_save_now
 from ashtray.workers.messages import Report, TaskKey, parse_report
--- a/tests/interleavings.py
+++ b/tests/interleavings.py
@@ -23,7 +23,8 @@
 from ashtray.kernel import SECOND_US, Answer, Call, Coroutine, Output, Reply, Send
 from ashtray.placement.records import AllocationRecord, GroupRecord, MachineRecord
 from ashtray.placement.state_keys import GROUP, TYPES
-from ashtray.store.client import Txn, Urgency
+from ashtray.store.rate_limiter import Urgency
+from ashtray.store.transaction import Txn
 from ashtray.workers.folding import Evidence, Fold
 from ashtray.workers.messages import Report, TaskState
 from tests.answer_history import UNKNOWN, AnswerHistory, Heard
--- a/tests/mutants/safety.py
+++ b/tests/mutants/safety.py
@@ -186,7 +186,7 @@
         "    return total * mine / max(sum(needs), 1e-9)\n",
     ),
     "a-low-rate-is-waited-out": (
-        "ashtray/store/client.py",
+        "ashtray/store/rate_limiter.py",
         "min(self.bucket.wait_us(amount, overdraft), BUDGET_RECHECK_US)",
         "self.bucket.wait_us(amount, overdraft)",
     ),
@@ -324,7 +324,7 @@
         'min(seen.get(host, {}).get("form", 0) for host in hosts)',
         "min(DEPENDENCIES_VERSION if host in seen else 0 for host in hosts)",
     ),
-    "size-not-checked": ("ashtray/store/client.py", "return size <= self.value_bytes * VALUE_SHARE", "return True"),
+    "size-not-checked": ("ashtray/store/limits.py", "return size <= self.value_bytes * VALUE_SHARE", "return True"),
     "moved-machines-count": (GROUP_INDEX, "            if name <= moved_up_to:\n", "            if False:\n"),
     "split-not-marked": (
         "ashtray/workers/splitting.py",
--- a/tests/test_bad_nights.py
+++ b/tests/test_bad_nights.py
@@ -15,7 +15,7 @@
 from ashtray.placement.plan import Plan, back_off_us, queue
 from ashtray.placement.records import AllocationRecord, GroupRecord, MachineRecord, MachineType
 from ashtray.placement.state_keys import GROUP, SPLIT
-from ashtray.store.client import Limits
+from ashtray.store.limits import Limits
 from tests.model import LEASE_S, Model, submission
 
 SECOND = 1_000_000
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -8,7 +8,7 @@
 
 from ashtray.kernel import Kernel
 from ashtray.peers.presence import fair_share
-from ashtray.store.client import Bucket, RateLimiter, Urgency
+from ashtray.store.rate_limiter import Bucket, RateLimiter, Urgency
 from tests.model import SECOND, Model, submission
 
 NEEDS = st.lists(st.one_of(st.just(0.0), st.floats(0, 8), st.floats(0, 90)), min_size=1, max_size=49)
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -17,7 +17,8 @@
 from ashtray.placement.records import AllocationRecord, GroupRecord, MachineRecord
 from ashtray.placement.state_keys import GROUP
 from ashtray.runs import decode_runs, encode_runs
-from ashtray.store.client import Limits, Txn
+from ashtray.store.limits import Limits
+from ashtray.store.transaction import Txn
 from ashtray.workers.messages import parse_report
 
 SUBMISSION = {
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -11,7 +11,7 @@
 from ashtray.placement.cluster_state import ClusterState
 from ashtray.placement.records import AllocationRecord, MachineRecord
 from ashtray.placement.state_keys import GROUP, TEAM
-from ashtray.store.client import Txn
+from ashtray.store.transaction import Txn
 from ashtray.teams.grants import LAST_TURN, Demand, Grants
 from tests.fakes.state import State
 
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -22,7 +22,8 @@
 from ashtray.placement.state_keys import GROUP
 from ashtray.standby.intents import Intent, Intents
 from ashtray.standby.leader_notes import youngest_entries
-from ashtray.store.client import Limits
+from ashtray.store.limits import Limits
+from ashtray.store.transaction import size_of
 from ashtray.workers.folding import adoption, group_size
 from ashtray.workers.messages import Report, parse_report, parse_task
 from tests.model import Model, submission
@@ -93,7 +94,7 @@
         for n, name in enumerate(machine_names(group_size(KIND, limits)))
     }
     value = msgspec.to_builtins(GroupRecord("big", "a", machines))
-    assert compact_record.size_of(compact_record.pack(value) if all_upgraded else value) <= limits.value_bytes
+    assert size_of(compact_record.pack(value) if all_upgraded else value) <= limits.value_bytes
 
 
 def test_a_start_reads_live_keys_only_and_adopts_machines_group_by_group() -> None:
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -19,7 +19,8 @@
 from ashtray.placement.records import AMOUNT_TOLERANCE, AllocationRecord, GroupRecord, MachineRecord, MachineType
 from ashtray.placement.state_keys import CLAIM, GROUP, TYPES
 from ashtray.runs import decode_runs, encode_runs
-from ashtray.store.client import Limits, Txn
+from ashtray.store.limits import Limits
+from ashtray.store.transaction import Txn
 from ashtray.teams.guarantees import Excess
 from tests.fakes.state import State
 from tests.model import SECOND, Model, submission
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -16,7 +16,7 @@
 from ashtray.placement.placer import BatchItem, Draft
 from ashtray.placement.records import AllocationRecord, GroupRecord, MachineRecord
 from ashtray.placement.state_keys import GROUP
-from ashtray.store.client import VALUE_SHARE, Limits
+from ashtray.store.limits import VALUE_SHARE, Limits
 from ashtray.workers.messages import TaskState
 from tests.model import Model, submission
 from tests.test_pipelines import ask
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -16,7 +16,9 @@
 from ashtray.placement.records import AllocationRecord, GroupRecord, MachineRecord, MachineType
 from ashtray.placement.state_keys import GROUP, SPLIT
 from ashtray.runs import decode_runs, encode_runs
-from ashtray.store.client import Limits, Txn, Urgency
+from ashtray.store.limits import Limits
+from ashtray.store.rate_limiter import Urgency
+from ashtray.store.transaction import Txn, size_of
 from ashtray.workers.folding import Evidence, Fold
 from ashtray.workers.messages import Report, TaskState
 from tests.model import Model, submission
@@ -81,7 +83,7 @@
 @pytest.mark.parametrize("crash", [None, 0.4, 0.9])
 def test_a_group_full_to_32_kib_is_split_under_the_lower_limits_without_losing_an_allocation(machines, holds, crash):
     group, jobs = full_group(machines, holds)
-    assert 16 * 1024 < compact_record.size_of(group) < 32 * 1024
+    assert 16 * 1024 < size_of(group) < 32 * 1024
     model = Model(3, following=(2.0, 5))
     model.limits_fall()
     model.cloud.down = True
@@ -97,7 +99,7 @@
     model.run(12)
     assert not model.state.refused
     records = {k: v for k, (v, _, _) in model.state.keys.items() if k.startswith(GROUP)}
-    assert all(compact_record.size_of(value) <= 2048 for value in records.values())
+    assert all(size_of(value) <= 2048 for value in records.values())
     assert not [k for k in model.state.keys if k.startswith(SPLIT)]
     found: dict[str, list] = {}
     done: dict[str, set[int]] = {}
@@ -184,7 +186,7 @@
             version += 1
             assert txn.write_count() <= 5
             for key, value in txn.puts.items():
-                assert compact_record.size_of(value) <= 2048
+                assert size_of(value) <= 2048
                 cluster_state.put(key, value, version)
             for key in txn.removes:
                 cluster_state.remove(key, version)
@@ -209,7 +211,7 @@
             machine.holds.append(AllocationRecord(job.id, 1, "0", "crew", 1.0, 0.0, 1.0, 10**15, by="berth-0"))
             machine.images = [(f"img-{k}", 1.0) for k in range(3)]
     assert 20 < len(machine.holds) < 96
-    assert compact_record.size_of(compact_record.pack(msgspec.to_builtins(record))) < 2048 * 0.9
+    assert size_of(compact_record.pack(msgspec.to_builtins(record))) < 2048 * 0.9
 
 
 def test_a_job_too_large_for_a_record_is_refused_with_a_reason():
--- a/tests/test_meetings_answers.py
+++ b/tests/test_meetings_answers.py
@@ -18,7 +18,8 @@
 from ashtray.jobs.model import FINAL_STATE_PREFIX, LIVE_JOB_PREFIX
 from ashtray.kernel import Call, Reply
 from ashtray.placement.state_keys import TYPES
-from ashtray.store.client import Txn, Urgency
+from ashtray.store.rate_limiter import Urgency
+from ashtray.store.transaction import Txn
 from ashtray.workers.folding import Fold
 from tests.answer_history import ACCEPTED, FINAL, UNKNOWN, AnswerHistory, Heard, WentBack
 from tests.fakes.state import State
--- a/tests/test_meetings_close_looks.py
+++ b/tests/test_meetings_close_looks.py
@@ -17,7 +17,7 @@
 
 from ashtray.jobs.model import FINAL_STATE_PREFIX, LIVE_JOB_PREFIX
 from ashtray.kernel import Call, Reply
-from ashtray.store.client import Urgency
+from ashtray.store.rate_limiter import Urgency
 from tests.answer_history import FINAL, UNKNOWN, Heard, WentBack
 from tests.fakes.state import State
 from tests.interleavings import (
--- a/tests/test_meetings_late_writes.py
+++ b/tests/test_meetings_late_writes.py
@@ -23,7 +23,7 @@
 from ashtray.placement.records import MachineRecord
 from ashtray.placement.state_keys import ADOPTED, CONTROLLER, FLEET, GROUP, SPLIT
 from ashtray.runs import decode_runs
-from ashtray.store.client import Txn
+from ashtray.store.transaction import Txn
 from ashtray.workers.folding import end_job
 from tests.fakes.worker import Key
 from tests.interleavings import (
--- a/tests/test_meetings_machines.py
+++ b/tests/test_meetings_machines.py
@@ -25,7 +25,7 @@
 from ashtray.placement.records import AllocationRecord, GroupRecord, MachineRecord, MachineType
 from ashtray.placement.state_keys import ADOPTED, GROUP
 from ashtray.runs import decode_runs
-from ashtray.store.client import Limits
+from ashtray.store.limits import Limits
 from tests.fakes.cloud import Rented
 from tests.fakes.worker import Key
 from tests.model import CANCEL_S, LEASE_S, SECOND, Host, Model, RuleBroken, submission
--- a/tests/test_meetings_transactions.py
+++ b/tests/test_meetings_transactions.py
@@ -31,7 +31,7 @@
 from ashtray.placement.records import MachineRecord
 from ashtray.placement.state_keys import CONTROLLER, ESTIMATE, FLEET, GROUP, SPLIT, TEAM, TYPES
 from ashtray.runs import decode_runs
-from ashtray.store.client import Txn
+from ashtray.store.transaction import Txn, size_of
 from tests.fakes.state import State
 from tests.model import SECOND, Model, UserJob, settings_for, submission
 from tests.model import TEAM as LIMITED_TEAM
@@ -433,7 +433,7 @@
     model.run(30)
     troubles.check()
     records = [value for key, (value, _, _) in model.state.keys.items() if key.startswith(GROUP)]
-    assert all(compact_record.size_of(value) <= 2048 for value in records)
+    assert all(size_of(value) <= 2048 for value in records)
     assert not [key for key in model.state.keys if key.startswith(SPLIT)]
     groups = [compact_record.unpack(value)["machines"] for value in records]
     machines = [(name, machine) for group in groups for name, machine in group.items()]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -14,7 +14,7 @@
 from ashtray.placement.plan import Plan, queue
 from ashtray.placement.records import AllocationRecord, GroupRecord, MachineRecord, MachineType
 from ashtray.placement.state_keys import GROUP
-from ashtray.store.client import Limits
+from ashtray.store.limits import Limits
 from ashtray.workers.folding import Evidence, Fold
 from ashtray.workers.messages import Report, TaskState
 from tests.model import Model, submission
--- a/tests/test_record_tables.py
+++ b/tests/test_record_tables.py
@@ -9,7 +9,8 @@
 from ashtray.placement.group_edit import GroupEdit
 from ashtray.placement.records import AllocationRecord, GroupRecord, MachineRecord
 from ashtray.placement.state_keys import GROUP
-from ashtray.store.client import Limits, Txn
+from ashtray.store.limits import Limits
+from ashtray.store.transaction import Txn
 
 CHANGES = 60
 """More changes than the tables may have unused entries."""
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -8,7 +8,7 @@
 from ashtray.placement.cluster_state import ClusterState
 from ashtray.placement.records import AllocationRecord, GroupRecord, MachineRecord
 from ashtray.placement.state_keys import GROUP
-from ashtray.store.client import Limits
+from ashtray.store.limits import Limits
 from ashtray.workers.folding import Evidence, Fold, adoption
 from ashtray.workers.messages import Report
 from tests.fakes.state import State
