Split batches and drafts of placements from the placer

Change: `placement/batch.py` says which placements share a transaction, `placement/draft.py` makes the group records of one. No behaviour changes; the mutants follow the moved guards.

Measured: the tests of placement, shares, guards and the mutants' texts pass.

--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -15,19 +15,16 @@
 from ashtray.jobs.model import LIVE_JOB_PREFIX, Job
 from ashtray.kernel import SECOND_US, Coroutine, Signal, Sleep, Wait
 from ashtray.peers.presence import Presence
-from ashtray.placement.cluster_state import ClusterState
-from ashtray.placement.group_edit import GroupEdit
-from ashtray.placement.plan import IMAGE_ENTRY_BYTES, Choice, Plan, Planner, demand
+from ashtray.placement.batch import Batch, split_placement
+from ashtray.placement.draft import Draft, attempt_of
+from ashtray.placement.plan import Choice, Plan, Planner, demand
 from ashtray.placement.preemption import PreemptionRules, Victims, choose_victims, stop_for
 from ashtray.placement.prospects import Prospects
-from ashtray.placement.records import AMOUNT_TOLERANCE, AllocationRecord
+from ashtray.placement.records import AMOUNT_TOLERANCE
 from ashtray.placement.state_keys import TEAM
-from ashtray.runs import encode_runs
-from ashtray.store.limits import Limits
 from ashtray.store.rate_limiter import Urgency
 from ashtray.store.transaction import Txn
 from ashtray.teams.grants import URGENT_PRIORITY, Grants, Share
-from ashtray.workers.folding import Fold
 from ashtray.workers.worker_manager import WorkerManager
 
 RETRY_US = SECOND_US // 2
@@ -40,11 +37,6 @@
 """The shortest and the longest pause between two changes of a team's shares."""
 SHARE_YIELD_US = 6 * RESHARE_PAUSE_US
 """How long a controller does not ask for a share that another one has lowered, unless for urgent jobs or gangs."""
-ALLOCATION_BYTES = 160
-JOB_BYTES = 600
-"""Estimated bytes that one allocation, and one job's record, take in a transaction."""
-MAX_IMAGES_SHARE = 0.05
-"""The part of a value's maximum size that the names of one machine's cached images may take."""
 ROUND_PAUSE_US = 100_000
 """The shortest pause after a round; idle rounds in a row double it up to `MAX_IDLE_ROUNDS` times."""
 FENCE_DELAY_US = 60_000
@@ -561,203 +553,3 @@
         self._last_commit = txn, list(draft.usage)
         self._last_folded = {name for name in fold.taken if cluster_state.machines[name].group in draft.edits}
         return txn
-
-
-@dataclass
-class BatchItem:
-    """Some tasks of a job and the machines chosen for them, which one transaction places as a whole."""
-
-    job_id: str
-    tasks: list[int]
-    choices: list[Choice]
-    portion: int
-    """For a gang that is placed in portions, how many of its tasks earlier portions place."""
-    count: int = 0
-
-    def __post_init__(self) -> None:
-        self.count = len(self.tasks)
-
-    def groups(self) -> set[str]:
-        """Return the keys of the groups in which this item places tasks."""
-        return {capacity.machine.group for capacity, _ in self.choices}
-
-
-def split_placement(
-    job: Job, tasks: list[int], choices: list[Choice], cluster_state: ClusterState, limits: Limits
-) -> list[BatchItem]:
-    """Split a job's placement into as many transactions as it needs, which is mostly one."""
-    cut: list[list[Choice]] = [[]]
-    groups: set[str] = set()
-    size = 0
-    for capacity, n in choices:
-        group = capacity.machine.group
-        more = ALLOCATION_BYTES + (0 if group in groups else cluster_state.groups[group].size)
-        if cut[-1] and (len(groups | {group}) > limits.ops - 1 or size + more > limits.txn_bytes):
-            cut.append([])
-            groups, size, more = set(), 0, ALLOCATION_BYTES + cluster_state.groups[group].size
-        groups.add(group)
-        size += more
-        cut[-1].append((capacity, n))
-    items = []
-    done = 0
-    for part in cut:
-        count = sum(n for _, n in part)
-        portion = job.portion + done if job.spec.kind == "gang" else 0
-        items.append(BatchItem(job.id, tasks[done : done + count], part, portion))
-        done += count
-    return items
-
-
-class Batch:
-    """Consecutive jobs of the queue that share a transaction, so that each group in it costs only one write."""
-
-    def __init__(self, cluster_state: ClusterState, limits: Limits) -> None:
-        self.cluster_state = cluster_state
-        self.limits = limits
-        self.items: list[BatchItem] = []
-        self.used: dict[str, tuple[float, float]] = {}
-        """CPUs and GPUs that its tasks take, by team."""
-        self._jobs: set[str] = set()
-        self.groups: set[str] = set()
-        self.urgent = False
-        """Whether one of its jobs is urgent."""
-        self._bytes = 0
-
-    def writes(self) -> int:
-        """Return how many writes the transaction makes: one for each job and group."""
-        return len(self.items) + len(self.groups)
-
-    def _size(self, item: BatchItem) -> int:
-        job = self.cluster_state.jobs[item.job_id]
-        groups = self.cluster_state.groups
-        size = JOB_BYTES + len(job.record.finished) + ALLOCATION_BYTES * len(item.choices)
-        return size + sum(groups[key].size for key in item.groups() - self.groups if key in groups)
-
-    def fits(self, item: BatchItem) -> bool:
-        """Return whether an item fits into the transaction; the first one always does."""
-        if not self.items:
-            return True
-        job = self.cluster_state.jobs.get(item.job_id)
-        if job is None or item.job_id in self._jobs:
-            return False
-        writes = len(self.items) + 1 + len(self.groups | item.groups())
-        return writes <= self.limits.ops and self._bytes + self._size(item) <= self.limits.txn_bytes
-
-    def add(self, item: BatchItem) -> None:
-        """Add an item to the batch, unless its job is no longer live."""
-        job = self.cluster_state.jobs.get(item.job_id)
-        if job is None:
-            return
-        self._bytes += self._size(item)
-        self.items.append(item)
-        self._jobs.add(item.job_id)
-        self.urgent = self.urgent or (job.priority <= URGENT_PRIORITY and not job.fails_on_several_machines)
-        self.groups |= item.groups()
-        cpus, gpus = self.used.get(job.spec.team, (0.0, 0.0))
-        self.used[job.spec.team] = (cpus + item.count * job.spec.cpus, gpus + item.count * job.spec.gpus)
-
-
-class Draft:
-    """The group edits that a batch of placements requires, collected item by item."""
-
-    def __init__(self, cluster_state: ClusterState, grants: Grants, fold: Fold, limits: Limits) -> None:
-        self.image_bytes = limits.value_bytes * MAX_IMAGES_SHARE
-        self.cluster_state = cluster_state
-        self.grants = grants
-        self.fold = fold
-        self.edits: dict[str, GroupEdit] = {}
-        self.usage: dict[str, tuple[float, float]] = {}
-        """CPUs and GPUs that the batch adds to the usage of each team with a limit."""
-        self._added = {name: (-cpus, -gpus, -memory) for name, (cpus, gpus, memory) in fold.freed.items()}
-
-    def allows(self, job: Job, item: BatchItem) -> bool:
-        """Return whether the current cluster state still allows a job's tasks on the machines chosen for them."""
-        spec, cluster_state = job.spec, self.cluster_state
-        tasks = set(item.tasks)
-        if not cluster_state.dependencies.ready(job):
-            return False
-        if cluster_state.finished(job) & tasks or cluster_state.placed(job.id) & tasks:
-            return False
-        if spec.kind == "gang" and (
-            job.portion != item.portion or (job.id in cluster_state.allocations and not job.portion)
-        ):
-            return False
-        more = self.usage.get(spec.team, (0.0, 0.0))
-        if self.grants.has_limit(spec.team) and self.grants.allowed(spec.team, spec, *more) < item.count:
-            return False
-        zones: dict[str, int] = {}
-        for (name, _), allocation in cluster_state.allocations.get(job.id, {}).items():
-            zones[cluster_state.machines[name].zone] = zones.get(cluster_state.machines[name].zone, 0) + len(
-                allocation.tasks
-            )
-        for capacity, n in item.choices:
-            machine = cluster_state.machines.get(capacity.machine.name)
-            if machine is None or machine.record.retiring:
-                return False
-            cpus, gpus, memory = self._added.get(machine.name, (0.0, 0.0, 0.0))
-            kind = capacity.type
-            if (
-                machine.cpus + cpus + n * spec.cpus > kind.cpus + AMOUNT_TOLERANCE
-                or machine.gpus + gpus + n * spec.gpus > kind.gpus + AMOUNT_TOLERANCE
-                or machine.memory_gb + memory + n * spec.memory_gb > kind.memory_gb + AMOUNT_TOLERANCE
-            ):
-                return False
-            zones[machine.zone] = zones.get(machine.zone, 0) + n
-        if spec.same_zone and len(zones) > 1:
-            return False
-        return not spec.spread or max(zones.values()) <= (spec.tasks + 1) // 2
-
-    def add(self, job: Job, item: BatchItem, number: int, wall_us: int, host: str) -> None:
-        """Add the allocations of one item to the edits of its groups, and its tasks to the usage of its team.
-
-        `number` is the attempt, `host` the name of the controller that places it.
-        """
-        spec = job.spec
-        left = list(item.tasks)
-        for capacity, n in item.choices:
-            machine = self.cluster_state.machines[capacity.machine.name]
-            edit = self.edits.get(machine.group)
-            if edit is None:
-                group = self.cluster_state.groups[machine.group]
-                edit = self.edits[machine.group] = self.fold.edits.get(machine.group) or GroupEdit(group)
-            record = edit.machine(machine.name)
-            record.holds.append(
-                AllocationRecord(
-                    job.id,
-                    number,
-                    encode_runs(left[:n]),
-                    spec.team,
-                    spec.cpus,
-                    spec.gpus,
-                    spec.memory_gb,
-                    wall_us,
-                    by=host,
-                )
-            )
-            del left[:n]
-            record.images = cached(record.images, spec.image, spec.image_gb, capacity.type.cache_gb, self.image_bytes)
-            cpus, gpus, memory = self._added.get(machine.name, (0.0, 0.0, 0.0))
-            self._added[machine.name] = (cpus + n * spec.cpus, gpus + n * spec.gpus, memory + n * spec.memory_gb)
-        if self.grants.has_limit(spec.team):
-            cpus, gpus = self.usage.get(spec.team, (0.0, 0.0))
-            self.usage[spec.team] = (cpus + item.count * spec.cpus, gpus + item.count * spec.gpus)
-
-
-def attempt_of(job: Job) -> int:
-    """Return the attempt number of the next placement; all portions of a gang have the same one."""
-    return job.record.attempt if job.portion else job.record.attempt + 1
-
-
-def cached(
-    images: list[tuple[str, float]], image: str, size: float, cache_gb: float, max_bytes: float
-) -> list[tuple[str, float]]:
-    """Return a machine's cached images after it has used `image`, which goes last.
-
-    The images used longest ago are dropped until the rest fits into the cache and into `max_bytes` of the record.
-    """
-    kept = [*(entry for entry in images if entry[0] != image), (image, size)]
-    while len(kept) > 1 and (
-        sum(gb for _, gb in kept) > cache_gb or sum(len(name) + IMAGE_ENTRY_BYTES for name, _ in kept) > max_bytes
-    ):
-        kept.pop(0)
-    return kept
--- a/tests/mutants/lost_answers.py
+++ b/tests/mutants/lost_answers.py
@@ -25,7 +25,7 @@
         "if not self._given_up(name, pending, late, False):",
     ),
     "placed-again-after-a-lost-answer": (
-        "ashtray/placement/placer.py",
+        "ashtray/placement/draft.py",
         "if cluster_state.finished(job) & tasks or cluster_state.placed(job.id) & tasks:",
         "if cluster_state.finished(job) & tasks:",
     ),
--- a/tests/mutants/safety.py
+++ b/tests/mutants/safety.py
@@ -34,6 +34,7 @@
 FLEET_LEASE, HANDOVER = "ashtray/fleet/fleet_lease.py", "ashtray/fleet/handover.py"
 INVENTORY, PROVISIONING = "ashtray/fleet/machine_inventory.py", "ashtray/fleet/provisioning.py"
 DECOMMISSIONING, PLACER = "ashtray/fleet/decommissioning.py", "ashtray/placement/placer.py"
+DRAFT = "ashtray/placement/draft.py"
 FOLLOWER, GRANTS = "ashtray/store/follower.py", "ashtray/teams/grants.py"
 DEPENDENCIES, ORDER = "ashtray/jobs/dependencies.py", "ashtray/placement/queue_order.py"
 STATES, CANCELLING, SUBMITTING = (f"ashtray/jobs/{name}.py" for name in ("states", "cancelling", "submitting"))
@@ -256,7 +257,7 @@
         "done = {job: runs for job, runs in self.done.items() if live(job)}",
         "done = {}",
     ),
-    "gang-portions-of-two-attempts": (PLACER, "return job.record.attempt if job.portion else", "return"),
+    "gang-portions-of-two-attempts": (DRAFT, "return job.record.attempt if job.portion else", "return"),
     "answers-without-barrier": (
         STATES,
         "if not (yield from self.base.follower.barrier(patient=True)):",
@@ -371,7 +372,7 @@
         "recorded_token = 0",
     ),
     "deaf-is-heard": (WORKER_MANAGER, "        if newly_claimed or worker.token_confirmed:\n", "        if True:\n"),
-    "zone-not-checked": (PLACER, "if spec.same_zone and len(zones) > 1:", "if False:"),
+    "zone-not-checked": (DRAFT, "if spec.same_zone and len(zones) > 1:", "if False:"),
 }
 
 FIRST = {
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -11,9 +11,10 @@
 from ashtray.jobs.model import FINAL_STATE_PREFIX, LIVE_JOB_PREFIX, JobRecord, JobSpec
 from ashtray.jobs.states import JobStates
 from ashtray.kernel import SECOND_US, Sleep
+from ashtray.placement.batch import BatchItem
 from ashtray.placement.cluster_state import ClusterState
+from ashtray.placement.draft import Draft
 from ashtray.placement.machine_groups import Allocation, reuse_allocations
-from ashtray.placement.placer import BatchItem, Draft
 from ashtray.placement.records import AllocationRecord, GroupRecord, MachineRecord
 from ashtray.placement.state_keys import GROUP
 from ashtray.store.limits import VALUE_SHARE, Limits
--- a/tools/regress.py
+++ b/tools/regress.py
@@ -40,6 +40,8 @@
     "placement/records",
     "placement/compact_record",
     "placement/placer",
+    "placement/batch",
+    "placement/draft",
     "jobs/service",
     "jobs/model",
 )
