Fix placements too large for one transaction that hold up every job

Cause: a batch counted 600 bytes for a job's record, whatever its size, and a split placement counted none, so the request exceeded 64 KiB. A refusal (400) could not be told from a conflict, so the same transaction was built again.

Evidence: with sizes in the log, each refusal says `place, 16 writes, 17 guards, 77487 bytes, largest value 5013 bytes`; writes, guards and values are within their limits, only the whole request is not.

Change: batches count a job's record as it is. The transaction is measured as the state service measures it; the last items are left out while it is too large, and the store client does not send what exceeds the limit. `Follower.commit` returns a `CommitOutcome`. After REFUSED the limits for that purpose are halved for a minute, and a job that is refused by itself is set aside, at first for 1 s, so that others go first. A value is at most half of a transaction, so a job's record and a group's always fit together.

Why it works: what is built is bounded by its measured size, and a refusal, should the state service count differently, makes the next transaction smaller or leaves its job out, so no transaction is repeated without end.

--- a/ashtray/base.py
+++ b/ashtray/base.py
@@ -31,3 +31,7 @@
     cluster_state: ClusterState
     store: StoreClient
     follower: Follower
+
+    def limits_for(self, purpose: str) -> Limits:
+        """Return the limits for the next transaction of a purpose; smaller ones after it was refused as too large."""
+        return self.store.refusals.reduced(self.limits, purpose, self.kernel.now_us)
--- a/ashtray/fleet/decommissioning.py
+++ b/ashtray/fleet/decommissioning.py
@@ -21,7 +21,7 @@
 from ashtray.placement.machine_groups import Machine
 from ashtray.placement.preemption import Victims, can_checkpoint, stop_victims
 from ashtray.store.rate_limiter import Urgency
-from ashtray.store.transaction import Txn
+from ashtray.store.transaction import CommitOutcome, Txn
 
 MAX_COMMITS = 12
 """The most commits in a row for one step; the remaining machines wait for the next round."""
@@ -82,7 +82,8 @@
         for (name, _), allocation in self.base.cluster_state.allocations[job.id].items():
             victims.setdefault(name, {}).setdefault((job.id, allocation.attempt), set()).update(allocation.tasks)
         build = partial(stop_victims, self.base.cluster_state, victims, self.base.limits, whole=True)
-        if (yield from self.base.follower.commit(build, len(victims), Urgency.FOLD, "stop")):
+        outcome = yield from self.base.follower.commit(build, len(victims), Urgency.FOLD, "stop")
+        if outcome is CommitOutcome.COMMITTED:
             self.kernel.log("info", f"{job.id} is stopped with a checkpoint: {machine.name} is being returned")
 
     def _drain(self, names: list[str]) -> Coroutine[None]:
@@ -99,13 +100,13 @@
             idle = {name for name in remaining if not machines[name].holds}
             build = partial(self._drain_transaction, remaining, idle, marked)
             groups = min(len({machines[name].group for name in remaining}), self.base.limits.ops)
-            committed = yield from self.base.follower.commit(build, groups, Urgency.PLACE, "return")
-            if committed:
+            outcome = yield from self.base.follower.commit(build, groups, Urgency.PLACE, "return")
+            if outcome is CommitOutcome.COMMITTED:
                 for name in marked:
                     self.kernel.log("info", f"{name} is to be returned")
                 draining.update(marked)
                 remaining = [name for name in remaining if name not in marked]
-            elif committed is None or not (yield from self.base.follower.barrier()):
+            elif outcome is CommitOutcome.NOTHING or not (yield from self.base.follower.barrier()):
                 break
 
     def _drain_transaction(self, names: list[str], idle: set[str], marked: list[str]) -> Txn | None:
@@ -172,10 +173,10 @@
             build = partial(self._removal_transaction, remaining, removed)
             groups = {machines[name].group for name in remaining if name in machines}
             expected_writes = min(len(groups) + 1, MAX_EXPECTED_WRITES)
-            committed = yield from self.base.follower.commit(build, expected_writes, Urgency.FOLD, "remove")
-            if committed:
+            outcome = yield from self.base.follower.commit(build, expected_writes, Urgency.FOLD, "remove")
+            if outcome is CommitOutcome.COMMITTED:
                 self._note_removed(removed)
-            elif committed is None or not (yield from self.base.follower.barrier()):
+            elif outcome is CommitOutcome.NOTHING or not (yield from self.base.follower.barrier()):
                 break
             machines = self.base.cluster_state.machines
         machines = self.base.cluster_state.machines
--- a/ashtray/fleet/provisioning.py
+++ b/ashtray/fleet/provisioning.py
@@ -24,7 +24,7 @@
 from ashtray.standby.takeover import Takeover
 from ashtray.store.limits import VALUE_SHARE
 from ashtray.store.rate_limiter import Urgency
-from ashtray.store.transaction import Txn
+from ashtray.store.transaction import CommitOutcome, Txn
 
 FORECAST_PAUSE_PER_MACHINE_US = 3_500
 """The pause between two forecasts, for each machine of the fleet."""
@@ -91,7 +91,8 @@
         batch: list[Intent] = []
         build = partial(self._intents_transaction, demand, batch)
         # Safety point 22: a request is sent to the cloud only once its name is committed.
-        if not (yield from self.base.follower.commit(build, 1, Urgency.ACCEPT, "intent")):
+        outcome = yield from self.base.follower.commit(build, 1, Urgency.ACCEPT, "intent")
+        if outcome is not CommitOutcome.COMMITTED:
             # The intents may have been written all the same.  None is requested, and the next write drops them.
             return
         self.intents.begin(batch)
--- a/ashtray/fleet/type_catalogue.py
+++ b/ashtray/fleet/type_catalogue.py
@@ -14,7 +14,7 @@
 from ashtray.placement.records import MachineType
 from ashtray.placement.state_keys import TYPES
 from ashtray.store.rate_limiter import Urgency
-from ashtray.store.transaction import Txn, size_of
+from ashtray.store.transaction import CommitOutcome, Txn, size_of
 
 Types = dict[str, MachineType]
 """Machine types by name."""
@@ -90,7 +90,9 @@
             txn = self._transaction(remaining)
             remaining = remaining[txn.write_count() :]
             build = partial(lambda txn: txn, txn)
-            if not (yield from self.base.follower.commit(build, txn.write_count(), Urgency.BOOKKEEPING, "fleet")):
+            writes = txn.write_count()
+            outcome = yield from self.base.follower.commit(build, writes, Urgency.BOOKKEEPING, "fleet")
+            if outcome is not CommitOutcome.COMMITTED:
                 return False
         return True
 
--- a/ashtray/jobs/cancelling.py
+++ b/ashtray/jobs/cancelling.py
@@ -12,7 +12,7 @@
 from ashtray.peers.presence import Peers, Presence
 from ashtray.placement.state_keys import split_key
 from ashtray.store.rate_limiter import Urgency
-from ashtray.store.transaction import Txn
+from ashtray.store.transaction import CommitOutcome, Txn
 from ashtray.workers.folding import end_job
 
 CONFLICT_RETRY_US = 3 * SECOND_US
@@ -48,7 +48,8 @@
                     yield from self._announce_found(job_id, attempts)
                 return Ended(job_id, state.status)
             attempts += 1
-            if (yield from self.base.follower.commit(build, 2, Urgency.CANCEL, "cancel")):
+            outcome = yield from self.base.follower.commit(build, 2, Urgency.CANCEL, "cancel")
+            if outcome is CommitOutcome.COMMITTED:
                 self.kernel.log("info", f"{job_id} cancelled")
                 yield from self.peers.announcer.announce(job_id)
                 return Ended(job_id, "cancelled")
@@ -109,7 +110,7 @@
                     messages.append(f"{job.id} cancelled with {base.cluster_state.dependencies.cancelled_by[job.id]}")
             return txn if messages else None
 
-        if (yield from base.follower.commit(build, 2, Urgency.FOLD, "bury")):
+        if (yield from base.follower.commit(build, 2, Urgency.FOLD, "bury")) is CommitOutcome.COMMITTED:
             for line in messages:
                 self.kernel.log("info", line)
 
--- a/ashtray/jobs/model.py
+++ b/ashtray/jobs/model.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ashtray.runs import decode_runs, encode_runs, longest_runs
+from ashtray.store.transaction import guarded_write_size, size_of
 
 ROOT = "ashtray/"
 NOW = "ashtray/now/"
@@ -144,13 +145,17 @@
             old.portion if portion is None else portion,
         )
         if len(runs) > SHORT_RUNS_BYTES:
-            max_bytes = self.max_bytes - (len(msgspec.json.encode(record)) - len(runs))
+            max_bytes = self.max_bytes - (size_of(record) - len(runs))
             if len(runs) > max_bytes:
                 # A finished task that is dropped here is started again and ends at once, because its result is kept.
                 # A record that is too large to be written would block the whole job.
                 record.finished = longest_runs(runs, max_bytes)
         return msgspec.to_builtins(record)
 
+    def write_size(self) -> int:
+        """Return at most how many bytes a placement's write of the job's record takes in a transaction."""
+        return guarded_write_size(LIVE_JOB_PREFIX + self.id, size_of(self.record) + SPARE_BYTES)
+
     @property
     def max_open_tasks(self) -> int:
         """Return how many tasks of an array may have allocations at a time.
@@ -162,7 +167,7 @@
         digits = len(str(tasks))
         if self.max_bytes >= tasks * (digits + 1):
             return tasks
-        other_bytes = len(msgspec.json.encode(self.record)) - len(self.record.finished) + SPARE_BYTES
+        other_bytes = size_of(self.record) - len(self.record.finished) + SPARE_BYTES
         return max(min((self.max_bytes - other_bytes) // (digits + 1), MAX_OPEN_TASKS), 1)
 
     def final_state(self, status: str, done: int, at_us: int) -> Any:
--- a/ashtray/placement/batch.py
+++ b/ashtray/placement/batch.py
@@ -7,12 +7,13 @@
 from ashtray.jobs.model import Job
 from ashtray.placement.cluster_state import ClusterState
 from ashtray.placement.plan import Choice
+from ashtray.runs import encode_runs
 from ashtray.store.limits import Limits
+from ashtray.store.transaction import guarded_write_size
 from ashtray.teams.grants import URGENT_PRIORITY
 
 ALLOCATION_BYTES = 160
-JOB_BYTES = 600
-"""Estimated bytes that one allocation, and one job's record, take in a transaction."""
+"""Estimated bytes that an allocation adds to a group's record, without its image and its task numbers."""
 
 
 @dataclass
@@ -40,13 +41,17 @@
     """Split a job's placement into as many transactions as it needs, which is mostly one."""
     cut: list[list[Choice]] = [[]]
     groups: set[str] = set()
-    size = 0
+    allocation_bytes = ALLOCATION_BYTES + len(job.spec.image)
+    # Each transaction writes the job's record; all of the task numbers may be in one of them.
+    job_bytes = job.write_size() + len(encode_runs(tasks))
+    size = job_bytes
     for capacity, n in choices:
         group = capacity.machine.group
-        more = ALLOCATION_BYTES + (0 if group in groups else cluster_state.groups[group].size)
+        group_bytes = guarded_write_size(group, cluster_state.groups[group].size)
+        more = allocation_bytes + (0 if group in groups else group_bytes)
         if cut[-1] and (len(groups | {group}) > limits.ops - 1 or size + more > limits.txn_bytes):
             cut.append([])
-            groups, size, more = set(), 0, ALLOCATION_BYTES + cluster_state.groups[group].size
+            groups, size, more = set(), job_bytes, allocation_bytes + group_bytes
         groups.add(group)
         size += more
         cut[-1].append((capacity, n))
@@ -80,10 +85,12 @@
         return len(self.items) + len(self.groups)
 
     def _size(self, item: BatchItem) -> int:
+        """Return how many bytes an item adds to the transaction."""
         job = self.cluster_state.jobs[item.job_id]
         groups = self.cluster_state.groups
-        size = JOB_BYTES + len(job.record.finished) + ALLOCATION_BYTES * len(item.choices)
-        return size + sum(groups[key].size for key in item.groups() - self.groups if key in groups)
+        allocations = len(encode_runs(item.tasks)) + (ALLOCATION_BYTES + len(job.spec.image)) * len(item.choices)
+        new_groups = (key for key in item.groups() - self.groups if key in groups)
+        return job.write_size() + allocations + sum(guarded_write_size(key, groups[key].size) for key in new_groups)
 
     def fits(self, item: BatchItem) -> bool:
         """Return whether an item fits into the transaction; the first one always does."""
--- a/ashtray/placement/group_edit.py
+++ b/ashtray/placement/group_edit.py
@@ -92,7 +92,7 @@
             # A peer may begin to split the group, which does not change the version of its record (point 16).
             txn.guard(split_key(group.key), 0)
         if value["machines"] or "done" in value:
-            txn.put(group.key, value)
+            txn.put(group.key, value, size=size)
         elif group.version:
             txn.remove(group.key)
         return True
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 
 from ashtray.base import Base
@@ -15,15 +15,16 @@
 from ashtray.jobs.model import LIVE_JOB_PREFIX, Job
 from ashtray.kernel import SECOND_US, Coroutine, Signal, Sleep, Wait
 from ashtray.peers.presence import Presence
-from ashtray.placement.batch import Batch, split_placement
+from ashtray.placement.batch import Batch, BatchItem, split_placement
 from ashtray.placement.draft import Draft, attempt_of
 from ashtray.placement.plan import Choice, Plan, Planner, demand
 from ashtray.placement.preemption import PreemptionRules, Victims, choose_victims, stop_for
 from ashtray.placement.prospects import Prospects
 from ashtray.placement.records import AMOUNT_TOLERANCE
 from ashtray.placement.state_keys import TEAM
+from ashtray.store.limits import Limits
 from ashtray.store.rate_limiter import Urgency
-from ashtray.store.transaction import Txn
+from ashtray.store.transaction import CommitOutcome, Txn
 from ashtray.teams.grants import URGENT_PRIORITY, Grants, Share
 from ashtray.workers.worker_manager import WorkerManager
 
@@ -57,10 +58,44 @@
 queue leaves processor time for other work."""
 
 
+PURPOSE = "place"
+"""The purpose of the transactions that place tasks, in the counts of the state service's client."""
+MIN_SET_ASIDE_US, MAX_SET_ASIDE_US = SECOND_US, 60 * SECOND_US
+"""How long a job whose placement was refused as too large by itself is not placed: the first time, and at most."""
 MAX_SHORT_GANGS = 8
 """The maximum number of gangs per team, beyond its share of the limit, that one round remembers."""
 
 
+class GroupFull(Exception):
+    """Raised where the record of a group cannot take what is to be placed there."""
+
+    def __init__(self, key: str) -> None:
+        super().__init__(key)
+        self.key = key
+
+
+@dataclass
+class BuiltPlacement:
+    """A transaction that places the tasks of some batch items."""
+
+    txn: Txn = field(default_factory=Txn)
+    items: list[BatchItem] = field(default_factory=list)
+    teams: list[str] = field(default_factory=list)
+    """The teams with a limit whose tasks it places."""
+    folded: set[str] = field(default_factory=set)
+    """The machines whose reports it folds into its group records."""
+    lines: list[str] = field(default_factory=list)
+    """A line for the log for each item."""
+
+
+@dataclass(frozen=True)
+class SetAside:
+    """Until when a job is not placed, and how long that was in all; both in microseconds."""
+
+    until_us: int
+    pause_us: int
+
+
 @dataclass(frozen=True)
 class ShortJob:
     """A job that needs a larger share of its team's limit for its controller before it can be placed."""
@@ -103,10 +138,10 @@
         self._round_requested = False
         self._commits = self._idle_rounds = 0
         """The number of commits tried, and of consecutive rounds that had work but tried no commit."""
-        self._last_commit: tuple[Txn, list[str]] = (Txn(), [])
-        """The last transaction, and the teams with a limit whose tasks it placed."""
-        self._last_folded: set[str] = set()
-        """The machines whose reports the last transaction folded into its group records."""
+        self._built = BuiltPlacement()
+        """The transaction that was built last."""
+        self._set_aside: dict[str, SetAside] = {}
+        """By job id, the jobs whose placement was refused as too large even by itself."""
         self._short_jobs: dict[str, list[ShortJob]] = {}
         """By team, the first jobs in queue order that need more than this controller's share of the limit."""
         self._queue: list[Job] = []
@@ -165,6 +200,7 @@
         while jobs and not self.presence.mine(jobs[-1]):
             jobs.pop()
         self._partial_us = {j: at for j, at in self._partial_us.items() if j in cluster_state.jobs}
+        self._set_aside = {j: aside for j, aside in self._set_aside.items() if j in cluster_state.jobs}
         try:
             yield from self._serve(plan, jobs, guaranteed)
         finally:
@@ -196,7 +232,7 @@
     def _serve(self, plan: Plan, jobs: list[Job], guaranteed: set[str]) -> Coroutine[None]:
         base = self.base
         round_began_us = base.kernel.now_us
-        batch = Batch(base.cluster_state, base.limits)
+        batch = Batch(base.cluster_state, base.limits_for(PURPOSE))
         freed = {id(capacity) for capacity in plan.freed}
         urgent_since_us: dict[str, int] = {}
         peer_usage: dict[tuple[str, str], Share] = {}
@@ -209,6 +245,8 @@
             # were counted against the plan's limit, it would stay unused until it had been moved to the other
             # controllers.
             shared = mine and self.grants.has_limit(job.spec.team)
+            if mine and self._is_set_aside(job):
+                continue
             tasks = plan.wanted(job, base.kernel.wall_us, shared)
             urgent = job.priority <= URGENT_PRIORITY and not job.fails_on_several_machines
             if not mine and not urgent:
@@ -287,12 +325,12 @@
                 choices = self._cut_to_share(plan, job, choices, batch, turn)
                 if not choices:
                     continue
-            for item in split_placement(job, tasks, choices, base.cluster_state, base.limits):
+            for item in split_placement(job, tasks, choices, base.cluster_state, base.limits_for(PURPOSE)):
                 if not batch.fits(item):
                     if not (yield from self._commit(batch)):
                         # The plan was made on an outdated cluster state: start again with the current one.
                         return self._request_round()
-                    batch = Batch(base.cluster_state, base.limits)
+                    batch = Batch(base.cluster_state, base.limits_for(PURPOSE))
                 batch.add(item)
                 plan.due_groups |= item.groups()
         if batch.items and not (yield from self._commit(batch)):
@@ -377,7 +415,8 @@
             if base.kernel.now_us < at_us + pause_us or self._yields_share(team, jobs):
                 continue
             build = partial(self._shares_for, team, jobs)
-            committed = yield from base.follower.commit(build, 1, Urgency.PLACE, "share")
+            outcome = yield from base.follower.commit(build, 1, Urgency.PLACE, "share")
+            committed = outcome is CommitOutcome.COMMITTED
             # After a failure, wait twice as long before the next attempt: the limit itself may bind.
             pause_us = (
                 RESHARE_PAUSE_US if committed else min(max(2 * pause_us, RESHARE_PAUSE_US), MAX_RESHARE_PAUSE_US)
@@ -473,66 +512,106 @@
             base.settings.host_name,
             base.kernel.wall_us,
         )
-        if (yield from base.follower.commit(build, len(victims), Urgency.PLACE, "preempt")):
+        outcome = yield from base.follower.commit(build, len(victims), Urgency.PLACE, "preempt")
+        if outcome is CommitOutcome.COMMITTED:
             number = sum(len(tasks) for held in victims.values() for tasks in held.values())
             base.kernel.log("info", f"{job.id} stops {number} tasks on {', '.join(sorted(victims))}")
 
     def _commit(self, batch: Batch) -> Coroutine[bool]:
+        """Commit the placements of a batch; return whether all of them were committed."""
         base = self.base
         for retry in range(base.operator_settings.retries):
-            lines: list[str] = []
-            build = partial(self._transaction, batch, lines)
+            build = partial(self._transaction, batch)
             # Urgent batches share a priority with the folds: otherwise a controller with many workers never gets to
             # place.
             urgency = Urgency.FOLD if batch.urgent else Urgency.PLACE
-            committed = yield from base.follower.commit(build, batch.writes(), urgency, "place")
-            if committed is None:
+            outcome = yield from base.follower.commit(build, batch.writes(), urgency, "place")
+            if outcome is CommitOutcome.NOTHING:
                 return False
-            txn, teams = self._last_commit
-            if txn.outcome_unknown:
-                self.grants.note_unanswered(teams)
-            self._recent_failures.append(not committed)
+            built = self._built
+            if built.txn.outcome_unknown:
+                self.grants.note_unanswered(built.teams)
             self._commits += 1
-            if committed:
-                for line in lines:
+            if outcome is CommitOutcome.REFUSED:
+                self._after_refusal(built)
+                return False
+            self._recent_failures.append(outcome is not CommitOutcome.COMMITTED)
+            if outcome is CommitOutcome.COMMITTED:
+                for line in built.lines:
                     base.kernel.log("info", line)
-                self.worker_manager.mark_folded(self._last_folded)
-                return len(lines) == len(batch.items)
+                for item in built.items:
+                    self._set_aside.pop(item.job_id, None)
+                self.worker_manager.mark_folded(built.folded)
+                return len(built.items) == len(batch.items)
             yield Sleep(int(base.kernel.rng.uniform(0.0, 0.02) * min(2**retry, 16) * SECOND_US))
             if not (yield from base.follower.barrier()):
                 return False
         return False
 
-    def _transaction(self, batch: Batch, lines: list[str]) -> Txn | None:
+    def _after_refusal(self, built: BuiltPlacement) -> None:
+        """Set a job aside if its placement was refused though it had the transaction for itself.
+
+        Other placements are planned anew, in smaller transactions.  A job that cannot be placed must not hold up the
+        jobs behind it, so it is tried again later and later.
+        """
+        job_ids = {item.job_id for item in built.items}
+        groups = {key for item in built.items for key in item.groups()}
+        if len(job_ids) > 1 or len(groups) > 1:
+            return
+        now = self.base.kernel.now_us
+        for job_id in job_ids:
+            before = self._set_aside.get(job_id)
+            pause_us = MIN_SET_ASIDE_US if before is None else min(2 * before.pause_us, MAX_SET_ASIDE_US)
+            self._set_aside[job_id] = SetAside(now + pause_us, pause_us)
+            pause_s = pause_us // SECOND_US
+            self.base.kernel.log("error", f"{job_id} is not placed for {pause_s} s: refused though it was alone")
+
+    def _is_set_aside(self, job: Job) -> bool:
+        aside = self._set_aside.get(job.id)
+        return aside is not None and self.base.kernel.now_us < aside.until_us
+
+    def _transaction(self, batch: Batch) -> Txn | None:
         """Build the transaction for a batch; each job is checked against the record versions that will guard it.
 
         A job that does not fit any more is left out.  None if nothing is left.
         """
+        limits = self.base.limits_for(PURPOSE)
+        items = list(batch.items)
         full: set[str] = set()
-        for _ in range(len(batch.groups) + 1):
-            found = self._draft(batch, lines, full)
-            if not isinstance(found, str):
-                return found
-            # The record of this group cannot take what is planned there: leave the group out.
-            self.counts["groups found full"] += 1
-            full.add(found)
+        while items:
+            try:
+                built = self._build(items, full, limits)
+            except GroupFull as error:
+                self.counts["groups found full"] += 1
+                full.add(error.key)
+                continue
+            if built is None:
+                return None
+            if len(built.items) == 1 or built.txn.size() <= limits.txn_bytes:
+                self._built = built
+                return built.txn
+            # Records have grown since the batch was planned: the last items are planned again.
+            items = built.items[: len(built.items) // 2]
         return None
 
-    def _draft(self, batch: Batch, lines: list[str], full: set[str]) -> Txn | str | None:
-        """Build the transaction without the groups in `full`; return the key of a group whose record would get too
-        large."""
+    def _build(self, items: list[BatchItem], full: set[str], limits: Limits) -> BuiltPlacement | None:
+        """Build the transaction that places the items which still fit, without the groups in `full`.
+
+        Returns None if no item is left.  Raises `GroupFull` for a group whose record would get too large.
+        """
         base = self.base
         cluster_state = base.cluster_state
-        txn = Txn()
-        lines.clear()
-        fold = self.worker_manager.group_only_fold(batch.groups - full)
-        draft = Draft(cluster_state, self.grants, fold, base.limits)
-        for item in batch.items:
+        built = BuiltPlacement()
+        txn = built.txn
+        groups = {key for item in items for key in item.groups()}
+        fold = self.worker_manager.group_only_fold(groups - full)
+        draft = Draft(cluster_state, self.grants, fold, limits)
+        for item in items:
             job = cluster_state.jobs.get(item.job_id)
             if job is None or full & item.groups() or not draft.allows(job, item):
                 continue
             # The transaction limits may have been lowered since the batch was planned.
-            if len(lines) + 1 + len(draft.edits.keys() | item.groups()) > base.limits.ops:
+            if len(built.items) + 1 + len(draft.edits.keys() | item.groups()) > limits.ops:
                 continue
             number = attempt_of(job)
             draft.add(job, item, number, base.kernel.wall_us, base.settings.host_name)
@@ -542,14 +621,15 @@
                 LIVE_JOB_PREFIX + job.id, job.updated_record(attempt=number, portion=portion)
             )
             where = ", ".join(f"{n} on {capacity.machine.name}" for capacity, n in item.choices)
-            lines.append(f"{job.id} attempt {number}: {where}")
-        if not lines:
+            built.items.append(item)
+            built.lines.append(f"{job.id} attempt {number}: {where}")
+        if not built.items:
             return None
         for name in draft.usage:
             txn.guard(TEAM + name, cluster_state.version(TEAM + name))
         for key, edit in draft.edits.items():
-            if not edit.write(txn, base.limits, cluster_state.is_live):
-                return key
-        self._last_commit = txn, list(draft.usage)
-        self._last_folded = {name for name in fold.taken if cluster_state.machines[name].group in draft.edits}
-        return txn
+            if not edit.write(txn, limits, cluster_state.is_live):
+                raise GroupFull(key)
+        built.teams = list(draft.usage)
+        built.folded = {name for name in fold.taken if cluster_state.machines[name].group in draft.edits}
+        return built
--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -9,8 +9,9 @@
 
 from ashtray.config.settings import StateLimits
 from ashtray.kernel import SECOND_US, Call, Coroutine, Kernel, Reply
+from ashtray.store.limits import MAX_TXN_BYTES, RefusalBackoff
 from ashtray.store.rate_limiter import Bucket, RateLimiter, Urgency
-from ashtray.store.transaction import Txn, size_of
+from ashtray.store.transaction import CommitOutcome, Txn
 
 CALL_TIMEOUT_US = 1_200_000
 REQUEST_OVERDRAFT = 0.2
@@ -48,6 +49,7 @@
         )
         self.refused = False
         """A transaction was refused as too large: the lower limits are in force."""
+        self.refusals = RefusalBackoff()
         self._throttled_us: list[int] = []
         """When writes got a 429, within the last `THROTTLE_WINDOW_US`."""
         self._low_rate_until_us = 0
@@ -143,7 +145,8 @@
 
         `build` is called only when the budget for about that many `writes` is there, and after `refresh` has read the
         latest changes, so that a transaction does not become outdated while it waits for the budget.  If `build`
-        returns None, nothing is sent, and the result is None with a reply of status 0.  A 429 is retried.
+        returns None, nothing is sent, and the result is None with a reply of status 0.  A 429 is retried.  For a
+        transaction that is too large the reply has status 400; it is not sent, because a refusal costs writes.
         """
         asked_us = self.kernel.now_us
         txn: Txn | None = None
@@ -156,6 +159,12 @@
             if txn is None:
                 self.writes.bucket.level += writes
                 return None, Reply(0)
+            if txn.size() > MAX_TXN_BYTES:
+                self.writes.bucket.level += writes
+                self.counts[f"{purpose} not sent"] += 1
+                self.refusals.note_refusal(purpose, self.kernel.now_us)
+                self.kernel.log("error", f"a transaction is too large to be sent ({purpose}, {txn.describe_size()})")
+                return txn, Reply(400)
             self.writes.bucket.level -= txn.write_count() - writes
             self.requests.bucket.level -= 1
             self.used += txn.write_count()
@@ -164,12 +173,8 @@
             self.counts[f"{purpose} {outcome}"] += 1
             self.counts[f"{purpose} {outcome} changes"] += txn.write_count()
             txn.outcome_unknown = reply.status not in KNOWN_OUTCOMES
-            if reply.status == 400 and (reply.body or {}).get("error") != "no such lease":
-                # The same transaction must not be sent again.  If it exceeds the lower limits, they are in force now;
-                # any other refusal says nothing about the limits or about peers of the previous version.
-                self.refused = self.refused or self._exceeds_next_limits(txn)
-                size = txn.describe_size()
-                self.kernel.log("error", f"the state service refuses a transaction ({purpose}, {size}): {reply.body}")
+            if CommitOutcome.of(reply) is CommitOutcome.REFUSED:
+                self._note_refusal(txn, reply, purpose)
             if reply.status != 429:
                 break
             self.note_write_throttled()
@@ -177,15 +182,27 @@
         self._log_slow_or_failed("POST", f"/txn of {txn.write_count() if txn else 0}", reply, asked_us)
         return txn, reply
 
+    def _note_refusal(self, txn: Txn, reply: Reply, purpose: str) -> None:
+        """Reduce the limits for the next transaction of this purpose: the same one must not be built again.
+
+        If it exceeds the lower limits, these are in force now, and reduce it by themselves.  Any other refusal says
+        nothing about them or about peers of the previous version.
+        """
+        if self._exceeds_next_limits(txn) and not self.refused:
+            self.refused = True
+        else:
+            self.refusals.note_refusal(purpose, self.kernel.now_us)
+        size = txn.describe_size()
+        self.kernel.log("error", f"the state service refuses a transaction ({purpose}, {size}): {reply.body}")
+
     def _exceeds_next_limits(self, txn: Txn) -> bool:
         next_limits = self.limits.next
         if next_limits is None:
             return False
-        sizes = [size_of(value) for value in txn.puts.values()]
         return (
             txn.write_count() > next_limits.txn_ops
             or len(txn.guards) > 4 * next_limits.txn_ops
-            or max(sizes, default=0) > next_limits.value_kb * 1024
+            or max(txn.value_sizes().values(), default=0) > next_limits.value_kb * 1024
         )
 
     def open_lease(self, life_us: int) -> Coroutine[Reply]:
--- a/ashtray/store/follower.py
+++ b/ashtray/store/follower.py
@@ -8,7 +8,7 @@
 from ashtray.kernel import SECOND_US, Coroutine, Kernel, Reply, Signal, Sleep, Wait
 from ashtray.store.client import StoreClient
 from ashtray.store.rate_limiter import Urgency
-from ashtray.store.transaction import Txn
+from ashtray.store.transaction import CommitOutcome, Txn
 
 FOLLOW_SHARE = 0.15
 """The part of the state service's request rate that all controllers together spend on following while no caller needs
@@ -186,21 +186,21 @@
 
     def commit(
         self, build: Callable[[], Txn | None], writes: int, urgency: Urgency, purpose: str
-    ) -> Coroutine[bool | None]:
+    ) -> Coroutine[CommitOutcome]:
         """Commit the transaction that `build` makes from the latest cluster state.
 
-        Returns True on success; the cluster state then shows the writes already.  Returns False after a conflict, a
-        refusal or an unknown outcome, and None if `build` found nothing to commit.
+        After a success the cluster state shows the writes already.
         """
         refresh = self.refresh if urgency in SHARED_URGENCIES else None
         txn, reply = yield from self.store.commit(build, writes, urgency, purpose, refresh)
         if txn is None:
-            return None
-        if reply.status != 200:
-            return False
+            return CommitOutcome.NOTHING
+        outcome = CommitOutcome.of(reply)
+        if outcome is not CommitOutcome.COMMITTED:
+            return outcome
         self.show(txn.puts, txn.removes, reply.body["ledger"])
         self.changed()
-        return True
+        return outcome
 
     def show(self, puts: Mapping[str, Any], removes: Iterable[str], version: int) -> None:
         """Apply this process's own writes to the cluster state at once, unless a round has read them already.
--- a/ashtray/store/limits.py
+++ b/ashtray/store/limits.py
@@ -1,20 +1,30 @@
-"""The limits of the state service for one transaction and one value."""
+"""The limits of the state service for one transaction and one value, and how refusals reduce them."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ashtray.config.settings import StateLimits
+from ashtray.kernel import SECOND_US
 
-TXN_BYTES = 64 * 1024
+MAX_TXN_BYTES = 64 * 1024
 """The largest transaction that the state service accepts, in bytes."""
+TXN_SHARE = 0.85
+"""The part of `MAX_TXN_BYTES` that transactions of several items are planned with, because items may grow until they
+are written."""
+MIN_OPS = 2
+"""The fewest writes to which refusals reduce a transaction: a job and the group in which it is placed."""
+REFUSAL_RECOVERY_US = 60 * SECOND_US
+"""How long after a refusal the full limits are tried again."""
 VALUE_SHARE = 0.95
 """The part of the size limit for a value that a record may use."""
 
 
 @dataclass
 class Limits:
-    """The limits for one transaction and one value; sizes are estimates, so a part is kept in reserve.
+    """The limits for one transaction and one value.
+
+    Any two records, such as a job's and that of the group in which it is placed, fit into one transaction.
 
     The settings may name lower limits that come into force later, without notice.  They are obeyed as soon as no
     controller of the previous version runs any more.  Otherwise a record that is too large when they come into force
@@ -42,8 +52,9 @@
         ops, value_kb = limits.txn_ops, limits.value_kb
         if limits.next is not None:
             ops, value_kb = min(ops, limits.next.txn_ops), min(value_kb, limits.next.value_kb)
-        txn_bytes = int(TXN_BYTES * 0.85)
-        return cls(limits.txn_ops, txn_bytes, int(limits.value_kb * 1024), ops, int(value_kb * 1024))
+        max_value_bytes = MAX_TXN_BYTES // 2
+        value_bytes, final_value_bytes = (min(int(kb * 1024), max_value_bytes) for kb in (limits.value_kb, value_kb))
+        return cls(limits.txn_ops, int(MAX_TXN_BYTES * TXN_SHARE), value_bytes, ops, final_value_bytes)
 
     @property
     def compact(self) -> bool:
@@ -80,3 +91,30 @@
     def final_guards(self) -> int:
         """`guards` under the lower limits, for rules that all controllers must agree on at any time."""
         return 4 * (self.final_ops or self.ops)
+
+
+class RefusalBackoff:
+    """Reduces the limits for the transactions of a purpose after the state service has refused one of them.
+
+    Each refusal halves them, so that the next transaction is a smaller one.  `REFUSAL_RECOVERY_US` after the last
+    refusal the full limits are tried again.
+    """
+
+    def __init__(self) -> None:
+        self._halvings: dict[str, tuple[int, int]] = {}
+        """By purpose, how often the limits were halved, and when the last refusal was."""
+
+    def note_refusal(self, purpose: str, now_us: int) -> None:
+        """Note that a transaction of this purpose was refused as too large."""
+        self._halvings[purpose] = (self._halvings_at(purpose, now_us) + 1, now_us)
+
+    def reduced(self, limits: Limits, purpose: str, now_us: int) -> Limits:
+        """Return the limits that the next transaction of this purpose has to keep."""
+        halvings = self._halvings_at(purpose, now_us)
+        if not halvings:
+            return limits
+        return replace(limits, ops=max(limits.ops >> halvings, MIN_OPS), txn_bytes=limits.txn_bytes >> halvings)
+
+    def _halvings_at(self, purpose: str, now_us: int) -> int:
+        halvings, refused_us = self._halvings.get(purpose, (0, 0))
+        return halvings if now_us - refused_us < REFUSAL_RECOVERY_US else 0
--- a/ashtray/workers/splitting.py
+++ b/ashtray/workers/splitting.py
@@ -20,7 +20,7 @@
 from ashtray.runs import encode_runs
 from ashtray.store.limits import Limits
 from ashtray.store.rate_limiter import Urgency
-from ashtray.store.transaction import Txn, size_of
+from ashtray.store.transaction import CommitOutcome, Txn, size_of
 from ashtray.workers.folding import MAX_RECORD_SHARE_TO_GROW, group_size
 
 CHECK_INTERVAL_US = SECOND_US // 4
@@ -149,7 +149,8 @@
                 return self.split(key)
 
             # The write is urgent because nothing else can be done with the group's machines until it is split.
-            if (yield from base.follower.commit(build, number, Urgency.CANCEL, "split")):
+            outcome = yield from base.follower.commit(build, number, Urgency.CANCEL, "split")
+            if outcome is CommitOutcome.COMMITTED:
                 self.kernel.log("info", f"{group.key} ({group.size} bytes) is split")
             elif not (yield from base.follower.barrier()):
                 break
--- a/ashtray/workers/worker_manager.py
+++ b/ashtray/workers/worker_manager.py
@@ -15,7 +15,7 @@
 from ashtray.peers.presence import Peers, Presence
 from ashtray.placement.machine_groups import Group, Machine
 from ashtray.store.rate_limiter import Urgency
-from ashtray.store.transaction import Txn
+from ashtray.store.transaction import CommitOutcome, Txn
 from ashtray.workers import messages
 from ashtray.workers.folding import Evidence, Fold, adoption, allocation_is_dead, may_defer_move, must_save_now
 from ashtray.workers.messages import Report, TaskKey, parse_report
@@ -473,7 +473,7 @@
             )
             return txn
 
-        if (yield from self.base.follower.commit(build, 2, Urgency.FOLD, "adopt")):
+        if (yield from self.base.follower.commit(build, 2, Urgency.FOLD, "adopt")) is CommitOutcome.COMMITTED:
             for name in adopted:
                 report = self._unknown_machines.pop(name)
                 self.kernel.log("info", f"{name} ({report.type}, {report.zone}) is up")
@@ -583,9 +583,9 @@
             yield Wait(self._fold_signal, self._last_fold_us + self._fold_interval_us() - self.kernel.now_us)
         self._fold_all = self.kernel.now_us >= self._last_fold_us + self._fold_interval_us()
         expected_writes = min(len(self._dirty if self._fold_all else self._urgent) + 1, self.base.limits.ops)
-        committed = yield from self.base.follower.commit(self._fold, expected_writes, Urgency.FOLD, "fold")
+        outcome = yield from self.base.follower.commit(self._fold, expected_writes, Urgency.FOLD, "fold")
         last_fold = self._last_fold
-        if committed and last_fold is not None:
+        if outcome is CommitOutcome.COMMITTED and last_fold is not None:
             self._failed_folds = 0
             if self._fold_all:
                 self._last_fold_us = self.kernel.now_us
@@ -593,7 +593,7 @@
             for line in last_fold.lines:
                 self.kernel.log("info", line)
             self.mark_folded(last_fold.taken)
-        elif committed is False:
+        elif outcome is not CommitOutcome.NOTHING:
             self._failed_folds = min(self._failed_folds + 1, 5)
             yield Sleep(int(self.kernel.rng.uniform(0.0, 0.03) * 2**self._failed_folds * SECOND_US))
             yield from self.base.follower.barrier()
--- a/tests/mutants/safety.py
+++ b/tests/mutants/safety.py
@@ -145,7 +145,8 @@
     ),
     "rented-without-a-record": (
         PROVISIONING,
-        '        if not (yield from self.base.follower.commit(build, 1, Urgency.ACCEPT, "intent")):',
+        '        outcome = yield from self.base.follower.commit(build, 1, Urgency.ACCEPT, "intent")\n'
+        "        if outcome is not CommitOutcome.COMMITTED:",
         "        if build() is None:",
     ),
     "heir-does-not-ask-again": (
--- /dev/null
+++ b/tests/test_transaction_sizes.py
@@ -0,0 +1,134 @@
+"""Transactions stay within the size that the state service accepts, however long the descriptions of the jobs are."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ashtray.store.limits import MAX_TXN_BYTES, REFUSAL_RECOVERY_US, Limits, RefusalBackoff
+from ashtray.store.transaction import Txn, guarded_write_size, size_of
+from tests.model import Model, submission
+
+LONG_TYPE_LIST = ["small", *(f"standard-16cpu-64gb-rack-generation-{n:03}" for n in range(150))]
+"""Allowed machine types whose names take some 6 KB of a description."""
+KEY = st.text(st.characters(exclude_categories=["Cs"]), min_size=1, max_size=40)
+VERSION = st.integers(0, 2**64 - 1)
+VALUE = st.recursive(st.integers() | st.text() | st.booleans(), lambda v: st.lists(v) | st.dictionaries(st.text(), v))
+
+
+def long_job(job_id: str, **over: Any) -> dict[str, Any]:
+    """Return a submission of one small task with a description of some 6 KB."""
+    short = {"pieces": 1, "cpus": 0.1, "memory_gb": 0.1, "expect_s": 2.0, "hulls": LONG_TYPE_LIST}
+    return submission(job_id, **{**short, **over})
+
+
+def ran(model: Model) -> set[str]:
+    """Return the ids of the jobs of which a task has completed."""
+    return {job_id for job_id, job in model.jobs.items() if job.finished}
+
+
+def written_jobs(body: dict[str, Any]) -> set[str]:
+    """Return the ids of the jobs whose records a transaction writes."""
+    keys = (change.get("put", "") for change in body.get("apply", ()))
+    return {key.rpartition("/")[2] for key in keys if "/now/job/" in key}
+
+
+# What a transaction takes
+
+
+@given(
+    st.dictionaries(KEY, VERSION, max_size=4),
+    st.dictionaries(KEY, st.tuples(VALUE, st.none() | VERSION), max_size=4),
+    st.lists(KEY, max_size=3),
+)
+def test_the_size_of_a_transaction_is_that_of_its_request(guards, puts, removes) -> None:
+    # Guards against a size that lacks a part of the request, so that a transaction at the limit is refused.
+    txn = Txn()
+    for key, version in guards.items():
+        txn.guard(key, version)
+    for key, (value, lease) in puts.items():
+        txn.put(key, value, lease)
+    for key in removes:
+        txn.remove(key)
+    assert txn.size() == len(msgspec.json.encode(txn.body()))
+
+
+@given(KEY, VERSION, VALUE)
+def test_a_guarded_write_takes_no_more_than_it_is_counted_with(key, version, value) -> None:
+    # Guards against batches that count less for a write than it takes.
+    put = Txn().guard(key, version).put(key, value)
+    removal = Txn().guard(key, version).remove(key)
+    empty = Txn().size()
+    assert put.size() - empty <= guarded_write_size(key, size_of(value))
+    assert removal.size() - empty <= guarded_write_size(key)
+
+
+def test_refusals_halve_the_limits_until_none_has_come_for_a_while() -> None:
+    # Guards against transactions that are as large after a refusal as before.
+    limits, refusals = Limits(16, 50_000, 32_768), RefusalBackoff()
+    refusals.note_refusal("place", 5)
+    refusals.note_refusal("place", 9)
+    reduced = refusals.reduced(limits, "place", 10)
+    assert (reduced.ops, reduced.txn_bytes, reduced.value_bytes) == (4, 12_500, 32_768)
+    assert refusals.reduced(limits, "fold", 10) is limits
+    assert refusals.reduced(limits, "place", 9 + REFUSAL_RECOVERY_US) is limits
+
+
+# Placement
+
+
+def test_jobs_with_long_descriptions_run_and_hold_up_no_other_team() -> None:
+    # Guards against placements that are refused as too large and sent again without end: a batch counted 600 bytes
+    # for each job's record, whatever its size.
+    model = Model(1, hosts=1)
+    model.run(3)
+    for n in range(24):
+        model.submit(long_job(f"job-{n}"))
+    model.run(1)
+    model.submit(submission("job-900", crew="free", pieces=1))
+    model.run(60)
+    assert not model.state.refused
+    assert ran(model) == set(model.jobs)
+
+
+def test_a_job_whose_placement_is_always_refused_holds_up_no_other() -> None:
+    # Guards against a refused placement that is sent again and again before all others.
+    model = Model(1, hosts=1)
+    handle, refused = model.state.handle, []
+
+    def refuse_first(now_us: int, method: str, path: str, body: Any) -> Any:
+        first = "job-0" in written_jobs(body or {}) if path == "/txn" else False
+        if first and any("/now/group/" in change.get("put", "") for change in body["apply"]):
+            refused.append(len(body["apply"]))
+            return 400, {"error": "too large"}
+        return handle(now_us, method, path, body)
+
+    model.state.handle = refuse_first
+    model.run(3)
+    for n in range(12):
+        model.submit(long_job(f"job-{n}", crew="free"))
+    model.run(90)
+    assert ran(model) == set(model.jobs) - {"job-0"}
+    assert refused[-1] == 2 and len(refused) < 15
+
+
+def test_a_transaction_that_is_too_large_is_not_sent() -> None:
+    # Guards against refusals that use up the write budget which all controllers share.
+    model = Model(1, hosts=1)
+    model.run(3)
+    core = model.hosts[0].core
+    txn = Txn().put("ashtray/a", "x" * MAX_TXN_BYTES)
+    replies = []
+
+    def commit() -> Any:
+        replies.append((yield from core.store.commit(lambda: txn, 1, 0, "test")))
+
+    core.kernel.spawn(commit())
+    model.carry_out(model.hosts[0], core.wake(*model.clock(model.hosts[0])))
+    model.run(1)
+    assert [reply.status for _, reply in replies] == [400]
+    assert not model.state.refused and core.store.counts["test not sent"] == 1
+    assert core.store.refusals.reduced(core.limits, "test", core.kernel.now_us).txn_bytes < core.limits.txn_bytes
