Fix folds too large for one transaction when jobs with long descriptions fail

Callers would see: tasks that ended stay `running`, and their room stays taken, on all machines of a controller, while the failures of some jobs with long descriptions wait to be written.

Cause: `Fold.add` counted the bytes of groups alone; a failure also writes the record of its job. A refused fold was built again unchanged, before the folds of all other groups.

Evidence: on the code before, `test_a_fold_of_failures_fits_and_gets_all_of_them_written` failed with two machines of eight failed jobs with 4.3 KB each (65,562 bytes, 16 writes), and `test_a_machine_whose_fold_is_always_refused_holds_up_no_other` failed.

Change: a fold counts writes and bytes of groups and jobs together, and leaves jobs that do not fit to the next fold. A group that is refused by itself is set aside for a while. What follows from refusals is in `store/refusals.py`.

Why it works: what is added is counted with an upper bound of its bytes, and one job's record always fits beside one group's, so each fold makes progress.

Measured: both tests pass, and those of placement, lower limits, safety, load and pipelines.

--- a/ashtray/jobs/model.py
+++ b/ashtray/jobs/model.py
@@ -29,6 +29,8 @@
 """Runs of finished tasks that take no more than this always fit into a job's record, and are not checked."""
 MAX_OPEN_TASKS = 1280
 """Most tasks of an array that may have allocations at a time, if the runs of all its tasks may not fit its record."""
+FINAL_STATE_BYTES = 100
+"""Most bytes of a final state."""
 SPARE_BYTES = 150
 """Bytes of a job's record kept free for machines on which the job fails and for counters that grow."""
 
@@ -152,9 +154,18 @@
                 record.finished = longest_runs(runs, max_bytes)
         return msgspec.to_builtins(record)
 
-    def write_size(self) -> int:
-        """Return at most how many bytes a placement's write of the job's record takes in a transaction."""
-        return guarded_write_size(LIVE_JOB_PREFIX + self.id, size_of(self.record) + SPARE_BYTES)
+    def write_size(self, finished: set[int] | None = None) -> int:
+        """Return at most how many bytes a write of the job's record takes in a transaction.
+
+        `finished` are tasks that it adds to the record's finished ones.
+        """
+        more = len(encode_runs(finished)) if finished else 0
+        return guarded_write_size(LIVE_JOB_PREFIX + self.id, size_of(self.record) + SPARE_BYTES + more)
+
+    def end_size(self) -> int:
+        """Return at most how many bytes the move of the job's record to the final states takes in a transaction."""
+        final_bytes = guarded_write_size(FINAL_STATE_PREFIX + self.id, FINAL_STATE_BYTES)
+        return guarded_write_size(LIVE_JOB_PREFIX + self.id) + final_bytes
 
     @property
     def max_open_tasks(self) -> int:
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -24,6 +24,7 @@
 from ashtray.placement.state_keys import TEAM
 from ashtray.store.limits import Limits
 from ashtray.store.rate_limiter import Urgency
+from ashtray.store.refusals import SetAside
 from ashtray.store.transaction import CommitOutcome, Txn
 from ashtray.teams.grants import URGENT_PRIORITY, Grants, Share
 from ashtray.workers.worker_manager import WorkerManager
@@ -60,8 +61,6 @@
 
 PURPOSE = "place"
 """The purpose of the transactions that place tasks, in the counts of the state service's client."""
-MIN_SET_ASIDE_US, MAX_SET_ASIDE_US = SECOND_US, 60 * SECOND_US
-"""How long a job whose placement was refused as too large by itself is not placed: the first time, and at most."""
 MAX_SHORT_GANGS = 8
 """The maximum number of gangs per team, beyond its share of the limit, that one round remembers."""
 
@@ -88,14 +87,6 @@
     """A line for the log for each item."""
 
 
-@dataclass(frozen=True)
-class SetAside:
-    """Until when a job is not placed, and how long that was in all; both in microseconds."""
-
-    until_us: int
-    pause_us: int
-
-
 @dataclass(frozen=True)
 class ShortJob:
     """A job that needs a larger share of its team's limit for its controller before it can be placed."""
@@ -140,8 +131,8 @@
         """The number of commits tried, and of consecutive rounds that had work but tried no commit."""
         self._built = BuiltPlacement()
         """The transaction that was built last."""
-        self._set_aside: dict[str, SetAside] = {}
-        """By job id, the jobs whose placement was refused as too large even by itself."""
+        self._set_aside = SetAside()
+        """The jobs whose placement was refused as too large even by itself, by id."""
         self._short_jobs: dict[str, list[ShortJob]] = {}
         """By team, the first jobs in queue order that need more than this controller's share of the limit."""
         self._queue: list[Job] = []
@@ -200,7 +191,7 @@
         while jobs and not self.presence.mine(jobs[-1]):
             jobs.pop()
         self._partial_us = {j: at for j, at in self._partial_us.items() if j in cluster_state.jobs}
-        self._set_aside = {j: aside for j, aside in self._set_aside.items() if j in cluster_state.jobs}
+        self._set_aside.keep_only(cluster_state.jobs)
         try:
             yield from self._serve(plan, jobs, guaranteed)
         finally:
@@ -245,7 +236,7 @@
             # were counted against the plan's limit, it would stay unused until it had been moved to the other
             # controllers.
             shared = mine and self.grants.has_limit(job.spec.team)
-            if mine and self._is_set_aside(job):
+            if mine and self._set_aside.has(job.id, base.kernel.now_us):
                 continue
             tasks = plan.wanted(job, base.kernel.wall_us, shared)
             urgent = job.priority <= URGENT_PRIORITY and not job.fails_on_several_machines
@@ -540,7 +531,7 @@
                 for line in built.lines:
                     base.kernel.log("info", line)
                 for item in built.items:
-                    self._set_aside.pop(item.job_id, None)
+                    self._set_aside.remove(item.job_id)
                 self.worker_manager.mark_folded(built.folded)
                 return len(built.items) == len(batch.items)
             yield Sleep(int(base.kernel.rng.uniform(0.0, 0.02) * min(2**retry, 16) * SECOND_US))
@@ -558,18 +549,10 @@
         groups = {key for item in built.items for key in item.groups()}
         if len(job_ids) > 1 or len(groups) > 1:
             return
-        now = self.base.kernel.now_us
         for job_id in job_ids:
-            before = self._set_aside.get(job_id)
-            pause_us = MIN_SET_ASIDE_US if before is None else min(2 * before.pause_us, MAX_SET_ASIDE_US)
-            self._set_aside[job_id] = SetAside(now + pause_us, pause_us)
-            pause_s = pause_us // SECOND_US
+            pause_s = self._set_aside.add(job_id, self.base.kernel.now_us) // SECOND_US
             self.base.kernel.log("error", f"{job_id} is not placed for {pause_s} s: refused though it was alone")
 
-    def _is_set_aside(self, job: Job) -> bool:
-        aside = self._set_aside.get(job.id)
-        return aside is not None and self.base.kernel.now_us < aside.until_us
-
     def _transaction(self, batch: Batch) -> Txn | None:
         """Build the transaction for a batch; each job is checked against the record versions that will guard it.
 
--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -9,8 +9,9 @@
 
 from ashtray.config.settings import StateLimits
 from ashtray.kernel import SECOND_US, Call, Coroutine, Kernel, Reply
-from ashtray.store.limits import MAX_TXN_BYTES, RefusalBackoff
+from ashtray.store.limits import MAX_TXN_BYTES
 from ashtray.store.rate_limiter import Bucket, RateLimiter, Urgency
+from ashtray.store.refusals import RefusalBackoff
 from ashtray.store.transaction import CommitOutcome, Txn
 
 CALL_TIMEOUT_US = 1_200_000
--- a/ashtray/store/limits.py
+++ b/ashtray/store/limits.py
@@ -1,21 +1,16 @@
-"""The limits of the state service for one transaction and one value, and how refusals reduce them."""
+"""The limits of the state service for one transaction and one value."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from ashtray.config.settings import StateLimits
-from ashtray.kernel import SECOND_US
 
 MAX_TXN_BYTES = 64 * 1024
 """The largest transaction that the state service accepts, in bytes."""
 TXN_SHARE = 0.85
 """The part of `MAX_TXN_BYTES` that transactions of several items are planned with, because items may grow until they
 are written."""
-MIN_OPS = 2
-"""The fewest writes to which refusals reduce a transaction: a job and the group in which it is placed."""
-REFUSAL_RECOVERY_US = 60 * SECOND_US
-"""How long after a refusal the full limits are tried again."""
 VALUE_SHARE = 0.95
 """The part of the size limit for a value that a record may use."""
 
@@ -91,30 +86,3 @@
     def final_guards(self) -> int:
         """`guards` under the lower limits, for rules that all controllers must agree on at any time."""
         return 4 * (self.final_ops or self.ops)
-
-
-class RefusalBackoff:
-    """Reduces the limits for the transactions of a purpose after the state service has refused one of them.
-
-    Each refusal halves them, so that the next transaction is a smaller one.  `REFUSAL_RECOVERY_US` after the last
-    refusal the full limits are tried again.
-    """
-
-    def __init__(self) -> None:
-        self._halvings: dict[str, tuple[int, int]] = {}
-        """By purpose, how often the limits were halved, and when the last refusal was."""
-
-    def note_refusal(self, purpose: str, now_us: int) -> None:
-        """Note that a transaction of this purpose was refused as too large."""
-        self._halvings[purpose] = (self._halvings_at(purpose, now_us) + 1, now_us)
-
-    def reduced(self, limits: Limits, purpose: str, now_us: int) -> Limits:
-        """Return the limits that the next transaction of this purpose has to keep."""
-        halvings = self._halvings_at(purpose, now_us)
-        if not halvings:
-            return limits
-        return replace(limits, ops=max(limits.ops >> halvings, MIN_OPS), txn_bytes=limits.txn_bytes >> halvings)
-
-    def _halvings_at(self, purpose: str, now_us: int) -> int:
-        halvings, refused_us = self._halvings.get(purpose, (0, 0))
-        return halvings if now_us - refused_us < REFUSAL_RECOVERY_US else 0
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Container, Iterable, Iterator
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from ashtray.jobs.model import FINAL_STATE_PREFIX, LIVE_JOB_PREFIX, MAX_DEFERRED_TASKS, Job
 from ashtray.kernel import SECOND_US, Kernel
@@ -18,7 +19,7 @@
 from ashtray.placement.state_keys import ADOPTED, GROUP
 from ashtray.runs import decode_runs, encode_runs
 from ashtray.store.limits import Limits
-from ashtray.store.transaction import Txn
+from ashtray.store.transaction import Txn, guarded_write_size
 from ashtray.workers.messages import Report, TaskState
 
 SAVE_LEAD_US = 5 * SECOND_US
@@ -77,6 +78,25 @@
         self.ends = self.ends or other.ends
 
 
+class Cost(NamedTuple):
+    """What a change takes of a transaction."""
+
+    ops: int = 0
+    bytes: int = 0
+
+    def plus(self, other: Cost) -> Cost:
+        """Return the sum of two costs."""
+        return Cost(self.ops + other.ops, self.bytes + other.bytes)
+
+    def minus(self, other: Cost) -> Cost:
+        """Return what this cost is beyond another one."""
+        return Cost(self.ops - other.ops, self.bytes - other.bytes)
+
+    def within(self, limits: Limits) -> bool:
+        """Return whether a transaction may take this much."""
+        return self.ops <= limits.ops and self.bytes <= limits.txn_bytes
+
+
 def allocation_is_dead(cluster_state: ClusterState, job_id: str, attempt: int, stop_us: int) -> bool:
     """Return whether the tasks of an allocation must not be started any more."""
     job = cluster_state.jobs.get(job_id)
@@ -276,8 +296,8 @@
         self.freed: dict[str, tuple[float, float, float]] = {}
         """The CPUs, GPUs and GB of memory that folds of group records alone free on each machine."""
         self.edits: dict[str, GroupEdit] = {}
-        self._ops = 0
-        self._bytes = 0
+        self._cost = Cost()
+        """What the groups and jobs that were added take of the transaction."""
         self._sizes: dict[str, int] = {}
 
     def add(self, group: Group, names: Iterable[str], evidence: dict[str, Evidence]) -> None:
@@ -292,25 +312,44 @@
                 if not fold_machine(self.cluster_state, machine, record, machine_evidence, job_folds):
                     self.unchanged.add(name)
                     break
-                # A job that ends may cost two operations.  Jobs that do not fit into one transaction come later.
-                costly = [job_id for job_id, fold in job_folds.items() if self._extra_ops(job_id, fold, edit, spills)]
-                deferred = set(costly[max((self.limits.ops - 1) // 2, 1) :])
+                deferred = self._jobs_for_later(group, job_folds, edit, spills)
                 if deferred:
                     record, job_folds = edit.copy_of(name), {}
                     fold_machine(self.cluster_state, machine, record, machine_evidence, job_folds, deferred)
-                ops = sum(self._extra_ops(j, fold, edit, spills) for j, fold in job_folds.items())
                 after = self._size_after(edit, machine, record, job_folds)
                 if not self.limits.takes(after, len(group.machines) == 1 and after < group.size):
                     continue
-                ops += group.key not in self.edits
-                size = 0 if group.key in self.edits else group.size
-                if self._ops and (self._ops + ops > self.limits.ops or self._bytes + size > self.limits.txn_bytes):
+                cost = self._cost.plus(self._extra_group_cost(group, after))
+                for job_id, fold in job_folds.items():
+                    cost = cost.plus(self._extra_cost(job_id, fold, edit, spills))
+                if self._cost.ops and not cost.within(self.limits):
                     break
-                self._ops += ops
-                self._bytes += size
+                self._cost = cost
                 self._include(edit, name, record, job_folds, after)
                 break
 
+    def _jobs_for_later(
+        self, group: Group, folds: dict[str, JobFold], edit: GroupEdit, nearly_full: bool
+    ) -> set[str]:
+        """Return the jobs of a machine that do not fit into one transaction with its group; one job always does."""
+        total = self._group_cost(group, self._size(group))
+        later: set[str] = set()
+        for job_id, fold in folds.items():
+            cost = self._extra_cost(job_id, fold, edit, nearly_full)
+            if cost.ops and total.ops > 1 and (later or not total.plus(cost).within(self.limits)):
+                later.add(job_id)
+            else:
+                total = total.plus(cost)
+        return later
+
+    def _group_cost(self, group: Group, size: int) -> Cost:
+        return Cost(1, guarded_write_size(group.key, size))
+
+    def _extra_group_cost(self, group: Group, size: int) -> Cost:
+        """Return what writing a group's record of `size` bytes adds to what is counted for the group already."""
+        cost = self._group_cost(group, size)
+        return cost.minus(self._group_cost(group, self._size(group))) if group.key in self.edits else cost
+
     def add_group_only(self, group: Group, names: Iterable[str], evidence: dict[str, Evidence]) -> None:
         """Fold the reports that change only the group's record, not that of any job."""
         edit = GroupEdit(group)
@@ -320,7 +359,8 @@
             if not fold_machine(self.cluster_state, machine, record, machine_evidence, job_folds):
                 continue
             if any(
-                self._extra_ops(job_id, fold, edit, self._nearly_full(group)) for job_id, fold in job_folds.items()
+                self._extra_cost(job_id, fold, edit, self._nearly_full(group)).ops
+                for job_id, fold in job_folds.items()
             ):
                 continue
             after = self._size_after(edit, machine, record, job_folds)
@@ -387,8 +427,8 @@
             elif fold.finished:
                 edit.add_done(job_id, fold.finished)
 
-    def _extra_ops(self, job_id: str, fold: JobFold, edit: GroupEdit, nearly_full: bool) -> int:
-        """Return how many more operations a job needs; the end of a job needs two, to write its end and to remove it.
+    def _extra_cost(self, job_id: str, fold: JobFold, edit: GroupEdit, nearly_full: bool) -> Cost:
+        """Return what a job adds to the transaction; the end of a job is two writes, its final state and a removal.
 
         Marks the fold as spilled where completed tasks have to go into the job's own record.
         """
@@ -406,34 +446,36 @@
             fold.finished |= decode_runs(edit.done.get(job_id, ""))
             combined.finished |= fold.finished
             combined.spilled = True
-        return self._op_count(job, combined) - (self._op_count(job, previous) if previous is not None else 0)
+        cost = self._job_cost(job, combined)
+        return cost if previous is None else cost.minus(self._job_cost(job, previous))
 
-    def _op_count(self, job: Job, fold: JobFold) -> int:
+    def _job_cost(self, job: Job, fold: JobFold) -> Cost:
         writes = self._changes_job_record(job, fold)
         if completes_job(self.cluster_state, job, fold) and (
             writes or fold.ends or not may_defer_move(job, self.limits)
         ):
-            return 2
-        return 1 if writes else 0
+            return Cost(2, job.end_size())
+        return Cost(1, job.write_size(fold.finished if fold.spilled else None)) if writes else Cost()
 
     def _changes_job_record(self, job: Job, fold: JobFold) -> bool:
         return bool(fold.spilled or fold.broken or fold.errors or (fold.successes and job.record.errors))
 
     def end(self, job: Job) -> None:
         """End a job whose tasks are all known to be done, as when several folds wrote the ends of its tasks."""
-        if job.id not in self.jobs and self._ops + 2 <= self.limits.ops:
-            self._ops += 2
+        cost = self._cost.plus(Cost(2, job.end_size()))
+        if job.id not in self.jobs and cost.within(self.limits):
+            self._cost = cost
             self.jobs[job.id] = JobFold(ends=True)
 
     def transaction(self) -> Txn | None:
         """Return the transaction that writes all that was added; None if there is nothing to write."""
-        if not self._ops:
+        if not self._cost.ops:
             return None
         txn = Txn()
         ended: set[str] = set()
         for job_id, fold in self.jobs.items():
             job = self.cluster_state.jobs[job_id]
-            if self._op_count(job, fold):
+            if self._job_cost(job, fold).ops:
                 if put_job(self.kernel, self.cluster_state, txn, job, fold):
                     ended.add(job_id)
                     self.lines.append(f"{job_id} is done")
--- a/ashtray/workers/worker_manager.py
+++ b/ashtray/workers/worker_manager.py
@@ -15,6 +15,7 @@
 from ashtray.peers.presence import Peers, Presence
 from ashtray.placement.machine_groups import Group, Machine
 from ashtray.store.rate_limiter import Urgency
+from ashtray.store.refusals import SetAside
 from ashtray.store.transaction import CommitOutcome, Txn
 from ashtray.workers import messages
 from ashtray.workers.folding import Evidence, Fold, adoption, allocation_is_dead, may_defer_move, must_save_now
@@ -75,6 +76,8 @@
         """Groups that are folded at once.  The others still wait, because each group costs a write."""
         self._fold_all = False
         """Whether the next fold takes all groups, not only the urgent ones."""
+        self._set_aside = SetAside()
+        """The groups whose fold was refused as too large even by itself, by key."""
         self._last_fold: Fold | None = None
         self._last_fold_us = 0
         """When the last fold of all groups was committed."""
@@ -514,12 +517,12 @@
     def _fold(self) -> Txn | None:
         """Return the transaction that folds all groups or the urgent ones; None if there is nothing to write."""
         cluster_state = self.base.cluster_state
-        fold = Fold(self.kernel, cluster_state, self.base.limits)
+        fold = Fold(self.kernel, cluster_state, self.base.limits_for("fold"))
         for job in self._completed_jobs(deferrable=False):
             fold.end(job)
         # Groups that were marked first come first, because not all may fit.
         for key, names in list(self._dirty.items()):
-            if not self._fold_all and key not in self._urgent:
+            if not self._fold_all and key not in self._urgent or self._set_aside.has(key, self.kernel.now_us):
                 continue
             group = cluster_state.groups.get(key)
             if group is not None:
@@ -592,12 +595,27 @@
                 self._last_fold_writes = expected_writes
             for line in last_fold.lines:
                 self.kernel.log("info", line)
+            for key in last_fold.edits:
+                self._set_aside.remove(key)
             self.mark_folded(last_fold.taken)
+        elif outcome is CommitOutcome.REFUSED and last_fold is not None:
+            self._after_refusal(last_fold)
         elif outcome is not CommitOutcome.NOTHING:
             self._failed_folds = min(self._failed_folds + 1, 5)
             yield Sleep(int(self.kernel.rng.uniform(0.0, 0.03) * 2**self._failed_folds * SECOND_US))
             yield from self.base.follower.barrier()
 
+    def _after_refusal(self, fold: Fold) -> None:
+        """Set a group aside if its fold was refused though it had the transaction for itself.
+
+        A group that cannot be folded must not hold up the others.
+        """
+        if len(fold.edits) != 1:
+            return
+        for key in fold.edits:
+            pause_s = self._set_aside.add(key, self.kernel.now_us) // SECOND_US
+            self.kernel.log("error", f"{key} is not folded for {pause_s} s: refused though it was alone")
+
     def _completed_jobs(self, deferrable: bool) -> list[Job]:
         """Return this controller's jobs whose tasks are all done.
 
@@ -638,7 +656,7 @@
         """Move the records of jobs that count as done, with two writes for each."""
 
         def build() -> Txn | None:
-            fold = Fold(self.kernel, self.base.cluster_state, self.base.limits)
+            fold = Fold(self.kernel, self.base.cluster_state, self.base.limits_for("tidy"))
             for job in jobs:
                 if job.id in self.base.cluster_state.completed():
                     fold.end(self.base.cluster_state.jobs[job.id])
--- a/tests/test_transaction_sizes.py
+++ b/tests/test_transaction_sizes.py
@@ -8,8 +8,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ashtray.store.limits import MAX_TXN_BYTES, REFUSAL_RECOVERY_US, Limits, RefusalBackoff
+from ashtray.config.operators import OperatorSettings
+from ashtray.jobs.model import LIVE_JOB_PREFIX, JobRecord, JobSpec
+from ashtray.kernel import Kernel
+from ashtray.placement.cluster_state import ClusterState
+from ashtray.placement.records import AllocationRecord, GroupRecord, MachineRecord
+from ashtray.placement.state_keys import GROUP
+from ashtray.store.limits import MAX_TXN_BYTES, Limits
+from ashtray.store.refusals import REFUSAL_RECOVERY_US, RefusalBackoff
 from ashtray.store.transaction import Txn, guarded_write_size, size_of
+from ashtray.workers.folding import Evidence, Fold
+from ashtray.workers.messages import Report, TaskState
 from tests.model import Model, submission
 
 LONG_TYPE_LIST = ["small", *(f"standard-16cpu-64gb-rack-generation-{n:03}" for n in range(150))]
@@ -25,6 +34,47 @@
     return submission(job_id, **{**short, **over})
 
 
+class Cluster:
+    """A cluster state with one-task jobs on machines, for the transactions that are built from it."""
+
+    def __init__(self, description_bytes: int) -> None:
+        """`description_bytes` is about how many bytes the description of each job takes."""
+        self.state = ClusterState()
+        self.types = ["small", *("t" * 97 for _ in range(description_bytes // 100))]
+        self._jobs = 0
+
+    def add_group(self, group: str, machines: int, jobs: int, kind: str = "array", team: str = "crew") -> None:
+        """Add a group of machines, each with so many jobs of one task."""
+        records = {}
+        for n in range(machines):
+            holds = [self._allocation(kind, team) for _ in range(jobs)]
+            records[f"vm-{group}-{n}"] = MachineRecord("10.1.0.2:9000", token=7, holds=holds)
+        record = GroupRecord("small", "a", records)
+        self.state.put(GROUP + group, msgspec.to_builtins(record), 5)
+
+    def _allocation(self, kind: str, team: str) -> AllocationRecord:
+        self._jobs += 1
+        job_id = f"job-{self._jobs:06}"
+        spec = JobSpec("any", team, kind, 2, 1, 1.0, 0.0, 1.0, "img", 1.0, types=self.types)
+        self.state.put(LIVE_JOB_PREFIX + job_id, msgspec.to_builtins(JobRecord(spec, "berth-0", 0, 1)), 3)
+        return AllocationRecord(job_id, 1, "0", team, 1.0, 0.0, 1.0, 0, by="berth-0")
+
+    def failures(self, group: str) -> dict[str, Evidence]:
+        """Return reports by which all tasks on the machines of a group have failed."""
+        found = {}
+        for name, machine in self.state.groups[GROUP + group].machines.items():
+            tasks = {(a.job, a.attempt, task): TaskState("ended", "error") for a in machine.holds for task in a.tasks}
+            found[name] = Evidence(Report(name, "10.1.0.2:9000", "small", "a", False, 1, 9, 7, None, tasks), 7, True)
+        return found
+
+    def apply(self, txn: Txn, version: int) -> None:
+        """Apply a transaction's puts and removals."""
+        for key, value in txn.puts.items():
+            self.state.put(key, value, version)
+        for key in txn.removes:
+            self.state.remove(key, version)
+
+
 def ran(model: Model) -> set[str]:
     """Return the ids of the jobs of which a task has completed."""
     return {job_id for job_id, job in model.jobs.items() if job.finished}
@@ -132,3 +182,52 @@
     assert [reply.status for _, reply in replies] == [400]
     assert not model.state.refused and core.store.counts["test not sent"] == 1
     assert core.store.refusals.reduced(core.limits, "test", core.kernel.now_us).txn_bytes < core.limits.txn_bytes
+
+
+# Folds
+
+
+@given(st.integers(0, 28_000), st.integers(1, 3), st.integers(1, 3), st.integers(1, 12))
+def test_a_fold_of_failures_fits_and_gets_all_of_them_written(description_bytes, groups, machines, jobs) -> None:
+    # Guards against folds that count the groups but not the records of the jobs that failed: they were refused as too
+    # large, and repeated before all other folds.
+    cluster = Cluster(description_bytes)
+    names = [str(n) for n in range(groups)]
+    for name in names:
+        cluster.add_group(name, machines, jobs)
+    limits = Limits(16, 55_000, 32_768)
+    for version in range(10, 10 + 200):
+        fold = Fold(Kernel(None), cluster.state, limits)
+        for name in names:
+            fold.add(cluster.state.groups[GROUP + name], cluster.failures(name), cluster.failures(name))
+        txn = fold.transaction()
+        if txn is None:
+            break
+        assert txn.write_count() <= limits.ops and txn.size() <= MAX_TXN_BYTES
+        cluster.apply(txn, version)
+    assert not cluster.state.allocations
+    assert all(job.record.errors == 1 for job in cluster.state.jobs.values())
+
+
+def test_a_machine_whose_fold_is_always_refused_holds_up_no_other() -> None:
+    # Guards against a refused fold that is sent again and again before those of all other groups.
+    model = Model(1, 1, OperatorSettings(group_size=1))
+    handle, refused = model.state.handle, []
+
+    def refuse_first(now_us: int, method: str, path: str, body: Any) -> Any:
+        changes = body["apply"] if path == "/txn" else ()
+        if any(c.get("value", {}).get("errors") for c in changes if c.get("put") == f"{LIVE_JOB_PREFIX}job-0"):
+            refused.append(len(changes))
+            return 400, {"error": "too large"}
+        return handle(now_us, method, path, body)
+
+    model.state.handle = refuse_first
+    model.run(3)
+    model.mistaken.add("job-0")
+    model.submit(submission("job-0", crew="free", pieces=1, cpus=4.0))
+    model.run(20)
+    for n in range(1, 9):
+        model.submit(submission(f"job-{n}", crew="free", pieces=1, cpus=4.0))
+    model.run(60)
+    assert {job_id for job_id, job in model.jobs.items() if job.told == "done"} == set(model.jobs) - {"job-0"}
+    assert 0 < len(refused) < 15
