Fix removals of machines too large for one transaction

Callers would see: gangs with long descriptions stay without progress after the loss of a machine that had tasks of many of them.

Cause: `GroupEdits.can_add` counted the bytes of groups alone; the transaction that removes a machine also writes the records of the gangs that lose tasks. It was built again unchanged, without end.

Change: writes and bytes of groups and gangs are counted together; gangs that do not fit beside their machine's group are marked as broken by a transaction of their own first.

Why it works: each step marks at least one gang or removes at least one machine, and one record always fits beside one group.

Measured: `test_a_lost_machine_with_many_gangs_of_long_descriptions_is_removed_and_they_run_again` failed before and passes, as do the tests of returns, lost machines and safety.

--- a/ashtray/fleet/decommissioning.py
+++ b/ashtray/fleet/decommissioning.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from functools import partial
 
 from ashtray.base import Base
@@ -20,6 +21,7 @@
 from ashtray.kernel import Coroutine
 from ashtray.placement.machine_groups import Machine
 from ashtray.placement.preemption import Victims, can_checkpoint, stop_victims
+from ashtray.store.limits import Cost, Limits
 from ashtray.store.rate_limiter import Urgency
 from ashtray.store.transaction import CommitOutcome, Txn
 
@@ -81,7 +83,7 @@
         victims: Victims = {}
         for (name, _), allocation in self.base.cluster_state.allocations[job.id].items():
             victims.setdefault(name, {}).setdefault((job.id, allocation.attempt), set()).update(allocation.tasks)
-        build = partial(stop_victims, self.base.cluster_state, victims, self.base.limits, whole=True)
+        build = partial(stop_victims, self.base.cluster_state, victims, self.base.limits_for("stop"), whole=True)
         outcome = yield from self.base.follower.commit(build, len(victims), Urgency.FOLD, "stop")
         if outcome is CommitOutcome.COMMITTED:
             self.kernel.log("info", f"{job.id} is stopped with a checkpoint: {machine.name} is being returned")
@@ -118,12 +120,12 @@
         marked.clear()
         if not self.lease.holds():
             return None
-        edits = GroupEdits(self.base)
+        edits = GroupEdits(self.base, self.base.limits_for("return"))
         for name in names:
             machine = self.base.cluster_state.machines.get(name)
             if machine is None or machine.record.retiring or (name in idle and machine.holds):
                 continue
-            if not edits.can_add(machine, 0):
+            if not edits.can_add(machine, Cost()):
                 continue
             # Safety point 1: placement on the machine ends before the machine is deleted.
             edits.edit_of(machine).machine(name).retiring = True
@@ -197,7 +199,8 @@
 
     def _removal_transaction(self, names: list[str], removed: list[str]) -> Txn | None:
         """Build the transaction that removes machines, and put their names into `removed`; None without changes."""
-        edits = GroupEdits(self.base)
+        limits = self.base.limits_for("remove")
+        edits = GroupEdits(self.base, limits)
         broken: dict[str, int] = {}
         removed.clear()
         for name in names:
@@ -205,11 +208,12 @@
             if machine is None or not machine.record.retiring:
                 continue
             gangs = {**broken, **self._broken_gangs(machine)}
-            if not edits and len(gangs) >= self.base.limits.ops:
+            fits = edits.can_add(machine, self._cost(gangs))
+            if not fits and not edits:
                 # More gangs than fit into a transaction: mark some as broken, and remove the machine in a later one.
-                broken = dict(list(gangs.items())[: self.base.limits.ops])
+                broken = self._first_that_fit(gangs, limits)
                 break
-            if not edits.can_add(machine, len(gangs)):
+            if not fits:
                 continue
             edits.edit_of(machine).remove(name)
             broken = gangs
@@ -222,6 +226,21 @@
             )
         return edits.write(txn, removed)
 
+    def _cost(self, gangs: Iterable[str]) -> Cost:
+        """Return what writing the records of these gangs takes of a transaction."""
+        jobs = self.base.cluster_state.jobs
+        sizes = [jobs[job_id].write_size() for job_id in gangs]
+        return Cost(len(sizes), sum(sizes))
+
+    def _first_that_fit(self, gangs: dict[str, int], limits: Limits) -> dict[str, int]:
+        """Return the first of these gangs, as many as fit into a transaction and at least one."""
+        found: dict[str, int] = {}
+        for job_id, attempt in gangs.items():
+            if found and not self._cost([*found, job_id]).within(limits):
+                break
+            found[job_id] = attempt
+        return found
+
     def _broken_gangs(self, machine: Machine) -> dict[str, int]:
         """Return the gangs that lose tasks with a machine, each with the attempt that ends."""
         broken = {}
--- a/ashtray/store/limits.py
+++ b/ashtray/store/limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from ashtray.config.settings import StateLimits
 
@@ -86,3 +87,22 @@
     def final_guards(self) -> int:
         """`guards` under the lower limits, for rules that all controllers must agree on at any time."""
         return 4 * (self.final_ops or self.ops)
+
+
+class Cost(NamedTuple):
+    """What a change takes of a transaction."""
+
+    ops: int = 0
+    bytes: int = 0
+
+    def plus(self, other: Cost) -> Cost:
+        """Return the sum of two costs."""
+        return Cost(self.ops + other.ops, self.bytes + other.bytes)
+
+    def minus(self, other: Cost) -> Cost:
+        """Return what this cost is beyond another one."""
+        return Cost(self.ops - other.ops, self.bytes - other.bytes)
+
+    def within(self, limits: Limits) -> bool:
+        """Return whether a transaction may take this much."""
+        return self.ops <= limits.ops and self.bytes <= limits.txn_bytes
--- a/ashtray/workers/folding.py
+++ b/ashtray/workers/folding.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Container, Iterable, Iterator
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 from ashtray.jobs.model import FINAL_STATE_PREFIX, LIVE_JOB_PREFIX, MAX_DEFERRED_TASKS, Job
 from ashtray.kernel import SECOND_US, Kernel
@@ -18,7 +17,7 @@
 from ashtray.placement.records import AllocationRecord, MachineRecord, MachineType
 from ashtray.placement.state_keys import ADOPTED, GROUP
 from ashtray.runs import decode_runs, encode_runs
-from ashtray.store.limits import Limits
+from ashtray.store.limits import Cost, Limits
 from ashtray.store.transaction import Txn, guarded_write_size
 from ashtray.workers.messages import Report, TaskState
 
@@ -78,25 +77,6 @@
         self.ends = self.ends or other.ends
 
 
-class Cost(NamedTuple):
-    """What a change takes of a transaction."""
-
-    ops: int = 0
-    bytes: int = 0
-
-    def plus(self, other: Cost) -> Cost:
-        """Return the sum of two costs."""
-        return Cost(self.ops + other.ops, self.bytes + other.bytes)
-
-    def minus(self, other: Cost) -> Cost:
-        """Return what this cost is beyond another one."""
-        return Cost(self.ops - other.ops, self.bytes - other.bytes)
-
-    def within(self, limits: Limits) -> bool:
-        """Return whether a transaction may take this much."""
-        return self.ops <= limits.ops and self.bytes <= limits.txn_bytes
-
-
 def allocation_is_dead(cluster_state: ClusterState, job_id: str, attempt: int, stop_us: int) -> bool:
     """Return whether the tasks of an allocation must not be started any more."""
     job = cluster_state.jobs.get(job_id)
--- a/tests/test_transaction_sizes.py
+++ b/tests/test_transaction_sizes.py
@@ -231,3 +231,22 @@
     model.run(60)
     assert {job_id for job_id, job in model.jobs.items() if job.told == "done"} == set(model.jobs) - {"job-0"}
     assert 0 < len(refused) < 15
+
+
+# Removal of machines
+
+
+def test_a_lost_machine_with_many_gangs_of_long_descriptions_is_removed_and_they_run_again() -> None:
+    # Guards against removals that count the groups but not the records of the gangs that lose tasks: the machine was
+    # never removed from its group, so its tasks were never placed anywhere else.
+    model = Model(2, 1)
+    model.run(3)
+    for n in range(11):
+        model.submit(long_job(f"job-{n}", crew="free", shape="gang", pieces=2))
+    while model.starts < 22:
+        model.run(0.2)
+    assert len(model.workers) == 1 and len(model.on) == 22
+    model.lose_machine(0)
+    model.run(90)
+    assert not model.state.refused and not model.hosts[0].core.store.counts["remove not sent"]
+    assert {job_id for job_id, job in model.jobs.items() if job.told == "done"} == set(model.jobs)
