Fix the fence of shares for more teams than a transaction has writes

Callers would see: after a start of a controller, or an unanswered placement, no job of any team with a limit starts there, if jobs of more such teams wait than a transaction has writes (six under the lower limits).

Cause: `Placer._fence` wrote the records of all these teams in one transaction. The refusal was taken for a conflict, and the same fence was built again.

Evidence: on the code before, the new test was refused with `13 changes` of 12 allowed in every round.

Change: one transaction fences as many teams as it has writes, the next one the rest.

Why it works: a fence of a team needs only the write of that team's record, so fences may be divided.

Measured: the new test failed before and passes, as do the tests of shares and of transactions without an answer.

--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -215,8 +215,11 @@
         )
         if teams:
             yield Sleep(int(base.kernel.rng.random() * FENCE_DELAY_US * len(self.presence.live())))
-            build = partial(self.grants.fence, teams)
-            yield from base.follower.commit(build, len(teams), Urgency.ACCEPT, "share")
+            max_teams = base.limits_for("share").ops
+            for first in range(0, len(teams), max_teams):
+                some = teams[first : first + max_teams]
+                build = partial(self.grants.fence, some)
+                yield from base.follower.commit(build, len(some), Urgency.ACCEPT, "share")
             # After that, the cluster state shows all that this process or its predecessor placed before the fence.
             yield from base.follower.barrier()
 
--- a/tests/test_transaction_sizes.py
+++ b/tests/test_transaction_sizes.py
@@ -5,11 +5,12 @@
 from typing import Any
 
 import msgspec
+import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
 
 from ashtray.config.operators import OperatorSettings
-from ashtray.config.settings import StateLimits
+from ashtray.config.settings import StateLimits, Team
 from ashtray.jobs.model import LIVE_JOB_PREFIX, JobRecord, JobSpec
 from ashtray.kernel import Kernel
 from ashtray.placement import compact_record
@@ -21,7 +22,7 @@
 from ashtray.store.transaction import Txn, guarded_write_size, size_of
 from ashtray.workers.folding import Evidence, Fold, adoption
 from ashtray.workers.messages import Report, TaskState
-from tests.model import Model, submission
+from tests.model import Model, settings_for, submission
 
 LONG_TYPE_LIST = ["small", *(f"standard-16cpu-64gb-rack-generation-{n:03}" for n in range(150))]
 """Allowed machine types whose names take some 6 KB of a description."""
@@ -277,3 +278,25 @@
     new = {name: Report(name, "10.1.0.2:9000", "small", "a", False, 1, 9, 7, None, {}) for name in names}
     txn, adopted = adoption(state, new, 32, limits)
     assert adopted and txn.size() <= MAX_TXN_BYTES
+
+
+# Limits of teams
+
+
+def test_the_shares_of_more_teams_than_a_transaction_has_writes_are_fenced(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against one fence for all teams at once: with more teams than writes it was refused and repeated without
+    # end, and no job of any team with a limit was placed.
+    names = [f"crew-{n}" for n in range(14)]
+
+    def settings_with_teams(*args: Any) -> Any:
+        settings = settings_for(*args)
+        teams = [Team(name=name, cpus_max=8.0) for name in names]
+        return msgspec.structs.replace(settings, cluster=msgspec.structs.replace(settings.cluster, teams=teams))
+
+    monkeypatch.setattr("tests.model.settings_for", settings_with_teams)
+    model = Model(1, 1)
+    for n, name in enumerate(names):
+        model.submit(submission(f"job-{n}", crew=name, pieces=1, cpus=0.2, memory_gb=0.1))
+    model.run(60)
+    assert not model.state.refused
+    assert ran(model) == set(model.jobs)
