Fix preemptions with claims on more teams than a transaction has writes

Callers would see: a job within its team's guarantee waits for as long as tasks of many other teams run, under limits of few writes.

Cause: `stop_for` wrote the claims on the teams of all victims and at least one group, however few writes there are. The refused preemption was built again in each round.

Change: claims take at most half of the writes, and the tasks of further teams are stopped in the next round.

Why it works: at least one write is left for a group, and each round stops the tasks of at least one team or group.

--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -502,7 +502,7 @@
             guaranteed,
             job,
             victims,
-            base.limits,
+            base.limits_for("preempt"),
             base.settings.host_name,
             base.kernel.wall_us,
         )
--- a/ashtray/placement/preemption.py
+++ b/ashtray/placement/preemption.py
@@ -16,14 +16,18 @@
 from ashtray.placement.plan import Plan
 from ashtray.placement.rules import VALIDATORS, MachineCapacity, PlacementRequest
 from ashtray.runs import encode_runs
-from ashtray.store.limits import Limits
-from ashtray.store.transaction import Txn
+from ashtray.store.limits import Cost, Limits
+from ashtray.store.transaction import Txn, guarded_write_size
 from ashtray.teams.guarantees import Amounts, Excess, add_amounts, amounts_of, claim
 
 Victims = dict[str, dict[tuple[str, int], set[int]]]
 """The tasks to stop: by machine, then by job and attempt."""
 
 
+MAX_CLAIMS_SHARE = 0.5
+"""The part of a transaction's writes that claims may take; the rest is for the groups with the tasks to stop."""
+
+
 class PreemptionRules:
     """Decides which tasks may be stopped for a job.
 
@@ -92,13 +96,18 @@
         """
         taken: dict[str, Amounts] = {}
         for allocation, number in tasks:
-            victim = self._cluster_state.jobs.get(allocation.job)
-            if victim is not None and victim.priority <= self._job.priority:
-                taken[victim.spec.team] = add_amounts(
-                    taken.get(victim.spec.team, (0.0, 0.0)), amounts_of(allocation, number)
-                )
+            team = self.claimed_team(allocation)
+            if team is not None:
+                taken[team] = add_amounts(taken.get(team, (0.0, 0.0)), amounts_of(allocation, number))
         return taken
 
+    def claimed_team(self, allocation: Allocation) -> str | None:
+        """Return the team whose excess stopping an allocation's tasks takes; None for tasks of lower priority."""
+        victim = self._cluster_state.jobs.get(allocation.job)
+        if victim is None or victim.priority > self._job.priority:
+            return None
+        return victim.spec.team
+
     def covers(self, tasks: Iterable[tuple[Allocation, int]]) -> bool:
         """Return whether the tasks may be stopped together within the excess of their teams."""
         return self._excess.allows(self.claimed(tasks))
@@ -225,25 +234,43 @@
 
     None if the current excess no longer allows it: others have stopped part of it, or it has ended by itself.
     """
+    if not victims.keys() <= cluster_state.machines.keys():
+        return None
     excess = Excess(cluster_state, teams)
     rules = PreemptionRules(cluster_state, guaranteed, job, excess)
-    stopped = []
-    for name, tasks in victims.items():
-        machine = cluster_state.machines.get(name)
-        for allocation in machine.holds if machine is not None else ():
-            number = len(allocation.tasks & tasks.get((allocation.job, allocation.attempt), set()))
-            if number and allocation.record.stop_us < 0:
-                stopped.append((allocation, number))
-    taken = rules.claimed(stopped)
+    # Each claim is a write, too.  If not all fits into one transaction, the next round stops the rest.
+    stopped = _with_claims(cluster_state, victims, rules, max(int(limits.ops * MAX_CLAIMS_SHARE), 1))
+    taken = rules.claimed((allocation, len(tasks)) for _, allocation, tasks in stopped)
     if not excess.allows(taken):
         return None
-    # Each claim is a write, too.  If not all fits into one transaction, the next round stops the rest.
-    txn = stop_victims(cluster_state, victims, replace(limits, ops=limits.ops - len(taken)))
+    now: Victims = {}
+    for name, allocation, tasks in stopped:
+        now.setdefault(name, {}).setdefault((allocation.job, allocation.attempt), set()).update(tasks)
+    txn = stop_victims(cluster_state, now, replace(limits, ops=limits.ops - len(taken)))
     if txn is not None:
         claim(txn, cluster_state, taken, by, job.id, wall_us)
     return txn
 
 
+def _with_claims(
+    cluster_state: ClusterState, victims: Victims, rules: PreemptionRules, max_claims: int
+) -> list[tuple[str, Allocation, set[int]]]:
+    """Return the tasks to stop now, by machine and allocation: those of so many teams with a claim at most."""
+    found: list[tuple[str, Allocation, set[int]]] = []
+    claimed: set[str] = set()
+    for name, by_job in victims.items():
+        for allocation in cluster_state.machines[name].holds:
+            tasks = allocation.tasks & by_job.get((allocation.job, allocation.attempt), set())
+            if not tasks or allocation.record.stop_us >= 0:
+                continue
+            team = rules.claimed_team(allocation)
+            if team is not None and len(claimed | {team}) > max_claims:
+                continue
+            claimed |= {team} if team is not None else set()
+            found.append((name, allocation, tasks))
+    return found
+
+
 def can_checkpoint(job: Job, allocation: Allocation) -> bool:
     """Return whether an allocation belongs to a gang that can save a checkpoint if all of it is told to stop."""
     spec = job.spec
@@ -258,15 +285,15 @@
     """
     edits: dict[str, GroupEdit] = {}
     txn = Txn()
-    size = 0
+    cost = Cost()
     for name, tasks in victims.items():
         machine = cluster_state.machines.get(name)
         if machine is None:
             return None
         group = cluster_state.groups[machine.group]
         if group.key not in edits:
-            size += group.size
-            if edits and (len(edits) >= limits.ops or size > limits.txn_bytes):
+            cost = cost.plus(Cost(1, guarded_write_size(group.key, group.size)))
+            if edits and not cost.within(limits):
                 if whole:
                     return None
                 break
--- a/tests/test_transaction_sizes.py
+++ b/tests/test_transaction_sizes.py
@@ -15,6 +15,7 @@
 from ashtray.kernel import Kernel
 from ashtray.placement import compact_record
 from ashtray.placement.cluster_state import ClusterState
+from ashtray.placement.preemption import stop_for
 from ashtray.placement.records import AllocationRecord, GroupRecord, MachineRecord
 from ashtray.placement.state_keys import GROUP
 from ashtray.store.limits import MAX_TXN_BYTES, Limits
@@ -46,21 +47,23 @@
         self.types = ["small", *("t" * 97 for _ in range(description_bytes // 100))]
         self._jobs = 0
 
-    def add_group(self, group: str, machines: int, jobs: int, kind: str = "array", team: str = "crew") -> None:
+    def add_group(self, group: str, machines: int, jobs: int) -> None:
         """Add a group of machines, each with so many jobs of one task."""
-        records = {}
-        for n in range(machines):
-            holds = [self._allocation(kind, team) for _ in range(jobs)]
-            records[f"vm-{group}-{n}"] = MachineRecord("10.1.0.2:9000", token=7, holds=holds)
-        record = GroupRecord("small", "a", records)
-        self.state.put(GROUP + group, msgspec.to_builtins(record), 5)
-
-    def _allocation(self, kind: str, team: str) -> AllocationRecord:
+        names = [f"vm-{group}-{n}" for n in range(machines)]
+        self.add_machines(group, {name: [self.allocate("array", "crew", 1) for _ in range(jobs)] for name in names})
+
+    def add_machines(self, group: str, holds: dict[str, list[AllocationRecord]]) -> None:
+        """Add a group of machines with these allocations."""
+        machines = {name: MachineRecord("10.1.0.2:9000", token=7, holds=held) for name, held in holds.items()}
+        self.state.put(GROUP + group, msgspec.to_builtins(GroupRecord("small", "a", machines)), 5)
+
+    def allocate(self, kind: str, team: str, tasks: int) -> AllocationRecord:
+        """Add a job, and return an allocation of all of its tasks."""
         self._jobs += 1
         job_id = f"job-{self._jobs:06}"
-        spec = JobSpec("any", team, kind, 2, 1, 1.0, 0.0, 1.0, "img", 1.0, types=self.types)
+        spec = JobSpec("any", team, kind, 2, tasks, 1.0, 0.0, 1.0, "img", 1.0, types=self.types)
         self.state.put(LIVE_JOB_PREFIX + job_id, msgspec.to_builtins(JobRecord(spec, "berth-0", 0, 1)), 3)
-        return AllocationRecord(job_id, 1, "0", team, 1.0, 0.0, 1.0, 0, by="berth-0")
+        return AllocationRecord(job_id, 1, f"0-{tasks - 1}", team, 1.0, 0.0, 1.0, 0, by="berth-0")
 
     def failures(self, group: str) -> dict[str, Evidence]:
         """Return reports by which all tasks on the machines of a group have failed."""
@@ -300,3 +303,34 @@
     model.run(60)
     assert not model.state.refused
     assert ran(model) == set(model.jobs)
+
+
+# Preemption
+
+
+@given(st.integers(1, 12), st.integers(1, 4), st.integers(5, 16), st.integers(1, 500))
+@example(8, 1, 5, 1)
+@example(2, 4, 16, 500)
+def test_work_of_many_teams_is_stopped_step_by_step(teams: int, machines: int, ops: int, tasks: int) -> None:
+    # Guards against transactions with a claim on more teams than they have writes: they were refused and repeated
+    # without end, and the guaranteed job never got its machines.
+    configured = {f"team-{n}": Team(name=f"team-{n}") for n in range(teams)}
+    configured["guaranteed"] = Team(name="guaranteed", cpus=100.0)
+    cluster = Cluster(0)
+    for n in range(machines):
+        holds = [cluster.allocate("array", team, tasks) for team in configured if team != "guaranteed"]
+        cluster.add_machines(str(n), {f"vm-{n}": holds})
+    job_id = cluster.allocate("array", "guaranteed", 1).job
+    job = cluster.state.jobs[job_id]
+    limits = Limits(ops, 55_000, 32_768)
+    for version in range(10, 10 + 60):
+        victims = {
+            name: {(a.job, a.attempt): set(a.tasks) for a in machine.holds if a.record.stop_us < 0}
+            for name, machine in cluster.state.machines.items()
+        }
+        txn = stop_for(cluster.state, configured, {job_id}, job, victims, limits, "berth-0", 10**9)
+        if txn is None:
+            break
+        assert txn.write_count() <= ops and txn.size() <= MAX_TXN_BYTES
+        cluster.apply(txn, version)
+    assert all(a.record.stop_us >= 0 for machine in cluster.state.machines.values() for a in machine.holds)
