Fix splits of groups too large for one transaction

Callers would see: tasks on the machines of a large group stay `running` and its machines get no work, if the machines share large tables.

Cause: a step of a split counted the new records and not their bytes, and each new record repeats what the machines shared. The refused split was built again without end.

Change: a step moves as many parts as fit by writes and bytes, at least one; the others follow in further steps.

Why it works: a part is at most half of a transaction, so each step moves at least one of them, and the steps are those that a group with more parts than writes always took.

--- a/ashtray/workers/splitting.py
+++ b/ashtray/workers/splitting.py
@@ -18,9 +18,9 @@
 from ashtray.placement.machine_groups import Group
 from ashtray.placement.state_keys import GROUP, split_key
 from ashtray.runs import encode_runs
-from ashtray.store.limits import Limits
+from ashtray.store.limits import Cost, Limits
 from ashtray.store.rate_limiter import Urgency
-from ashtray.store.transaction import CommitOutcome, Txn, size_of
+from ashtray.store.transaction import CommitOutcome, Txn, guarded_write_size, size_of
 from ashtray.workers.folding import MAX_RECORD_SHARE_TO_GROW, group_size
 
 CHECK_INTERVAL_US = SECOND_US // 4
@@ -32,6 +32,10 @@
 
 No tasks are placed on so large a group, and reports must still fit when they are folded into it.
 """
+SPLIT_PROGRESS_BYTES = 400
+"""Most bytes of the record that says how far a group is split: a machine and a job."""
+KEY_SUFFIX_BYTES = 100
+"""How many bytes longer the key and the guard of a new group may be than those of the group that is split."""
 RUNS_SHARE = 0.5
 """The part of the value size limit that one job's completed tasks may take in a record; more is written in parts."""
 
@@ -143,7 +147,7 @@
             yield Sleep(CHECK_INTERVAL_US)
             return
         for group in self.due():
-            number = min(len(parts_of_group(base.cluster_state, group, base.limits)), base.limits.ops)
+            number = min(len(parts_of_group(base.cluster_state, group, base.limits)), base.limits_for("split").ops)
 
             def build(key: str = group.key) -> Txn | None:
                 return self.split(key)
@@ -204,19 +208,22 @@
 
     def _change_old_record(self, txn: Txn, group: Group, parts: list[GroupPart]) -> list[GroupPart] | None:
         """Add the change of the old record; returns the parts for new records, None if the old would be too large."""
-        cluster_state, limits = self.base.cluster_state, self.base.limits
+        cluster_state, limits = self.base.cluster_state, self.base.limits_for("split")
         lock = split_key(group.key)
-        if not group.moving and len(parts) <= limits.ops:
+        if not group.moving and _cost_of(parts).within(limits):
             # The record keeps the last part; in compact form that may be the whole group.
             *moved, last = parts
             txn.guard(lock, 0).put(group.key, last.value())
             return moved if _may_be_written(last, limits) else None
-        if len(parts) <= limits.ops - 2:
+        lock_cost = Cost(1, guarded_write_size(lock, SPLIT_PROGRESS_BYTES))
+        removals = lock_cost.plus(Cost(1, guarded_write_size(group.key)))
+        if _cost_of(parts).plus(removals).within(limits):
             txn.guard(lock, cluster_state.version(lock)).remove(group.key)
             if group.moving:
                 txn.remove(lock)
             return parts
-        moved, remaining = parts[: limits.ops - 1], parts[limits.ops - 1 :]
+        moved = _first_that_fit(parts, lock_cost, limits)
+        remaining = parts[len(moved) :]
         progress = split_progress(moved, remaining, cluster_state.split_progress.get(group.key, ("", "")))
         txn.guard(lock, cluster_state.version(lock)).put(lock, progress)
         return moved
@@ -234,5 +241,22 @@
         return True
 
 
+def _cost_of(parts: list[GroupPart]) -> Cost:
+    """Return what the records of these parts take of a transaction."""
+    sizes = (guarded_write_size(part.group.key, KEY_SUFFIX_BYTES + size_of(part.value())) for part in parts)
+    return Cost(len(parts), sum(sizes))
+
+
+def _first_that_fit(parts: list[GroupPart], other: Cost, limits: Limits) -> list[GroupPart]:
+    """Return the first parts, as many as fit into a transaction beside another change and at least one."""
+    found: list[GroupPart] = []
+    for part in parts:
+        other = other.plus(_cost_of([part]))
+        if found and not other.within(limits):
+            break
+        found.append(part)
+    return found
+
+
 def _may_be_written(part: GroupPart, limits: Limits) -> bool:
     return limits.takes(size_of(part.value()), len(part.machines) == 1)
--- a/tests/test_transaction_sizes.py
+++ b/tests/test_transaction_sizes.py
@@ -334,3 +334,31 @@
         assert txn.write_count() <= ops and txn.size() <= MAX_TXN_BYTES
         cluster.apply(txn, version)
     assert all(a.record.stop_us >= 0 for machine in cluster.state.machines.values() for a in machine.holds)
+
+
+# Splitting groups
+
+
+@pytest.mark.parametrize(("machines", "kinds"), [(9, 100), (6, 125), (13, 80)])
+def test_a_group_whose_machines_share_large_tables_is_split_in_steps(machines: int, kinds: int) -> None:
+    # Guards against splits that count the new records and not their bytes: each new record repeats what the machines
+    # shared, so the transaction was larger than 64 KiB, was refused, and was repeated without end.
+    model = Model(1, 1)
+    model.run(3)
+    core = model.hosts[0].core
+    core.limits.all_upgraded = True
+    holds = [AllocationRecord("job-1", 1, "0", "t" * 100, n + 0.5, 0.0, 1.0, 0, by="berth-0") for n in range(kinds)]
+    there = {f"vm-{n}": MachineRecord("10.1.0.2:9000", token=7, holds=holds) for n in range(machines)}
+    value = compact_record.pack(msgspec.to_builtins(GroupRecord("small", "a", there)))
+    assert 0.8 < size_of(value) / core.limits.value_bytes < 0.95
+    core.cluster_state.put(f"{GROUP}0", value, 5)
+    version = 10
+    while due := core.splitter.due():
+        txn = core.splitter.split(due[0].key)
+        assert txn is not None and txn.write_count() <= core.limits.ops and txn.size() <= MAX_TXN_BYTES
+        version += 1
+        for key, record in txn.puts.items():
+            core.cluster_state.put(key, record, version)
+        for key in txn.removes:
+            core.cluster_state.remove(key, version)
+    assert sorted(core.cluster_state.machines) == sorted(there)
