Count acceptances, type records and cascaded cancellations as the state service does

If the state service refused a batch of submissions all the same, all of its users were told to retry, and their jobs were batched and refused again.

Cause: three more builders counted values without keys and guards, or writes alone, and the acceptance took a refusal for an outage.

Change: they count with `Cost` and the limits for their purpose. The jobs of a refused batch are written again at once, by smaller transactions.

--- a/ashtray/fleet/type_catalogue.py
+++ b/ashtray/fleet/type_catalogue.py
@@ -13,8 +13,9 @@
 from ashtray.kernel import SECOND_US, Coroutine
 from ashtray.placement.records import MachineType
 from ashtray.placement.state_keys import TYPES
+from ashtray.store.limits import Cost
 from ashtray.store.rate_limiter import Urgency
-from ashtray.store.transaction import CommitOutcome, Txn, size_of
+from ashtray.store.transaction import CommitOutcome, Txn, guarded_write_size, size_of
 
 Types = dict[str, MachineType]
 """Machine types by name."""
@@ -98,11 +99,11 @@
 
     def _transaction(self, changes: list[RecordWrite]) -> Txn:
         """Build a transaction of the first changes, as many as fit and at least one."""
-        txn, free_bytes = Txn(), self.base.limits.txn_bytes
-        for key, record in changes[: self.base.limits.ops]:
+        txn, cost, limits = Txn(), Cost(), self.base.limits_for("fleet")
+        for key, record in changes:
             value = None if record is None else msgspec.to_builtins(record)
-            free_bytes -= 0 if value is None else size_of(value)
-            if free_bytes < 0 and txn.write_count():
+            cost = cost.plus(Cost(1, guarded_write_size(key, 0 if value is None else size_of(value))))
+            if txn.write_count() and not cost.within(limits):
                 break
             txn.guard(key, self.base.cluster_state.version(key))
             if value is None:
--- a/ashtray/jobs/accepting.py
+++ b/ashtray/jobs/accepting.py
@@ -14,9 +14,9 @@
 from ashtray.jobs.model import FINAL_STATE_PREFIX, LIVE_JOB_PREFIX
 from ashtray.kernel import Coroutine, Kernel, Reply, Signal
 from ashtray.store.client import StoreClient
-from ashtray.store.limits import Limits
+from ashtray.store.limits import Cost, Limits
 from ashtray.store.rate_limiter import Urgency
-from ashtray.store.transaction import Txn, size_of
+from ashtray.store.transaction import CommitOutcome, Txn, guarded_write_size, size_of
 
 MAX_CONCURRENT_TXNS = 4
 """Most transactions in flight at a time.  While there are fewer, a new job is written at once and not batched."""
@@ -31,7 +31,8 @@
 
     job_id: str
     value: Any
-    size: int
+    cost: Cost
+    """What its first record takes of a transaction."""
     outcome: Signal = field(default_factory=Signal)
 
 
@@ -45,10 +46,13 @@
         self,
         kernel: Kernel,
         store: StoreClient,
-        limits: Limits,
+        limits: Callable[[], Limits],
         is_accepted: Callable[[str], bool] = lambda job_id: False,
     ) -> None:
-        """`is_accepted` tells whether a job is accepted already, by any controller; such a job is not written."""
+        """`limits` returns the limits for the next transaction.
+
+        `is_accepted` tells whether a job is accepted already, by any controller; such a job is not written.
+        """
         self._kernel = kernel
         self._store = store
         self._limits = limits
@@ -67,7 +71,9 @@
             # The same job is being written for another request, so this one shares its outcome.
             status, revision = yield first.outcome
             return (409 if status == 200 else status), revision
-        job = self._pending[job_id] = PendingJob(job_id, value, size_of(value))
+        record_bytes = guarded_write_size(LIVE_JOB_PREFIX + job_id, size_of(value))
+        cost = Cost(1, record_bytes + guarded_write_size(FINAL_STATE_PREFIX + job_id))
+        job = self._pending[job_id] = PendingJob(job_id, value, cost)
         if self._committers < MAX_CONCURRENT_TXNS:
             self._committers += 1
             self._kernel.spawn(self._commit_pending())
@@ -87,18 +93,21 @@
         def build() -> Txn | None:
             # The store client calls this again after a 429: the jobs of the batch stay in it.
             txn = Txn()
-            free_bytes = self._limits.txn_bytes - sum(job.size for job in batch)
+            limits = self._limits()
+            cost = Cost()
+            for job in batch:
+                cost = cost.plus(job.cost)
             # Jobs submitted since the write budget was requested join the batch as far as spare budget covers them.
-            max_jobs = min(requested + self._store.writes.spare(Urgency.ACCEPT), self._limits.ops)
+            max_jobs = min(requested + self._store.writes.spare(Urgency.ACCEPT), limits.ops)
             while self._pending and len(batch) < max_jobs:
                 job = next(iter(self._pending.values()))
                 if self._is_accepted(job.job_id):
                     # Its user also sent it to another controller, which has accepted it meanwhile.
                     self._kernel.fire(self._pending.pop(job.job_id).outcome, (409, 0))
                     continue
-                if batch and job.size > free_bytes:
+                cost = cost.plus(job.cost)
+                if batch and not cost.within(limits):
                     break
-                free_bytes -= job.size
                 batch.append(job)
                 self._in_flight[job.job_id] = self._pending.pop(job.job_id)
             for job in batch:
@@ -107,16 +116,18 @@
                 )
             return txn if batch else None
 
-        requested = min(len(self._pending), self._limits.ops)
+        requested = min(len(self._pending), self._limits().ops)
         reply = Reply(0)
         try:
             _, reply = yield from self._store.commit(build, requested, Urgency.ACCEPT, "accept")
         finally:
             failed = set((reply.body or {}).get("failed", ())) if reply.status == 409 else set()
+            # Of a refused transaction nothing was written, and the next ones are smaller.
+            refused = CommitOutcome.of(reply) is CommitOutcome.REFUSED and len(batch) > 1
             for job in batch:
                 del self._in_flight[job.job_id]
                 known = not failed.isdisjoint((LIVE_JOB_PREFIX + job.job_id, FINAL_STATE_PREFIX + job.job_id))
-                if failed and not known:
+                if refused or (failed and not known):
                     # Another job of the batch was accepted before, so nothing was written: retry this one.
                     self._pending[job.job_id] = job
                     continue
--- a/ashtray/jobs/cancelling.py
+++ b/ashtray/jobs/cancelling.py
@@ -11,6 +11,7 @@
 from ashtray.kernel import SECOND_US, Coroutine, Sleep
 from ashtray.peers.presence import Peers, Presence
 from ashtray.placement.state_keys import split_key
+from ashtray.store.limits import Cost
 from ashtray.store.rate_limiter import Urgency
 from ashtray.store.transaction import CommitOutcome, Txn
 from ashtray.workers.folding import end_job
@@ -103,11 +104,13 @@
 
         def build() -> Txn | None:
             messages.clear()
-            txn = Txn()
-            for job in self._cancelled_dependents():
-                if txn.write_count() + 2 <= base.limits.ops and self.presence.mine(job):
-                    end_job(txn, job, "cancelled", 0, self.kernel.wall_us)
-                    messages.append(f"{job.id} cancelled with {base.cluster_state.dependencies.cancelled_by[job.id]}")
+            txn, cost, limits = Txn(), Cost(), base.limits_for("bury")
+            for job in filter(self.presence.mine, self._cancelled_dependents()):
+                cost = cost.plus(Cost(2, job.end_size()))
+                if messages and not cost.within(limits):
+                    break
+                end_job(txn, job, "cancelled", 0, self.kernel.wall_us)
+                messages.append(f"{job.id} cancelled with {base.cluster_state.dependencies.cancelled_by[job.id]}")
             return txn if messages else None
 
         if (yield from base.follower.commit(build, 2, Urgency.FOLD, "bury")) is CommitOutcome.COMMITTED:
--- a/ashtray/jobs/submitting.py
+++ b/ashtray/jobs/submitting.py
@@ -40,7 +40,9 @@
         self.presence = presence
         self.states = states
         self.sender = sender
-        self.accepting = AcceptanceBatcher(base.kernel, base.store, base.limits, base.cluster_state.knows)
+        self.accepting = AcceptanceBatcher(
+            base.kernel, base.store, lambda: base.limits_for("accept"), base.cluster_state.knows
+        )
         self._on_accepted = on_accepted
 
     def submit(self, request_id: int, job_id: str, spec: JobSpec) -> Coroutine[None]:
