Obey the lower limits as soon as a refusal shows them

Callers saw nothing yet: between the first refusal that shows the lower limits and the next read of the state service, a controller could send further transactions of the former size, each of which uses up the shared budget.

Cause: the refusal was noted in the store client, and the limits followed at the next round of the follower.

Change: the store client calls `lower_limits_found`, which lowers the limits before anything else is built.

--- a/ashtray/controller.py
+++ b/ashtray/controller.py
@@ -69,7 +69,11 @@
         self.ended = False
         """Whether this controller was told to end and has handed its duties over."""
         self.store = StoreClient(
-            self.kernel, settings.services.state, settings.cluster.state, nodes=max(settings.cluster.nodes, 1)
+            self.kernel,
+            settings.services.state,
+            settings.cluster.state,
+            nodes=max(settings.cluster.nodes, 1),
+            lower_limits_found=lambda: self._on_state_changed(),
         )
         self.follower = Follower(self.kernel, self.store, ROOT, NOW, self.cluster_state, self._on_state_changed)
         base = Base(
--- a/ashtray/store/client.py
+++ b/ashtray/store/client.py
@@ -33,12 +33,19 @@
     """Sends one controller's requests and transactions to the state service."""
 
     def __init__(
-        self, kernel: Kernel, address: str, limits: StateLimits, headroom: float = 0.96, nodes: int = 1
+        self,
+        kernel: Kernel,
+        address: str,
+        limits: StateLimits,
+        headroom: float = 0.96,
+        nodes: int = 1,
+        lower_limits_found: Callable[[], None] = lambda: None,
     ) -> None:
         """Create a client whose share of the limits is that of one of `nodes` controllers.
 
         A process that starts must assume that all controllers start and use the limits at once.  `headroom` is the
-        part of the share that is used.
+        part of the share that is used.  `lower_limits_found` is called when a refusal shows that the lower limits
+        hold, before another transaction can be built.
         """
         self.kernel = kernel
         self.address = address
@@ -50,6 +57,7 @@
         )
         self.refused = False
         """A transaction was refused as too large: the lower limits are in force."""
+        self._lower_limits_found = lower_limits_found
         self.refusals = RefusalBackoff()
         self._throttled_us: list[int] = []
         """When writes got a 429, within the last `THROTTLE_WINDOW_US`."""
@@ -191,6 +199,7 @@
         """
         if self._exceeds_next_limits(txn) and not self.refused:
             self.refused = True
+            self._lower_limits_found()
         else:
             self.refusals.note_refusal(purpose, self.kernel.now_us)
         size = txn.describe_size()
--- a/tests/test_transaction_sizes.py
+++ b/tests/test_transaction_sizes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -13,7 +14,7 @@
 from ashtray.config.operators import OperatorSettings
 from ashtray.config.settings import StateLimits, Team
 from ashtray.jobs.model import LIVE_JOB_PREFIX, JobRecord, JobSpec
-from ashtray.kernel import Kernel
+from ashtray.kernel import Call, Kernel, Reply
 from ashtray.placement import compact_record
 from ashtray.placement.batch import Batch, BatchItem, split_placement
 from ashtray.placement.cluster_state import ClusterState
@@ -447,3 +448,32 @@
     model.run(0.9)
     assert refused
     assert all(job.accepted_us is not None for job in model.jobs.values())
+
+
+def test_no_transaction_beyond_the_lower_limits_is_sent_once_a_refusal_has_shown_them() -> None:
+    # Guards against further transactions of the former size between a refusal and the next read of the state service.
+    model = Model(1, 1, following=(2.0, 5))
+    core, send = model.hosts[0].core, model.send
+    core.presence.upgraded = lambda *form: False
+    refusals, writes_since = [], []
+
+    def watch(source: str, call: Call, deliver: Callable[[Reply], None]) -> None:
+        if call.path == "/txn" and refusals:
+            writes_since.append(len(call.body["apply"]))
+
+        def delivered(reply: Reply) -> None:
+            refusals.extend([call] if call.path == "/txn" and reply.status == 400 else [])
+            deliver(reply)
+
+        send(source, call, delivered)
+
+    model.send = watch
+    model.run(3)
+    assert not core.limits.lowered
+    model.limits_fall()
+    for n in range(30):
+        model.submit(submission(f"job-{n}", crew="free", pieces=1))
+    model.run(60)
+    assert refusals and core.limits.lowered
+    assert max(writes_since) <= 5
+    assert ran(model) == set(model.jobs)
