Fix preemptions that are larger than the groups that they were counted with

Callers would see: an urgent or guaranteed job waits while very many small tasks that could be stopped for it run.

Cause: `stop_victims` counted the groups before its edits; an allocation of which a part is stopped becomes two. The transaction was refused, or a group whose record could not take all stops was left out, in each round anew.

Change: the stops of each group are written first and added by their measured size; half as many stops are tried where a record cannot take all.

Why it works: what is added is what is sent, and half of the stops is at last one stop, which any record takes below the share of a value at which placement ends.

--- a/ashtray/placement/preemption.py
+++ b/ashtray/placement/preemption.py
@@ -12,12 +12,13 @@
 from ashtray.jobs.model import Job
 from ashtray.placement.cluster_state import ClusterState
 from ashtray.placement.group_edit import GroupEdit
-from ashtray.placement.machine_groups import Allocation
+from ashtray.placement.machine_groups import Allocation, Group, Machine
 from ashtray.placement.plan import Plan
+from ashtray.placement.records import MachineRecord
 from ashtray.placement.rules import VALIDATORS, MachineCapacity, PlacementRequest
 from ashtray.runs import encode_runs
 from ashtray.store.limits import Cost, Limits
-from ashtray.store.transaction import Txn, guarded_write_size
+from ashtray.store.transaction import Txn
 from ashtray.teams.guarantees import Amounts, Excess, add_amounts, amounts_of, claim
 
 Victims = dict[str, dict[tuple[str, int], set[int]]]
@@ -283,35 +284,61 @@
 
     With `whole`, all victims or none are marked; otherwise as many as fit into one transaction.
     """
-    edits: dict[str, GroupEdit] = {}
-    txn = Txn()
-    cost = Cost()
+    by_group: dict[str, Victims] = {}
     for name, tasks in victims.items():
-        machine = cluster_state.machines.get(name)
-        if machine is None:
-            return None
-        group = cluster_state.groups[machine.group]
-        if group.key not in edits:
-            cost = cost.plus(Cost(1, guarded_write_size(group.key, group.size)))
-            if edits and not cost.within(limits):
-                if whole:
-                    return None
-                break
-            edits[group.key] = GroupEdit(group)
-        record = edits[group.key].machine(name)
-        kept = []
-        for allocation, known in zip(record.holds, machine.holds, strict=True):
-            stop = known.tasks & tasks.get((allocation.job, allocation.attempt), set())
-            job = cluster_state.jobs.get(allocation.job)
-            if not stop or allocation.stop_us >= 0 or job is None:
-                kept.append(allocation)
-                continue
-            if known.tasks - stop:
-                kept.append(msgspec.structs.replace(allocation, tasks=encode_runs(known.tasks - stop)))
-            grace_us = job.spec.save_us if job.spec.checkpoint_us else 0
-            kept.append(msgspec.structs.replace(allocation, tasks=encode_runs(stop), stop_us=grace_us))
-        record.holds = kept
-    for edit in edits.values():
-        if not edit.write(txn, limits, cluster_state.is_live) and whole:
+        if name not in cluster_state.machines:
             return None
+        by_group.setdefault(cluster_state.machines[name].group, {})[name] = tasks
+    txn = Txn()
+    for key, group_victims in by_group.items():
+        part = _stop_in_group(cluster_state, cluster_state.groups[key], group_victims, limits, whole)
+        if part is None:
+            if whole:
+                return None
+            continue
+        cost = Cost(txn.write_count() + part.write_count(), txn.size() + part.size())
+        if txn.write_count() and not cost.within(limits):
+            if whole:
+                return None
+            break
+        txn.include(part)
     return txn if txn.write_count() else None
+
+
+def _stop_in_group(
+    cluster_state: ClusterState, group: Group, victims: Victims, limits: Limits, whole: bool
+) -> Txn | None:
+    """Return the transaction that marks victims in one group, or None if the group's record cannot take it.
+
+    Marked allocations take more bytes.  Unless all must be marked (`whole`), only the first victims are if the record
+    would get too large.
+    """
+    chosen = [(name, key) for name, by_key in victims.items() for key in by_key]
+    while chosen and not group.moving:
+        edit = GroupEdit(group)
+        for name in {name: None for name, _ in chosen}:
+            tasks = {key: victims[name][key] for of_machine, key in chosen if of_machine == name}
+            _mark_stopped(cluster_state, cluster_state.machines[name], edit.machine(name), tasks)
+        txn = Txn()
+        if edit.write(txn, limits, cluster_state.is_live):
+            return txn
+        chosen = [] if whole else chosen[: len(chosen) // 2]
+    return None
+
+
+def _mark_stopped(
+    cluster_state: ClusterState, machine: Machine, record: MachineRecord, tasks: dict[tuple[str, int], set[int]]
+) -> None:
+    """Mark tasks, given by job and attempt, as to be stopped in a copy of their machine's record."""
+    kept = []
+    for allocation, known in zip(record.holds, machine.holds, strict=True):
+        stop = known.tasks & tasks.get((allocation.job, allocation.attempt), set())
+        job = cluster_state.jobs.get(allocation.job)
+        if not stop or allocation.stop_us >= 0 or job is None:
+            kept.append(allocation)
+            continue
+        if known.tasks - stop:
+            kept.append(msgspec.structs.replace(allocation, tasks=encode_runs(known.tasks - stop)))
+        grace_us = job.spec.save_us if job.spec.checkpoint_us else 0
+        kept.append(msgspec.structs.replace(allocation, tasks=encode_runs(stop), stop_us=grace_us))
+    record.holds = kept
--- a/ashtray/store/transaction.py
+++ b/ashtray/store/transaction.py
@@ -82,6 +82,14 @@
         self.removes.append(key)
         return self
 
+    def include(self, other: Txn) -> None:
+        """Add the guards and writes of another transaction."""
+        self.guards.update(other.guards)
+        self.puts.update(other.puts)
+        self._value_sizes.update(other._value_sizes)
+        self.leases.update(other.leases)
+        self.removes += other.removes
+
     def write_count(self) -> int:
         """Return the number of writes: puts and removals."""
         return len(self.puts) + len(self.removes)
--- a/tests/mutants/sizes.py
+++ b/tests/mutants/sizes.py
@@ -44,6 +44,16 @@
         "if team is not None and len(claimed | {team}) > max_claims:",
         "if False:",
     ),
+    "stopped-tasks-not-measured": (
+        "ashtray/placement/preemption.py",
+        "        if txn.write_count() and not cost.within(limits):\n",
+        "        if False:\n",
+    ),
+    "all-stopped-or-none": (
+        "ashtray/placement/preemption.py",
+        "chosen = [] if whole else chosen[: len(chosen) // 2]",
+        "chosen = []",
+    ),
     "parts-not-measured": (
         "ashtray/workers/splitting.py",
         "return Cost(len(parts), sum(sizes))",
--- a/tests/test_transaction_sizes.py
+++ b/tests/test_transaction_sizes.py
@@ -18,7 +18,7 @@
 from ashtray.placement import compact_record
 from ashtray.placement.batch import Batch, BatchItem, split_placement
 from ashtray.placement.cluster_state import ClusterState
-from ashtray.placement.preemption import stop_for
+from ashtray.placement.preemption import stop_for, stop_victims
 from ashtray.placement.records import AllocationRecord, GroupRecord, MachineRecord
 from ashtray.placement.state_keys import GROUP
 from ashtray.store.limits import MAX_TXN_BYTES, Limits
@@ -396,6 +396,29 @@
     assert all(a.record.stop_us >= 0 for machine in cluster.state.machines.values() for a in machine.holds)
 
 
+@pytest.mark.parametrize(("groups", "jobs"), [(5, 400), (3, 600), (1, 600), (1, 900)])
+def test_many_small_tasks_are_stopped_as_far_as_their_records_can_say_so(groups: int, jobs: int) -> None:
+    # Guards against counting groups before their edits: an allocation of which a part is stopped takes twice as much,
+    # so the transaction was refused, or nothing at all was stopped where one record could not take it.
+    cluster = Cluster(0)
+    for n in range(groups):
+        holds = [cluster.allocate("array", "free", 3) for _ in range(jobs)]
+        machines = {f"vm-{n}": MachineRecord("10.1.0.2:9000", token=7, holds=holds)}
+        record = GroupRecord("small", "a", machines)
+        cluster.state.put(f"{GROUP}{n}", compact_record.pack(msgspec.to_builtins(record)), 5)
+    limits = Limits.of(StateLimits(rps=100.0, write_rps=25.0, value_kb=32.0, txn_ops=16))
+    limits.all_upgraded = True
+    victims = {
+        name: {(a.job, a.attempt): {0} for a in machine.holds} for name, machine in cluster.state.machines.items()
+    }
+    txn = stop_victims(cluster.state, victims, limits)
+    assert txn is not None and txn.size() <= MAX_TXN_BYTES
+    all_fit = (groups, jobs) == (1, 600)
+    assert (stop_victims(cluster.state, victims, limits, whole=True) is not None) == all_fit
+    cluster.apply(txn, 10)
+    assert any(a.record.stop_us >= 0 for machine in cluster.state.machines.values() for a in machine.holds)
+
+
 # Splitting groups
 
 
