Keep the port blocks of loopback tests below the ports of outgoing connections

Change: blocks end below 32,768. No check of a rule changes.

Measured: `test_no_block_of_ports_reaches_those_of_outgoing_connections` fails with the former range and passes.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -17,10 +17,22 @@
 pytestmark = pytest.mark.xdist_group("sockets")
 
 
+FIRST_PORT, FIRST_LOCAL_PORT = 20_000, 32_768
+"""The first port of the blocks, and the first one that the system gives to outgoing connections."""
+BLOCK_PORTS = 400
+"""How many ports a block has: the services, the controllers and up to 200 workers."""
+
+
 def free_port_block() -> int:
+    """Return the first port of a block below the ports of outgoing connections, which other programs use."""
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
-        return 20_000 + probe.getsockname()[1] % 20_000
+        return FIRST_PORT + probe.getsockname()[1] % (FIRST_LOCAL_PORT - BLOCK_PORTS - FIRST_PORT)
+
+
+def test_no_block_of_ports_reaches_those_of_outgoing_connections() -> None:
+    # Guards against a controller whose port is taken by another program's connection and that answers nobody.
+    assert all(FIRST_PORT <= free_port_block() <= FIRST_LOCAL_PORT - BLOCK_PORTS for _ in range(200))
 
 
 async def cli(*args: str) -> tuple[int, str, str]:
