Look for transactions that are too large in the model, with faults

Change: generated bursts of 16 to 24 jobs with descriptions of 10 to 17 KB, under the model's faults; no transaction of any controller may be refused or held back, and all jobs end.

--- a/tests/test_transaction_sizes.py
+++ b/tests/test_transaction_sizes.py
@@ -8,11 +8,12 @@
 
 import msgspec
 import pytest
-from hypothesis import example, given
+from hypothesis import HealthCheck, Phase, example, given, settings
 from hypothesis import strategies as st
 
 from ashtray.config.operators import OperatorSettings
 from ashtray.config.settings import StateLimits, Team
+from ashtray.controller import Controller
 from ashtray.jobs.model import LIVE_JOB_PREFIX, JobRecord, JobSpec
 from ashtray.kernel import Call, Kernel, Reply
 from ashtray.placement import compact_record
@@ -27,8 +28,10 @@
 from ashtray.workers.folding import Evidence, Fold, adoption
 from ashtray.workers.messages import Report, TaskState
 from tests.model import Model, settings_for, submission
+from tests.test_model import FAULTS, JOB, RUNS, begin, finish, strike
 
-LONG_TYPE_LIST = ["small", *(f"standard-16cpu-64gb-rack-generation-{n:03}" for n in range(150))]
+LONG_NAMES = [f"standard-16cpu-64gb-rack-generation-{n:03}" for n in range(400)]
+LONG_TYPE_LIST = ["small", *LONG_NAMES[:150]]
 """Allowed machine types whose names take some 6 KB of a description."""
 KEY = st.text(st.characters(exclude_categories=["Cs"]), min_size=1, max_size=40)
 VERSION = st.integers(0, 2**64 - 1)
@@ -98,15 +101,20 @@
 def watch_refusals(model: Model) -> list[str]:
     """Return a list to which the purpose of each transaction that is refused, or not sent, is added from now on."""
     found: list[str] = []
-    refusals = model.hosts[0].core.store.refusals
-    note_refusal = refusals.note_refusal
+    for host in model.hosts:
+        watch_controller(host.core, found)
+    return found
+
+
+def watch_controller(core: Controller, found: list[str]) -> None:
+    """Add the purpose of each transaction of a controller that is refused, or not sent, to a list."""
+    note_refusal = core.store.refusals.note_refusal
 
     def note(purpose: str, now_us: int) -> None:
         found.append(purpose)
         note_refusal(purpose, now_us)
 
-    refusals.note_refusal = note
-    return found
+    core.store.refusals.note_refusal = note
 
 
 # What a transaction takes
@@ -500,3 +508,38 @@
     assert refusals and core.limits.lowered
     assert max(writes_since) <= 5
     assert ran(model) == set(model.jobs)
+
+
+# All of them together
+
+
+class WatchedModel(Model):
+    """A model that notes each transaction that is refused, or not sent, by any controller."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        self.refusals: list[str] = []
+        super().__init__(*args, **kwargs)
+
+    def start_host(self, host: Any) -> None:
+        """Start a controller's process, and watch its refusals."""
+        super().start_host(host)
+        watch_controller(host.core, self.refusals)
+
+
+@settings(max_examples=RUNS // 10, phases=[Phase.explicit, Phase.generate], suppress_health_check=list(HealthCheck))
+@given(
+    st.integers(0, 10**6),
+    st.lists(st.tuples(JOB, st.integers(250, 400)), min_size=16, max_size=24),
+    FAULTS,
+    st.sampled_from([None, 1]),
+)
+def test_no_transaction_is_too_large_whatever_the_descriptions_and_faults(seed, jobs, faults, group_size) -> None:
+    # Guards against a purpose whose transactions are not measured: descriptions take 10 to 17 KB here.
+    small = {"cpus": 0.2, "memory_gb": 0.5}
+    model = WatchedModel(seed, 3, OperatorSettings(group_size=group_size))
+    specs = [{**job, **small, "hulls": ["small", "big", *LONG_NAMES[:names]]} for job, names in jobs]
+    begin(model, seed, specs, within_s=2)
+    strike(model, faults)
+    model.run(90)
+    finish(model, 200)
+    assert not model.refusals
