--- a/review/standins2/machine.py
+++ b/review/standins2/machine.py
@@ -8,6 +8,8 @@
 
 Key = tuple[str, int, int]
 """Job, attempt, task."""
+MANY_TASKS = 100
+"""With more tasks on a machine, the record has a line for every hundredth only."""
 
 
 @dataclass
@@ -72,9 +74,7 @@
     def advance(self, now_us: int) -> None:
         """End the lease and the tasks that are due by now."""
         if now_us - self.renewed_us > self.lease_us:
-            for task in self.on_machine():
-                self.note("left", machine=self.name, task=task.key, why="lease over")
-            self.tasks.clear()
+            self._all_left("lease over")
             self.session += 1
             self.renewed_us = now_us
             self.changed = True
@@ -82,7 +82,7 @@
         for task in list(self.tasks.values()):
             if task.state == "fetching" and now_us >= task.ready_us:
                 task.state, self.changed = "running", True
-                self.note("starts", machine=self.name, task=task.key)
+                self._note_task("starts", task)
                 spec = self.describe(task.key[0])
                 if (task.key[0], task.key[2]) in self.results:
                     self._end(task, "done")
@@ -94,13 +94,22 @@
 
     def gone(self) -> None:
         """Note that the machine is gone, with all that is on it."""
-        for task in self.on_machine():
-            self.note("left", machine=self.name, task=task.key, why="machine gone")
+        self._all_left("machine gone")
+
+    def _all_left(self, why: str) -> None:
+        there = self.on_machine()
+        jobs = sorted({task.key[0] for task in there})
+        self.note("all tasks leave", machine=self.name, why=why, number=len(there), jobs=jobs)
         self.tasks.clear()
 
+    def _note_task(self, what: str, task: Task, **fields: Any) -> None:
+        """Write a line of the record for a task; of a swarm only for every hundredth."""
+        if len(self.tasks) <= MANY_TASKS or task.key[2] % 100 == 0:
+            self.note(what, machine=self.name, task=task.key, **fields)
+
     def _end(self, task: Task, cause: str) -> None:
         if task.state in ("running", "saving"):
-            self.note("left", machine=self.name, task=task.key, why=cause)
+            self._note_task("left", task, why=cause)
         task.state, task.cause, self.changed = "ended", cause, True
 
     def answered(self, now_us: int, sent_us: int, session: int, body: dict[str, Any]) -> None:
@@ -128,7 +137,7 @@
             job, _, number = order["piece"].partition("/")
             key = (job, order["try"], int(number))
             task = self.tasks.get(key)
-            if len(orders) < 20:
+            if len(orders) <= MANY_TASKS or key[2] % 100 == 0:
                 self.note("order", machine=self.name, how=how, verb=order["verb"], task=key)
             if order["verb"] == "launch" and task is None:
                 self._launch(now_us, key)
