--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A command that was carried out is repeated by the network after its task was stopped, cleared and placed elsewhere."""
+"""The network repeats a command that was carried out, after its task was stopped, cleared and placed elsewhere."""
 
 from __future__ import annotations
 
--- a/review/standins2/machine.py
+++ b/review/standins2/machine.py
@@ -1,4 +1,4 @@
-"""A stand-in of a machine with its worker, written from the page "Workers -> controller nodes" (arrays and services)."""
+"""A stand-in of a machine with its worker, from the page "Workers -> controller nodes" (arrays and services)."""
 
 from __future__ import annotations
 
--- a/review/standins2/stage.py
+++ b/review/standins2/stage.py
@@ -16,6 +16,8 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -133,9 +135,14 @@
         self.notes: list[tuple[float, str, dict[str, Any]]] = []
         self.controllers: dict[int, subprocess.Popen[bytes]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
-        ports = free_ports(2 + 2 * controllers)
-        self.cloud_port, self.state_port = ports[:2]
-        self.apis, self.peers = ports[2 : 2 + controllers], ports[2 + controllers :]
+        ports = free_ports(1 + 3 * controllers)
+        self.state_port, *ports = ports
+        self.apis, self.peers, self.clouds = (ports[n * controllers : (n + 1) * controllers] for n in range(3))
+        self.cloud_s = 0.0
+        """How long the cloud takes for an answer."""
+        self.on_cloud: Callable[[int, str, str, Any], None] = lambda node, method, path, body: None
+        """Called with each request to the cloud; each controller has its own address of the cloud."""
+        self.boot_s: Callable[[str], float] = lambda name: self.cloud.boot_us / 1e6
         self.log = (self.directory / "controllers.log").open("wb")
 
     # The record
@@ -172,7 +179,7 @@
                 api=self.apis[n],
                 peer=self.peers[n],
                 others=others,
-                cloud=self.cloud_port,
+                cloud=self.clouds[n],
                 state=self.state_port,
                 nodes=len(self.apis),
                 teams=teams,
@@ -211,7 +218,8 @@
         self.cloud.on_rented = self._rented
         self.cloud.on_gone = self._gone
         await self._serve(self.state_port, self.state.handle)
-        await self._serve(self.cloud_port, self.cloud.handle)
+        for n, port in enumerate(self.clouds):
+            await self._serve(port, partial(self._cloud_request, n))
         if start_controllers:
             for n in range(len(self.apis)):
                 self.start_controller(n)
@@ -265,6 +273,15 @@
         await site.start()
         return site
 
+    def _cloud_request(self, n: int, at_us: int, method: str, path: str, body: Any) -> tuple[int, Any]:
+        async def answer() -> tuple[int, Any]:
+            await asyncio.sleep(self.cloud_s)
+            return reply
+
+        self.on_cloud(n, method, path, body)
+        reply = self.cloud.handle(at_us, method, path, body)
+        return 0, answer()
+
     def _rented(self, rented: Rented) -> None:
         self.note("rented", machine=rented.name, hull=rented.hull, loaners=rented.loaners)
         self.spawn(self._machine(rented))
@@ -278,7 +295,7 @@
             self.hung.pop(name).set()
 
     async def _machine(self, rented: Rented) -> None:
-        await asyncio.sleep(self.cloud.boot_us / 1e6)
+        await asyncio.sleep(self.boot_s(rented.name))
         if rented.gone_us is not None:
             return
         port = free_ports(1)[0]
@@ -440,6 +457,12 @@
         self.note("user", method="GET", path=f"/submissions/{name}", node=n, status=status, answer=answer)
         return status, answer
 
+    def leader(self) -> int | None:
+        """Return the controller that the fleet's key names now."""
+        self.state.expire(now_us())
+        found = self.state.keys.get("ashtray/now/fleet")
+        return None if found is None else int(found[0]["host"].removeprefix("berth-"))
+
     def running(self, job: str | None = None) -> list[tuple[str, Any]]:
         """Return the machine and the key of each task that is on a machine now."""
         return [
