--- a/review/4/case.py
+++ b/review/4/case.py
@@ -8,8 +8,8 @@
 
 from review.standins2.stage import CouldNotRun, Stage, play
 
-STAGES = 26
-SHORT_S, STEP_S = 60.0, 0.0001
+STAGES = 28
+SHORT_S, STEP_S = 60.0, 0.00002
 """The estimates of a stage's two jobs: `SHORT_S`, and that plus `STEP_S` doubled from stage to stage."""
 UNANSWERED_S = 75.0
 """A job about which no question is answered for so long counts as forgotten."""
--- a/review/standins2/stage.py
+++ b/review/standins2/stage.py
@@ -16,6 +16,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -486,16 +487,23 @@
 
     async def main() -> int:
         stage = stage_of()
+        this = asyncio.current_task()
+        assert this is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this.cancel)
         try:
             async with asyncio.timeout(112):
                 broken = await case(stage)
             stage.note("verdict", broken=broken or "the rule held")
             print(f"{'broken: ' + broken if broken else 'the rule held'}")
             return BROKEN if broken else HELD
-        except (CouldNotRun, TimeoutError) as error:
+        except (CouldNotRun, TimeoutError, asyncio.CancelledError) as error:
             stage.note("could not run", why=str(error) or "time is up")
             print(f"could not run: {error or 'time is up'}")
             return COULD_NOT_RUN
+        except Exception:
+            # A fault of the script says nothing about the rule.
+            traceback.print_exc()
+            return COULD_NOT_RUN
         finally:
             await stage.stop()
 
