--- a/review/standins2/services.py
+++ b/review/standins2/services.py
@@ -54,6 +54,10 @@
         self.malformed: list[str] = []
         """A description of each request that was answered with 400."""
 
+    def lower(self, write_rps: float, value_kb: float, txn_ops: int) -> None:
+        """Have lower limits from now on; what is stored stays readable."""
+        self.writes, self.value_bytes, self.txn_ops = Bucket(write_rps, 1.0), int(value_kb * 1024), txn_ops
+
     def handle(self, now_us: int, method: str, path: str, body: Any) -> Answer:
         """Answer a request."""
         self.expire(now_us)
--- a/review/standins2/stage.py
+++ b/review/standins2/stage.py
@@ -57,7 +57,7 @@
 write_rps = 25.0
 value_kb = 32.0
 txn_ops = 16
-
+{next_limits}
 [cluster.cloud]
 rps = 5.0
 list_lag_s = 3.0
@@ -127,6 +127,8 @@
         self.teams = teams or [TEAM]
         self.state = StateService(100.0, 25.0, 32.0, 16)
         self.cloud = Cloud([self.hull], capacity, 5.0, 3_000_000, 1_500_000)
+        self.next_limits: dict[str, Any] = {}
+        """The limits that the state service will have from some moment on, as the settings state them."""
         self.machines: dict[str, Machine] = {}
         self.hung: dict[str, asyncio.Event] = {}
         """For each hanging machine, an event that is set when it goes on."""
@@ -173,6 +175,8 @@
             "\n[[cluster.teams]]\n" + "".join(f"{k} = {json.dumps(v)}\n" for k, v in team.items())
             for team in self.teams
         )
+        lower = "".join(f"{k} = {json.dumps(v)}\n" for k, v in self.next_limits.items())
+        next_limits = f"\n[cluster.state.next]\n{lower}" if lower else ""
         file = self.directory / f"berth-{n}.toml"
         file.write_text(
             SETTINGS.format(
@@ -184,6 +188,7 @@
                 state=self.state_port,
                 nodes=len(self.apis),
                 teams=teams,
+                next_limits=next_limits,
                 report_s=self.report_s,
                 lease_s=self.lease_s,
                 cancel_s=self.cancel_s,
