Fix controllers that stand still for the last job of a long pipeline

Leases ended with all tasks, and a controller that was started again stood still again.

Cause: the urgency of the last job flows back to the jobs that it needs. `_propagate_urgency` took the job found last first and computed a job anew after each change of a dependent, so once for each path that leads to it: twice as often with each stage. This ran in one turn of the core, on each controller that reads the record.

Change: `jobs/pipeline_urgency.py` keeps a level for each job, above the levels of those that it needs, and visits what a change reaches by level, dependents first. All dependents of a job have their final values when it is visited, so one visit suffices, and it is visited only if a dependent changed. Records that arrive before those of the jobs that they need, as at a start, are sorted once after the read.

The same cause on related paths: the end of a job made all its dependents look at all their dependencies and dependents; an open count and the ready time are kept now. Each question, and each change, followed all that live jobs need to find unknown final states; this ends at once where none is unknown. Each new record of a job computed its urgency anew; the values are taken over now.

--- a/ashtray/jobs/dependencies.py
+++ b/ashtray/jobs/dependencies.py
@@ -1,7 +1,11 @@
-"""Dependencies between jobs: which jobs are ready, which are cancelled, and how urgent their dependencies become.
+"""Dependencies between jobs: which jobs are ready, which are cancelled, and which final states are still to be read.
 
 None of this is stored.  A final state never changes, and a job names its dependencies when it is submitted.  So every
 controller derives the same from the jobs' records and final states.
+
+A user may submit pipelines of any length, whose jobs name up to a record's size of others.  So a change costs only
+what it changes: the end of a dependency is counted at its dependents, and nothing follows the paths of the graph
+again that have not changed.
 """
 
 from __future__ import annotations
@@ -10,6 +14,7 @@
 from typing import Any
 
 from ashtray.jobs.model import Job
+from ashtray.jobs.pipeline_urgency import PipelineUrgency
 
 
 class Dependencies:
@@ -28,6 +33,11 @@
         """The live jobs that count as cancelled, each with the cancelled dependency that is the reason."""
         self._linked: dict[str, Job] = {}
         """The live jobs that have dependencies or dependents."""
+        self._open_count: dict[str, int] = {}
+        """By linked job, how many of its dependencies are not known to be done."""
+        self._unknown: set[str] = set()
+        """The dependencies of jobs not placed yet that are neither live nor known to be over."""
+        self._urgency = PipelineUrgency(self._linked, self.dependents, self.cancelled_by)
 
     # Updates from the state service
 
@@ -36,21 +46,53 @@
 
         `final_states` are the known final states, by job id.
         """
-        new = job.id not in self._linked
-        changed: set[str] = set()
-        if job.spec.needs or job.id in self.dependents:
+        before = self._linked.get(job.id)
+        if before is not None:
             self._linked[job.id] = job
-        if new:
-            for dependency in job.spec.needs:
-                self.dependents.setdefault(dependency, set()).add(job.id)
-                if dependency not in self._done_us and dependency in final_states:
-                    self._record_end(dependency, final_states[dependency])
-                if self._is_cancelled(dependency):
-                    changed |= self._mark_cancelled(job.id, dependency)
-        self._update_job(job)
-        if new:
-            self._propagate_urgency(job.spec.needs)
-        return changed
+            job.ready_us = before.ready_us
+            self._urgency.replace(job, before)
+            return set()
+        if not job.spec.needs and job.id not in self.dependents:
+            return set()
+        return self._link(job, final_states)
+
+    def _link(self, job: Job, final_states: dict[str, Any]) -> set[str]:
+        """Add a live job to the graph; returns the ids of jobs that count as cancelled now."""
+        self._linked[job.id] = job
+        self._unknown.discard(job.id)
+        cancelled: set[str] = set()
+        self._open_count[job.id] = len(job.spec.needs)
+        for dependency in job.spec.needs:
+            self._add_dependent(dependency, job)
+            if dependency not in self._done_us and dependency in final_states:
+                self._record_end(dependency, final_states[dependency])
+            done_us = self._done_us.get(dependency)
+            if done_us is not None:
+                self._count_done(job, done_us)
+            elif self._is_cancelled(dependency):
+                cancelled |= self._mark_cancelled(job.id, dependency)
+        self._urgency.add(job)
+        return cancelled
+
+    def _add_dependent(self, dependency_id: str, job: Job) -> None:
+        """Note that a job names a dependency."""
+        self.dependents.setdefault(dependency_id, set()).add(job.id)
+        dependency = self._jobs.get(dependency_id)
+        if dependency is not None:
+            if dependency_id not in self._linked:
+                self._linked[dependency_id] = dependency
+                self._open_count[dependency_id] = 0
+        elif dependency_id not in self._done_us and not job.record.attempt:
+            self._unknown.add(dependency_id)
+
+    def _count_done(self, job: Job, done_us: int) -> None:
+        """Count a dependency of a job that is done."""
+        self._open_count[job.id] -= 1
+        job.ready_us = max(job.ready_us, done_us)
+
+    def update_urgency(self) -> None:
+        """Bring the urgency of all jobs up to date, after records were read in any order."""
+        self._urgency.update()
 
     def remove(self, job_id: str) -> None:
         """Remove a job that is no longer live."""
@@ -58,24 +100,29 @@
         self.cancelled_by.pop(job_id, None)
         if job is None:
             return
+        del self._open_count[job_id]
+        if job_id in self.dependents and job_id not in self._done_us:
+            self._unknown.add(job_id)
         for dependency in job.spec.needs:
             live_dependents = self.dependents.get(dependency, set())
             live_dependents.discard(job_id)
             if not live_dependents:
                 self.dependents.pop(dependency, None)
                 self._done_us.pop(dependency, None)
-        self._propagate_urgency(job.spec.needs)
+                self._unknown.discard(dependency)
+        self._urgency.remove(job)
 
     def note_final_state(self, job_id: str, state: Any) -> set[str]:
         """Record a job's final state; returns the ids of jobs whose readiness may have changed."""
         if job_id not in self.dependents or job_id in self._done_us:
             return set()
         self._record_end(job_id, state)
-        changed = set(self.dependents[job_id])
-        if self._done_us[job_id] is None:
-            for dependent in self.dependents[job_id]:
-                changed |= self._mark_cancelled(dependent, job_id)
-        self._update_jobs(changed)
+        done_us = self._done_us[job_id]
+        if done_us is not None:
+            return self._count_done_for_dependents(job_id, done_us)
+        changed: set[str] = set()
+        for dependent in self.dependents[job_id]:
+            changed |= self._mark_cancelled(dependent, job_id)
         return changed
 
     def completed(self, job_id: str, at_us: int) -> set[str]:
@@ -86,12 +133,23 @@
         if job_id not in self.dependents or job_id in self._done_us:
             return set()
         self._done_us[job_id] = at_us
-        self._update_jobs(self.dependents[job_id])
-        return set(self.dependents[job_id])
+        return self._count_done_for_dependents(job_id, at_us)
+
+    def _count_done_for_dependents(self, job_id: str, done_us: int) -> set[str]:
+        """Count a job that is done at its dependents; returns the ids of those that are ready now."""
+        ready: set[str] = set()
+        for dependent_id in self.dependents[job_id]:
+            dependent = self._linked.get(dependent_id)
+            if dependent is not None:
+                self._count_done(dependent, done_us)
+                if not self._open_count[dependent_id]:
+                    ready.add(dependent_id)
+        return ready
 
     def _record_end(self, job_id: str, state: Any) -> None:
         # The previous version did not record the time.
         self._done_us[job_id] = int(state.get("at_us", 0)) if state["status"] == "done" else None
+        self._unknown.discard(job_id)
 
     def _is_cancelled(self, dependency: str) -> bool:
         return dependency in self.cancelled_by or (dependency in self._done_us and self._done_us[dependency] is None)
@@ -111,7 +169,7 @@
                 remaining += [(dependent, job_id) for dependent in self.dependents.get(job_id, ())]
         return cancelled
 
-    # Queries and derived values
+    # Queries
 
     def open(self, job: Job) -> list[str]:
         """Return the dependencies of a job that are not known to be done.
@@ -125,13 +183,15 @@
 
     def ready(self, job: Job) -> bool:
         """Return whether all dependencies of a job are known to be done."""
-        return not self.open(job)
+        return not job.spec.needs or job.record.attempt > 0 or not self._open_count.get(job.id, len(job.spec.needs))
 
     def unknown(self, job_ids: Iterable[str] | None = None) -> list[str]:
         """Return the dependencies that are neither live nor known to be over.
 
         They are those of all live jobs, or those of `job_ids` and of their transitive live dependencies.
         """
+        if not self._unknown:
+            return []
         found: dict[str, None] = {}
         remaining = list(self._linked if job_ids is None else job_ids)
         seen = set(remaining)
@@ -145,40 +205,3 @@
                 elif dependency not in self._done_us:
                     found[dependency] = None
         return list(found)
-
-    def _update_jobs(self, job_ids: Iterable[str]) -> None:
-        for job_id in job_ids:
-            job = self._jobs.get(job_id)
-            if job is not None:
-                self._update_job(job)
-
-    def _update_job(self, job: Job) -> None:
-        """Recompute since when a job has been ready, and its urgency.
-
-        The urgency is that of its most urgent dependent, if that is higher than its own.
-        """
-        done_us = [self._done_us.get(dependency) or 0 for dependency in job.spec.needs]
-        job.ready_us = max([job.record.accepted_us, *done_us])
-        spec = job.spec
-        job.priority, job.start_by_us = spec.priority, None
-        if spec.deadline_us is not None:
-            job.start_by_us = job.record.accepted_us + spec.deadline_us - 2 * spec.estimate_us
-        for dependent_id in self.dependents.get(job.id, ()):
-            dependent = self._jobs.get(dependent_id)
-            if dependent is None or dependent_id in self.cancelled_by:
-                continue
-            job.priority = min(job.priority, dependent.priority)
-            if dependent.start_by_us is not None:
-                start_by_us = dependent.start_by_us - 2 * spec.estimate_us
-                job.start_by_us = start_by_us if job.start_by_us is None else min(job.start_by_us, start_by_us)
-
-    def _propagate_urgency(self, job_ids: Iterable[str]) -> None:
-        """Recompute the urgency of some jobs, and of their transitive dependencies as far as it changes."""
-        remaining = list(job_ids)
-        while remaining:
-            job = self._jobs.get(remaining.pop())
-            if job is not None:
-                before = job.priority, job.start_by_us
-                self._update_job(job)
-                if (job.priority, job.start_by_us) != before:
-                    remaining += job.spec.needs
--- a/ashtray/jobs/model.py
+++ b/ashtray/jobs/model.py
@@ -102,14 +102,22 @@
         self.record = msgspec.convert(value, JobRecord)
         self.spec = self.record.spec
         self.version = version
-        self.priority = self.spec.priority
+        self.priority: int
         """The job's own priority, or that of a more urgent job that depends on it."""
         self.ready_us = self.record.accepted_us
         """When the job was accepted or its last dependency was done, in microseconds of the time of day."""
-        self.start_by_us: int | None = None
+        self.start_by_us: int | None
         """When the job must start to meet its own deadline and those of its dependents; None if there are none."""
+        self.set_own_urgency()
         self.finished = decode_runs(self.record.finished)
 
+    def set_own_urgency(self) -> None:
+        """Set the priority and the latest start that the job has without dependents."""
+        spec = self.spec
+        self.priority, self.start_by_us = spec.priority, None
+        if spec.deadline_us is not None:
+            self.start_by_us = self.record.accepted_us + spec.deadline_us - 2 * spec.estimate_us
+
     @property
     def fails_on_several_machines(self) -> bool:
         """Return whether the job failed on two machines or more: the fault is then likely its own, not theirs."""
--- a/ashtray/placement/cluster_state.py
+++ b/ashtray/placement/cluster_state.py
@@ -135,6 +135,7 @@
     def read(self, revision: int) -> None:
         """Note that all changes up to a revision have been applied."""
         self.read_revision = revision
+        self.dependencies.update_urgency()
         if self._removed_at:
             self._removed_at = {key: version for key, version in self._removed_at.items() if version > revision}
         if self._tasks.confirm():
--- a/tests/mutants/safety.py
+++ b/tests/mutants/safety.py
@@ -298,7 +298,16 @@
         "                pass",
     ),
     "every-question-reads": (CLUSTER_STATE, "        self.known_absent[job_id] = None\n", "        pass\n"),
-    "started-before-ready": (DEPENDENCIES, "return not self.open(job)", "return True"),
+    "started-before-ready": (
+        DEPENDENCIES,
+        "or not self._open_count.get(job.id, len(job.spec.needs))",
+        "or True",
+    ),
+    "unknown-is-not-counted": (
+        DEPENDENCIES,
+        "self._open_count[job.id] = len(job.spec.needs)",
+        "self._open_count[job.id] = sum(n in self._jobs for n in job.spec.needs)",
+    ),
     "unknown-counts-as-done": (
         DEPENDENCIES,
         "return [dependency for dependency in job.spec.needs if self._done_us.get(dependency) is None]",
