--- a/tests/mutants/transactions.py
+++ b/tests/mutants/transactions.py
@@ -1,6 +1,6 @@
 """Mutants of the guards that decide what becomes of a transaction without an answer."""
 
-TESTS = ["tests/test_meetings_transactions.py"]
+TESTS = ["tests/test_meetings_transactions.py", "tests/test_meetings_acceptance_orders.py"]
 ACCEPTING = "ashtray/jobs/accepting.py"
 ESTIMATE_STORE = "ashtray/estimates/estimate_store.py"
 FOLDING, PROVISIONING = "ashtray/workers/folding.py", "ashtray/fleet/provisioning.py"
@@ -44,10 +44,10 @@
 
 FIRST = {
     "late-acceptance-of-what-is-over": [
-        "tests/test_meetings_transactions.py::test_all_orders_of_an_unanswered_acceptance_its_repetition_and_a_cancellation_keep_the_rules"
+        "tests/test_meetings_acceptance_orders.py::test_all_orders_of_an_unanswered_acceptance_its_repetition_and_a_cancellation_keep_the_rules"
     ],
     "accepted-twice": [
-        "tests/test_meetings_transactions.py::test_all_orders_of_an_unanswered_acceptance_its_repetition_and_a_cancellation_keep_the_rules"
+        "tests/test_meetings_acceptance_orders.py::test_all_orders_of_an_unanswered_acceptance_its_repetition_and_a_cancellation_keep_the_rules"
     ],
     "presence-gone-unseen": [
         "tests/test_meetings_transactions.py::test_a_late_sign_in_takes_nobodys_presence_for_long"
