Check in the test of machines met by two that each is in one group record

Its last check, a longest gap of at least 0, could not fail, and its comparison of counts did not show what it claims. It reads the group records of the state service now: each machine is in one, and all controllers know the same machines.

--- a/tests/test_meetings_handovers.py
+++ b/tests/test_meetings_handovers.py
@@ -276,13 +276,12 @@
     model.roaming_until = model.now + 6 * SECOND
     model.run(40)
     records = [value for key, (value, _, _) in model.state.keys.items() if key.startswith("ashtray/now/group/")]
-    names = [name for host in model.hosts for name in host.core.cluster_state.machines]
-    assert sum(len(group.machines) for group in model.hosts[0].core.cluster_state.groups.values()) * hosts == len(
-        names
-    )
-    assert records
+    recorded = [name for record in records for name in record["machines"]]
+    # Each machine is in one group record, and every controller knows the same machines.
+    assert recorded and len(recorded) == len(set(recorded))
+    assert all(set(host.core.cluster_state.machines) == set(recorded) for host in model.hosts)
+    assert set(recorded) <= set(model.workers)
     assert running(model) == set(model.jobs)
-    assert model.longest_gap_us >= 0
 
 
 @pytest.mark.parametrize(
