--- a/tests/nights.py
+++ b/tests/nights.py
@@ -160,6 +160,7 @@
         lambda model: model.report_late(share, long_s),
         lambda model: model.keep_reports(share, long_s),
         lambda model: model.hold_commands(share, long_s),
+        lambda model: model.copy_commands(share, long_s),
         lambda model: mute_machines(model, long_s, zone),
         lambda model: model.cut_from_state_and_peers(number, long_s, flag),
         lambda model: model.refuse(number, long_s, how),
