Restore the times by which two tests want users to be told

Now the confirmations are wanted after 9 s again, and only the change of owners is waited for. Instead of waiting for a poll that meets a running controller, every controller that is left is asked when the jobs have to be done, and must say so.

--- a/tests/test_meetings_ownership.py
+++ b/tests/test_meetings_ownership.py
@@ -14,6 +14,8 @@
 
 INCARNATION = (1 << TOKEN_SHIFT) - 1
 """The bits of a token that identify the process that issued it."""
+CONFIRMED_S = 9.0
+"""By when users are told of their cancellations, whatever becomes of the owner."""
 CHANGES = ["crash", "hand over", "refused", "halt", "alone"]
 
 
@@ -38,12 +40,13 @@
     if after_s < 0:
         model.run(-after_s)
         model.change(how, predecessor, 25)
+    model.run(CONFIRMED_S)
+    assert {model.jobs[job_id].told for job_id in ids} == {"cancelled"}
     # One that is alone sends its workers on after a lease, and their next owner needs a second report of theirs.
-    model.run(LEASE_S + 2.5 * REPORT_S)
+    model.run(LEASE_S + 2.5 * REPORT_S - CONFIRMED_S)
     # The case is reached: the predecessor's machines, all with tasks of these jobs, got another owner.
     moved = [name for name in owned if model.owners[name][-1] != predecessor]
     assert moved and owned - set(moved) <= owned - set(model.workers)
-    assert {model.jobs[job_id].told for job_id in ids} == {"cancelled"}
     # A paused or unreachable controller is detected within a few seconds, and an answer to a report can carry kills.
     assert max(model.gone_s(job_id) for job_id in ids) < LEASE_S + REPORT_S
     assert not model.late_starts
--- a/tests/test_meetings_transactions.py
+++ b/tests/test_meetings_transactions.py
@@ -670,6 +670,20 @@
 # Cancellations and tokens
 
 
+def answers_about(model: Model, job_id: str) -> set[str]:
+    """Return what the controllers that answer say about a job, asked all at once and within a second."""
+    answers: set[str] = set()
+
+    def answered(reply: Reply) -> None:
+        if reply.status:
+            answers.add(reply.body["status"] if reply.status == 200 else str(reply.status))
+
+    for node in range(len(model.hosts)):
+        model._ask("GET", f"/submissions/{job_id}", None, 1, answered, node)
+    model.run(1)
+    return answers
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_a_cancellation_that_arrives_after_the_end_does_not_take_it_back(seed: int) -> None:
     model = Model(seed, 3, OperatorSettings(group_size=2))
@@ -686,9 +700,10 @@
         model.jobs[job].cancel_asked = True
         model._ask("POST", f"/submissions/{job}/abort", None, 5, lambda reply: None, controller)
     model.run(25)
-    # Both jobs are done before the late cancellations arrive.
+    # Both jobs are done before the late cancellations arrive, and each controller that is left says so.
     assert [model.state.keys[FINAL_STATE_PREFIX + job][0]["status"] for job in model.jobs] == ["done", "done"]
     assert {unanswered.status for unanswered in troubles.meetings} == {0}
+    assert {job: answers_about(model, job) for job in model.jobs} == {"job-1": {"done"}, "job-2": {"done"}}
     model.run(25)
     assert {job.told for job in model.jobs.values()} == {"done"}
     troubles.check()
