--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.known_red import InvalidList, KnownRed, parse_list
+from tests.known_red import MAX_TESTS, InvalidList, KnownRed, parse_list
 from tests.mutants import load_mutants
 from tests.mutation import ROOT
 
@@ -23,6 +23,14 @@
         parse_list(text)
 
 
+def test_scripts_of_a_review_do_not_count_as_listed_tests():
+    scripts = [f"review/{number}/run.sh | a fault | 66\n" for number in range(MAX_TESTS + 2)]
+    tests = [f"tests/test_a.py::test_{number} | a fault | 66\n" for number in range(MAX_TESTS)]
+    assert len(parse_list("".join([*scripts, *tests]))) == len(scripts) + len(tests)
+    with pytest.raises(InvalidList):
+        parse_list("".join([*scripts, *tests, "tests/test_b.py::test_c | a fault | 66\n"]))
+
+
 def test_each_mutant_replaces_a_text_that_occurs_in_the_code_exactly_once():
     counts = {
         name: (ROOT / mutant.file).read_text().count(mutant.original) for name, mutant in load_mutants().items()
