--- a/ashtray/cli.py
+++ b/ashtray/cli.py
@@ -38,7 +38,7 @@
     """
     settings, operator_settings = load_settings(config), load_operator_settings(operators)
     from ashtray.store.limits import Limits
-    from ashtray.workers.folding import max_group_size
+    from ashtray.workers.adoption import max_group_size
 
     most = max_group_size(Limits.of(settings.cluster.state))
     if operators is not None and operator_settings.group_size is not None and operator_settings.group_size > most:
--- a/ashtray/placement/placer.py
+++ b/ashtray/placement/placer.py
@@ -183,8 +183,8 @@
         yield from self._fence()
         self.counts["rounds"] += 1
         plan = self.planner.plan()
-        plan.add_freed(self.worker_manager.group_only_fold().freed)
-        plan.due_groups = self.worker_manager.groups_to_fold()
+        plan.add_freed(self.worker_manager.folds.group_only_fold().freed)
+        plan.due_groups = self.worker_manager.folds.groups_to_fold()
         plan.writes_scarce = base.store.writes.scarce()
         jobs, guaranteed = self.planner.queue()
         self._queue = list(jobs)
@@ -277,7 +277,7 @@
                     if not mine and urgent:
                         urgent_since_us.setdefault(job.id, self._urgent_since_us.get(job.id, round_began_us))
                         if any(id(capacity) in freed for capacity, _ in choices):
-                            self.worker_manager.fold_now()
+                            self.worker_manager.folds.fold_now()
                     break
                 if not job.fails_on_several_machines and (
                     (job.spec.kind == "gang" and urgent) or job.id in guaranteed
@@ -535,7 +535,7 @@
                     base.kernel.log("info", line)
                 for item in built.items:
                     self._set_aside.remove(item.job_id)
-                self.worker_manager.mark_folded(built.folded)
+                self.worker_manager.folds.mark_folded(built.folded)
                 return len(built.items) == len(batch.items)
             yield Sleep(int(base.kernel.rng.uniform(0.0, 0.02) * min(2**retry, 16) * SECOND_US))
             if not (yield from base.follower.barrier()):
@@ -590,7 +590,7 @@
         built = BuiltPlacement()
         txn = built.txn
         groups = {key for item in items for key in item.groups()}
-        fold = self.worker_manager.group_only_fold(groups - full)
+        fold = self.worker_manager.folds.group_only_fold(groups - full)
         draft = Draft(cluster_state, self.grants, fold, limits)
         for item in items:
             job = cluster_state.jobs.get(item.job_id)
--- a/ashtray/workers/splitting.py
+++ b/ashtray/workers/splitting.py
@@ -21,7 +21,7 @@
 from ashtray.store.limits import Cost, Limits
 from ashtray.store.rate_limiter import Urgency
 from ashtray.store.transaction import CommitOutcome, Txn, guarded_write_size, size_of
-from ashtray.workers.folding import MAX_RECORD_SHARE_TO_GROW, group_size
+from ashtray.workers.adoption import MAX_RECORD_SHARE_TO_GROW, group_size
 
 CHECK_INTERVAL_US = SECOND_US // 4
 """The pause between two checks for groups to be split."""
--- a/ashtray/workers/worker.py
+++ b/ashtray/workers/worker.py
@@ -115,6 +115,10 @@
         tasks = self.report.tasks if self.report is not None else {}
         return any((seen := tasks.get(key)) is not None and seen.state == "ended" for key in self.direct_launches)
 
+    def time_left_us(self, now_us: int) -> int | None:
+        """Return the time until the cloud takes the machine away, in microseconds; None if it has given no notice."""
+        return None if self.terminates_us is None else self.terminates_us - now_us
+
     def may_start(self, job_ids: frozenset[str]) -> bool:
         """Return whether a task of these jobs may still start: its image is being fetched or its orders are out."""
         if self.outstanding is not None and any(key[0] in job_ids for key in self.outstanding.tasks):
--- a/ashtray/workers/worker_manager.py
+++ b/ashtray/workers/worker_manager.py
@@ -1,4 +1,4 @@
-"""Handling of workers' reports: ownership of workers, orders to them, and writing what they report.
+"""Handling of workers' reports: ownership of workers, orders to them, and which reports are to be folded.
 
 A *fold* is the transaction that writes what workers reported into the records of their groups.
 """
@@ -11,14 +11,14 @@
 from ashtray.base import Base
 from ashtray.jobs.job_timing import JobTiming
 from ashtray.jobs.model import Job
-from ashtray.kernel import SECOND_US, Coroutine, Signal, Sleep, Wait
+from ashtray.kernel import SECOND_US, Coroutine
 from ashtray.peers.presence import Peers, Presence
-from ashtray.placement.machine_groups import Group, Machine
-from ashtray.store.rate_limiter import Urgency
-from ashtray.store.refusals import SetAside
-from ashtray.store.transaction import CommitOutcome, Txn
+from ashtray.placement.machine_groups import Machine
 from ashtray.workers import messages
-from ashtray.workers.folding import Evidence, Fold, adoption, allocation_is_dead, may_defer_move, must_save_now
+from ashtray.workers.adoption import MachineAdoption
+from ashtray.workers.completed_jobs import CompletedJobs
+from ashtray.workers.fold_scheduler import FoldScheduler
+from ashtray.workers.folding import allocation_is_dead, must_save_now
 from ashtray.workers.messages import Report, TaskKey, parse_report
 from ashtray.workers.order_delivery import OrderDelivery, note_outstanding
 from ashtray.workers.renewal import RenewalGuard
@@ -30,26 +30,11 @@
 Tokens have 64 bits.  At 30 writes a second revisions need 34 bits after 18 years; at 10 new tokens a second the
 counter needs the other 30 bits after three years, counted from the oldest machine.
 """
-FOLD_DELAY_US = 150_000
-SCARCE_FOLD_DELAY_US = 500_000
-"""How long a fold waits for more reports to write together, and the same while the write budget is scarce."""
-MAX_FOLD_INTERVAL_US = 1_700_000
-SCARCE_MAX_FOLD_INTERVAL_US, LOW_SCARCE_MAX_FOLD_INTERVAL_US = 4 * SECOND_US, 20 * SECOND_US
-"""The longest time between folds that are not urgent; the latter two while the write budget is scarce.
-
-The ends of jobs and failures are urgent, because a job's end has to be visible within 3 s.
-"""
 MAX_TASKS_TO_CHECK, MAX_TIMED_TASKS_TO_CHECK = 40, 400
 """A job with more placed tasks is not checked at each report for whether all have ended.
 
 The latter is for jobs that others wait for and, under the lower limits, for jobs with a stated time.
 """
-TIDY_DELAY_US, SCARCE_TIDY_DELAY_US = 30 * SECOND_US, 240 * SECOND_US
-"""How long moving the records of completed jobs may be put off, and the same while the write budget is scarce."""
-MAX_UNMOVED_JOBS = 300
-"""With so many completed jobs their records are moved even while the write budget is scarce."""
-ADOPTION_DELAY_US = 200_000
-"""How long machines that are in no group wait for others that can be added in the same transaction."""
 KEEP_WORKER_US = 30 * SECOND_US
 """How long a worker is kept here that comes back after it was redirected."""
 MAX_READ_AGE_US = 3 * SECOND_US
@@ -59,7 +44,7 @@
 
 
 class WorkerManager:
-    """Takes workers' reports, owns workers, sends them orders, and folds what they report into group records."""
+    """Takes workers' reports, owns workers, sends them orders, and marks what is to be folded into group records."""
 
     def __init__(
         self, base: Base, presence: Presence, peers: Peers, job_timing: JobTiming, renewal: RenewalGuard
@@ -73,27 +58,9 @@
         self.workers: dict[str, Worker] = {}
         self.delivery = OrderDelivery(base, self.workers, self._next_token, self._on_order_answer)
         self._counter = 0
-        self._fold_signal = Signal()
-        self._dirty: dict[str, set[str]] = {}
-        """For each group, the machines with something to fold."""
-        self._urgent: set[str] = set()
-        """Groups that are folded at once.  The others still wait, because each group costs a write."""
-        self._fold_all = False
-        """Whether the next fold takes all groups, not only the urgent ones."""
-        self._set_aside = SetAside()
-        """The groups whose fold was refused as too large even by itself, by key."""
-        self._last_fold: Fold | None = None
-        self._last_fold_us = 0
-        """When the last fold of all groups was committed."""
-        self._last_fold_writes = 0
-        """How many writes that fold took."""
-        self._failed_folds = 0
-        """How many folds in a row have failed, up to 5."""
-        self._completed_us: dict[str, int] = {}
-        """When the completion of each job was first noticed whose record is still to be moved."""
-        self._unknown_machines: dict[str, Report] = {}
-        """The reports of machines that are in no group, to be added to one."""
-        self._adopt_signal = Signal()
+        self.completed_jobs = CompletedJobs(base, presence)
+        self.folds = FoldScheduler(base, self.workers, self.completed_jobs, self._next_token)
+        self.adoption = MachineAdoption(base)
 
     # Reports
 
@@ -145,8 +112,7 @@
             # added again when their removal is noticed, because their last reports are still known.
             if report.token == 0 or worker.token_confirmed:
                 # A machine that was owned before may be gone.  Only a report with this process's token is not old.
-                self._unknown_machines[worker.name] = report
-                self.kernel.fire(self._adopt_signal)
+                self.adoption.note(report)
         elif not worker.reconciling and self._owns(worker, machine):
             due_orders = self._compute_orders(worker, machine)
             if due_orders and self.kernel.now_us < worker.direct_backoff_until_us:
@@ -346,7 +312,7 @@
         # No order may be sent before the token is in the record.  After a restart of all controllers each group needs
         # many such writes, so for machines whose tasks just keep running the token is written with other reports.
         urgent = notice or (unrecorded and not machine.holds)
-        time_left_us = self._time_left_us(worker)
+        time_left_us = worker.time_left_us(self.kernel.now_us)
         absence_is_proof = record.token == worker.token and not worker.in_flight and worker.answered_report is None
         unallocated = sum(seen.state != "ended" for seen in report.tasks.values())
         for allocation in machine.holds:
@@ -379,7 +345,7 @@
         # Tasks without an allocation also have to be killed, which takes an order.
         urgent = urgent or (unrecorded and unallocated > 0)
         if needs_fold:
-            self.schedule_fold(machine, urgent)
+            self.folds.schedule(machine, urgent)
         return needs_fold
 
     def _all_ended(self, job: Job) -> bool:
@@ -458,231 +424,6 @@
         if not worker.reconciling:
             self.reconcile(worker)
 
-    def adopt(self) -> Coroutine[None]:
-        """Wait for machines that are in no group, and add those of one type and zone to groups."""
-        if not self._unknown_machines:
-            yield self._adopt_signal
-        yield Sleep(ADOPTION_DELAY_US)
-        if not (yield from self.base.follower.barrier()):
-            return
-        adopted: list[str] = []
-
-        def build() -> Txn | None:
-            known = self.base.cluster_state.machines
-            self._unknown_machines = {
-                name: report for name, report in self._unknown_machines.items() if name not in known
-            }
-            kinds: dict[tuple[str, str], dict[str, Report]] = {}
-            for name, report in self._unknown_machines.items():
-                kinds.setdefault((report.type, report.zone), {})[name] = report
-            if not kinds:
-                return None
-            largest = max(kinds.values(), key=len)
-            group_size, limits = self.base.operator_settings.group_size, self.base.limits_for("adopt")
-            txn, adopted[:] = adoption(self.base.cluster_state, largest, group_size, limits)
-            return txn
-
-        if (yield from self.base.follower.commit(build, 2, Urgency.FOLD, "adopt")) is CommitOutcome.COMMITTED:
-            for name in adopted:
-                report = self._unknown_machines.pop(name)
-                self.kernel.log("info", f"{name} ({report.type}, {report.zone}) is up")
-        else:
-            # Machines that another controller has added meanwhile, or that are gone, do not report here again.
-            self._unknown_machines.clear()
-            yield Sleep(int(self.kernel.rng.uniform(0.02, 0.2) * SECOND_US))
-
-    # Folding
-
-    def fold_now(self) -> None:
-        """Fold all marked machines at once, because a job waits for capacity that their reports have freed."""
-        self._urgent.update(self._dirty)
-        self.kernel.fire(self._fold_signal)
-
-    def schedule_fold(self, machine: Machine, urgent: bool) -> None:
-        """Mark a machine whose report is to be folded into its group's record, at once if it is urgent."""
-        self._dirty.setdefault(machine.group, set()).add(machine.name)
-        if urgent:
-            self._urgent.add(machine.group)
-        self.kernel.fire(self._fold_signal)
-
-    def _evidence(self, group: Group) -> dict[str, Evidence]:
-        """Return the reports, by machine, of those marked machines of a group whose token is confirmed."""
-        evidence = {}
-        # In order, so that new tokens do not depend on the hashes of names.
-        for name in sorted(self._dirty.get(group.key, group.machines)):
-            worker = self.workers.get(name)
-            if worker is not None and worker.token and worker.report is not None and worker.token_confirmed:
-                # While orders are on their way, a task that is not listed may be about to start.
-                busy = worker.in_flight or worker.answered_report is not None
-                next_token = self._token_to_record(worker) if worker.has_repeatable_clears() else 0
-                evidence[name] = Evidence(
-                    worker.report, worker.token, not busy, self._time_left_us(worker), next_token
-                )
-        return evidence
-
-    def _token_to_record(self, worker: Worker) -> int:
-        """Return the token that a fold records in place of a worker's current one.
-
-        It stays the same until the record has it, because the outcome of an earlier fold may be unknown.
-        """
-        if not worker.next_token:
-            worker.next_token = self._next_token(worker.token)
-        return worker.next_token
-
-    def _time_left_us(self, worker: Worker) -> int | None:
-        """Return the time until the cloud takes a worker's machine away; None if it has given no notice."""
-        return None if worker.terminates_us is None else worker.terminates_us - self.kernel.now_us
-
-    def _fold(self) -> Txn | None:
-        """Return the transaction that folds all groups or the urgent ones; None if there is nothing to write."""
-        cluster_state = self.base.cluster_state
-        fold = Fold(self.kernel, cluster_state, self.base.limits_for("fold"))
-        for job in self._completed_jobs(deferrable=False):
-            fold.end(job)
-        # Groups that were marked first come first, because not all may fit.
-        for key, names in list(self._dirty.items()):
-            if not self._fold_all and key not in self._urgent or self._set_aside.has(key, self.kernel.now_us):
-                continue
-            group = cluster_state.groups.get(key)
-            if group is not None:
-                fold.add(group, names, self._evidence(group))
-            self._unmark(key, names if group is None else fold.unchanged)
-        self._last_fold = fold
-        return fold.transaction()
-
-    def group_only_fold(self, groups: Iterable[str] | None = None) -> Fold:
-        """Return the fold of reports that change group records only, for a placement to write with its own changes.
-
-        It covers the given groups, by default all that have marked machines.
-        """
-        fold = Fold(self.kernel, self.base.cluster_state, self.base.limits)
-        for key in list(self._dirty) if groups is None else groups:
-            group = self.base.cluster_state.groups.get(key)
-            if group is not None and key in self._dirty:
-                fold.add_group_only(group, self._dirty[key], self._evidence(group))
-        return fold
-
-    def mark_folded(self, names: set[str]) -> None:
-        """Unmark machines whose reports are in their records now."""
-        for key in list(self._dirty):
-            self._unmark(key, names)
-
-    def groups_to_fold(self) -> set[str]:
-        """Return the groups with marked machines, whose records are to be written anyway."""
-        return set(self._dirty)
-
-    def _unmark(self, group: str, names: set[str]) -> None:
-        self._dirty[group] = self._dirty[group] - names
-        if not self._dirty[group]:
-            del self._dirty[group]
-            self._urgent.discard(group)
-
-    def _fold_interval_us(self) -> int:
-        """Return the time between folds of all groups, in microseconds, which bounds their part of the write budget.
-
-        Folds may take half of this controller's writes, or a quarter while writes are scarce.  Under the lower limits
-        a fold covers few groups and a job needs more writes, so the part is a tenth.  Jobs that need capacity ask for
-        a fold, and placements write the freed capacity of the groups that they change.
-        """
-        writes = self.base.store.writes
-        scarce = (
-            (10, LOW_SCARCE_MAX_FOLD_INTERVAL_US) if self.base.limits.lowered else (4, SCARCE_MAX_FOLD_INTERVAL_US)
-        )
-        divisor, max_us = scarce if writes.scarce() else (2, MAX_FOLD_INTERVAL_US)
-        return min(int(divisor * self._last_fold_writes / max(writes.bucket.rate, 0.1) * SECOND_US), max_us)
-
-    def fold(self) -> Coroutine[None]:
-        """Wait until there is something to fold, and fold it."""
-        completed = self._completed_jobs(deferrable=False)
-        if not self._dirty and not completed:
-            yield Wait(self._fold_signal, SECOND_US // 4)
-            return
-        # The end of a job may wait for others while writes are scarce, but has to be visible within 3 s.
-        yield Sleep(SCARCE_FOLD_DELAY_US if self.base.store.writes.scarce() else FOLD_DELAY_US)
-        while (
-            not self._urgent and not completed and self.kernel.now_us < self._last_fold_us + self._fold_interval_us()
-        ):
-            yield Wait(self._fold_signal, self._last_fold_us + self._fold_interval_us() - self.kernel.now_us)
-        self._fold_all = self.kernel.now_us >= self._last_fold_us + self._fold_interval_us()
-        expected_writes = min(len(self._dirty if self._fold_all else self._urgent) + 1, self.base.limits.ops)
-        outcome = yield from self.base.follower.commit(self._fold, expected_writes, Urgency.FOLD, "fold")
-        last_fold = self._last_fold
-        if outcome is CommitOutcome.COMMITTED and last_fold is not None:
-            self._failed_folds = 0
-            if self._fold_all:
-                self._last_fold_us = self.kernel.now_us
-                self._last_fold_writes = expected_writes
-            for line in last_fold.lines:
-                self.kernel.log("info", line)
-            for key in last_fold.edits:
-                self._set_aside.remove(key)
-            self.mark_folded(last_fold.taken)
-        elif outcome is CommitOutcome.REFUSED and last_fold is not None:
-            self._after_refusal(last_fold)
-        elif outcome is not CommitOutcome.NOTHING:
-            self._failed_folds = min(self._failed_folds + 1, 5)
-            yield Sleep(int(self.kernel.rng.uniform(0.0, 0.03) * 2**self._failed_folds * SECOND_US))
-            yield from self.base.follower.barrier()
-
-    def _after_refusal(self, fold: Fold) -> None:
-        """Set a group aside if its fold was refused though it had the transaction for itself.
-
-        A group that cannot be folded must not hold up the others.
-        """
-        if len(fold.edits) != 1:
-            return
-        for key in fold.edits:
-            pause_s = self._set_aside.add(key, self.kernel.now_us) // SECOND_US
-            self.kernel.log("error", f"{key} is not folded for {pause_s} s: refused though it was alone")
-
-    def _completed_jobs(self, deferrable: bool) -> list[Job]:
-        """Return this controller's jobs whose tasks are all done.
-
-        `deferrable` selects the jobs whose records may be moved later, otherwise those to be ended at once.
-        """
-        cluster_state = self.base.cluster_state
-        jobs = (cluster_state.jobs[job_id] for job_id in sorted(cluster_state.completed()))
-        return [
-            job for job in jobs if may_defer_move(job, self.base.limits) == deferrable and self.presence.mine(job)
-        ]
-
-    def move_completed_jobs(self) -> Coroutine[None]:
-        """Move the records of jobs that already count as done, if there is little else to write or they are late."""
-        jobs, now = self._completed_jobs(deferrable=True), self.kernel.now_us
-        for job in jobs:
-            if job.id not in self._completed_us:
-                self.kernel.log("info", f"{job.id} is done")
-        self._completed_us = {job.id: self._completed_us.get(job.id, now) for job in jobs}
-        if not jobs:
-            return
-        jobs.sort(key=lambda job: self._completed_us[job.id])
-        writes = self.base.store.writes
-        scarce = writes.scarce()
-        # Completed tasks that group records keep take space there, but moving a job's record costs two writes.
-        late = now - self._completed_us[jobs[0].id] > (SCARCE_TIDY_DELAY_US if scarce else TIDY_DELAY_US)
-        if scarce and not late and len(jobs) < MAX_UNMOVED_JOBS:
-            return
-        # Folds always go first, because one write makes the ends of many jobs visible.
-        urgency = Urgency.PLACE if late else Urgency.BOOKKEEPING
-        jobs = jobs[: self.base.limits.ops // 2]
-        # At most a full token bucket of writes at once.  Otherwise ends of jobs, which have to be visible within 3 s,
-        # would wait until the bucket is out of debt.
-        batch_size = max(int(writes.bucket.rate * writes.bucket.burst_s) // 2, 1)
-        for first in range(0, len(jobs), batch_size):
-            yield from self._move(jobs[first : first + batch_size], urgency)
-
-    def _move(self, jobs: list[Job], urgency: Urgency) -> Coroutine[None]:
-        """Move the records of jobs that count as done, with two writes for each."""
-
-        def build() -> Txn | None:
-            fold = Fold(self.kernel, self.base.cluster_state, self.base.limits_for("tidy"))
-            for job in jobs:
-                if job.id in self.base.cluster_state.completed():
-                    fold.end(self.base.cluster_state.jobs[job.id])
-            return fold.transaction()
-
-        yield from self.base.follower.commit(build, min(2 * len(jobs), self.base.limits.ops), urgency, "tidy")
-
     def heard_us(self) -> dict[str, int]:
         """Return when each worker that reports here was last heard."""
         return {worker.name: worker.heard_us for worker in self.workers.values() if worker.heard_us}
--- a/tests/mutants/lost_answers.py
+++ b/tests/mutants/lost_answers.py
@@ -35,7 +35,7 @@
         "txn.guard(LIVE_JOB_PREFIX + job.job_id, 0).put(",
     ),
     "late-adoption-into-a-new-group": (
-        "ashtray/workers/folding.py",
+        "ashtray/workers/adoption.py",
         "txn = Txn().guard(lock, cluster_state.version(lock)).put(lock, cluster_state.version(lock))",
         "txn = Txn().put(lock, cluster_state.version(lock))",
     ),
--- a/tests/mutants/repeated_commands.py
+++ b/tests/mutants/repeated_commands.py
@@ -10,7 +10,7 @@
         "                else:\n",
     ),
     "tokens-not-replaced-by-folds": (
-        WORKER_MANAGER,
+        "ashtray/workers/fold_scheduler.py",
         "next_token = self._token_to_record(worker) if worker.has_repeatable_clears() else 0",
         "next_token = 0",
     ),
--- a/tests/mutants/safety.py
+++ b/tests/mutants/safety.py
@@ -73,7 +73,7 @@
     ),
     "no-doubt": (DELIVERY, "if not reply.refused and token in (worker.token, worker.previous_token):", "if False:"),
     "orders-in-flight-ignored": (
-        WORKER_MANAGER,
+        "ashtray/workers/fold_scheduler.py",
         "busy = worker.in_flight or worker.answered_report is not None",
         "busy = False",
     ),
@@ -248,7 +248,7 @@
         "return 1.0",
     ),
     "adopted-twice": (
-        FOLDING,
+        "ashtray/workers/adoption.py",
         "txn = Txn().guard(lock, cluster_state.version(lock)).put(lock, cluster_state.version(lock))",
         "txn = Txn()",
     ),
--- a/tests/mutants/sizes.py
+++ b/tests/mutants/sizes.py
@@ -24,7 +24,7 @@
     ),
     "fence-of-all-teams-at-once": (PLACER, 'max_teams = base.limits_for("share").ops', "max_teams = len(teams)"),
     "refused-fold-stays-first": (
-        "ashtray/workers/worker_manager.py",
+        "ashtray/workers/fold_scheduler.py",
         " or self._set_aside.has(key, self.kernel.now_us):",
         ":",
     ),
@@ -33,7 +33,11 @@
         "Cost(1, job.write_size(fold.finished if fold.spilled else None)) if writes else Cost()",
         "Cost(1, 0) if writes else Cost()",
     ),
-    "group-counted-afterwards": (FOLDING, "        if adopted and not cost.within(limits):\n", "        if False:\n"),
+    "group-counted-afterwards": (
+        "ashtray/workers/adoption.py",
+        "        if adopted and not cost.within(limits):\n",
+        "        if False:\n",
+    ),
     "gangs-not-counted": (
         "ashtray/fleet/decommissioning.py",
         "return Cost(len(sizes), sum(sizes))",
--- a/tests/mutants/waiting.py
+++ b/tests/mutants/waiting.py
@@ -17,7 +17,7 @@
         "return self._fitting_tasks(job) >= count",
     ),
     "moving-what-is-over-leaves-a-debt": (
-        "ashtray/workers/worker_manager.py",
+        "ashtray/workers/completed_jobs.py",
         "batch_size = max(int(writes.bucket.rate * writes.bucket.burst_s) // 2, 1)",
         "batch_size = self.base.limits.ops // 2",
     ),
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -24,7 +24,7 @@
 from ashtray.standby.leader_notes import youngest_entries
 from ashtray.store.limits import Limits
 from ashtray.store.transaction import size_of
-from ashtray.workers.folding import adoption, group_size
+from ashtray.workers.adoption import adoption, group_size
 from ashtray.workers.messages import Report, parse_report, parse_task
 from tests.model import Model, submission
 
--- a/tests/test_meetings_late_commands.py
+++ b/tests/test_meetings_late_commands.py
@@ -312,7 +312,7 @@
     core.worker_manager._on_order_answer(worker, later)
     assert worker.report is later and worker.answered_report == (report.session, report.tick)
     group = core.cluster_state.groups[core.cluster_state.machines[name].group]
-    assert not core.worker_manager._evidence(group)[name].proves_absence
+    assert not core.worker_manager.folds._evidence(group)[name].proves_absence
     # The machine sends its next report when it has received the answer or given up on it.
     core.worker_manager._take_report(worker, msgspec.structs.replace(report, tick=report.tick + 2))
     assert worker.answered_report is None
--- a/tests/test_meetings_machines.py
+++ b/tests/test_meetings_machines.py
@@ -892,7 +892,7 @@
     # The copy, which says 30 s, arrived 20 s late.
     model.workers[name].notice_us = 10 * SECOND
     assert model.deliver_copy(owner.number, name, model.workers[name].report()) == [200]
-    leaves_us = owner.core.worker_manager._time_left_us(owner.core.worker_manager.workers[name])
+    leaves_us = owner.core.worker_manager.workers[name].time_left_us(owner.core.kernel.now_us)
     assert leaves_us is not None and leaves_us <= 10 * SECOND
 
 
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -179,8 +179,8 @@
     model.run(3)
     for host in model.hosts:
         host.core.store.writes.scarce = lambda: True
-        host.core.worker_manager._fold_interval_us = lambda: 60 * SECOND
-        host.core.worker_manager._last_fold_us = model.now + SECOND
+        host.core.worker_manager.folds._fold_interval_us = lambda: 60 * SECOND
+        host.core.worker_manager.folds._last_fold_us = model.now + SECOND
     model.submit(submission("job-0", pieces=18, cpus=4.0, crew="free", urgency="urgent", hulls=["small"]))
     model.run(1)
     model.submit(submission("job-1", pieces=1, crew="free", waits_on=["job-0"], due_s=300.0))
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -9,7 +9,8 @@
 from ashtray.placement.records import AllocationRecord, GroupRecord, MachineRecord
 from ashtray.placement.state_keys import GROUP
 from ashtray.store.limits import Limits
-from ashtray.workers.folding import Evidence, Fold, adoption
+from ashtray.workers.adoption import adoption
+from ashtray.workers.folding import Evidence, Fold
 from ashtray.workers.messages import Report
 from tests.fakes.state import State
 from tests.model import CANCEL_S, LEASE_S, Model, submission
@@ -91,9 +92,9 @@
     )
     group = core.cluster_state.groups[core.cluster_state.machines[name].group]
     core.worker_manager.workers[name].in_flight = True
-    assert not core.worker_manager._evidence(group)[name].proves_absence
+    assert not core.worker_manager.folds._evidence(group)[name].proves_absence
     core.worker_manager.workers[name].in_flight = False
-    assert core.worker_manager._evidence(group)[name].proves_absence
+    assert core.worker_manager.folds._evidence(group)[name].proves_absence
 
 
 def test_every_change_of_a_shared_record_is_guarded_by_its_version():
--- a/tests/test_transaction_sizes.py
+++ b/tests/test_transaction_sizes.py
@@ -25,7 +25,8 @@
 from ashtray.store.limits import MAX_TXN_BYTES, Limits
 from ashtray.store.refusals import REFUSAL_RECOVERY_US, RefusalBackoff
 from ashtray.store.transaction import Txn, guarded_write_size, size_of
-from ashtray.workers.folding import Evidence, Fold, adoption
+from ashtray.workers.adoption import adoption
+from ashtray.workers.folding import Evidence, Fold
 from ashtray.workers.messages import Report, TaskState
 from tests.model import Model, settings_for, submission
 from tests.test_model import FAULTS, JOB, RUNS, begin, finish, strike
