Fix questions that follow every path of a pipeline after a restart

With 6 stages of 180 jobs one turn took 3.5 s. Nothing else is answered meanwhile, and leases end.

Cause: before a question is answered, the unknown final states below the job are read, one by one. After each read all that the job needs was followed again for the next one, by every question that waited for the same read, in one turn. The search for all unknown final states followed all edges after each change.

Change: `Dependencies` keeps the unknown final states, which are the answer to the search for all. `unknown_of` follows a job's dependencies once for a question, goes on where it stopped, and enters no job below which nothing is unknown. That stays so: what a job needs never changes, and neither does a final state.

tests/test_long_pipelines.py: the new test of questions failed before the fix (3.5 s in one turn, 2 s allowed) and passes with it; drawn graphs are compared with a plain search. test_long_pipelines, test_dependencies, test_pipelines and test_checks pass.

--- a/ashtray/jobs/dependencies.py
+++ b/ashtray/jobs/dependencies.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterator
 from typing import Any
 
 from ashtray.jobs.model import Job
@@ -35,8 +35,10 @@
         """The live jobs that have dependencies or dependents."""
         self._open_count: dict[str, int] = {}
         """By linked job, how many of its dependencies are not known to be done."""
-        self._unknown: set[str] = set()
-        """The dependencies of jobs not placed yet that are neither live nor known to be over."""
+        self._unknown: dict[str, None] = {}
+        """The dependencies of jobs not placed yet that are neither live nor known to be over, oldest first."""
+        self._settled: set[str] = set()
+        """Linked jobs none of whose transitive dependencies is unknown; that stays so, as final states do."""
         self._urgency = PipelineUrgency(self._linked, self.dependents, self.cancelled_by)
 
     # Updates from the state service
@@ -59,7 +61,7 @@
     def _link(self, job: Job, final_states: dict[str, Any]) -> set[str]:
         """Add a live job to the graph; returns the ids of jobs that count as cancelled now."""
         self._linked[job.id] = job
-        self._unknown.discard(job.id)
+        self._unknown.pop(job.id, None)
         cancelled: set[str] = set()
         self._open_count[job.id] = len(job.spec.needs)
         for dependency in job.spec.needs:
@@ -83,7 +85,7 @@
                 self._linked[dependency_id] = dependency
                 self._open_count[dependency_id] = 0
         elif dependency_id not in self._done_us and not job.record.attempt:
-            self._unknown.add(dependency_id)
+            self._unknown[dependency_id] = None
 
     def _count_done(self, job: Job, done_us: int) -> None:
         """Count a dependency of a job that is done."""
@@ -101,15 +103,16 @@
         if job is None:
             return
         del self._open_count[job_id]
+        self._settled.discard(job_id)
         if job_id in self.dependents and job_id not in self._done_us:
-            self._unknown.add(job_id)
+            self._unknown[job_id] = None
         for dependency in job.spec.needs:
             live_dependents = self.dependents.get(dependency, set())
             live_dependents.discard(job_id)
             if not live_dependents:
                 self.dependents.pop(dependency, None)
                 self._done_us.pop(dependency, None)
-                self._unknown.discard(dependency)
+                self._unknown.pop(dependency, None)
         self._urgency.remove(job)
 
     def note_final_state(self, job_id: str, state: Any) -> set[str]:
@@ -149,7 +152,7 @@
     def _record_end(self, job_id: str, state: Any) -> None:
         # The previous version did not record the time.
         self._done_us[job_id] = int(state.get("at_us", 0)) if state["status"] == "done" else None
-        self._unknown.discard(job_id)
+        self._unknown.pop(job_id, None)
 
     def _is_cancelled(self, dependency: str) -> bool:
         return dependency in self.cancelled_by or (dependency in self._done_us and self._done_us[dependency] is None)
@@ -185,23 +188,33 @@
         """Return whether all dependencies of a job are known to be done."""
         return not job.spec.needs or job.record.attempt > 0 or not self._open_count.get(job.id, len(job.spec.needs))
 
-    def unknown(self, job_ids: Iterable[str] | None = None) -> list[str]:
-        """Return the dependencies that are neither live nor known to be over.
+    def unknown(self) -> list[str]:
+        """Return the dependencies of live jobs that are neither live nor known to be over."""
+        return list(self._unknown)
 
-        They are those of all live jobs, or those of `job_ids` and of their transitive live dependencies.
+    def is_unknown(self, job_id: str) -> bool:
+        """Return whether a live job names this one, which is neither live nor known to be over."""
+        return job_id in self._unknown
+
+    def unknown_of(self, job: Job) -> Iterator[str]:
+        """Yield the transitive dependencies of a job that are neither live nor known to be over.
+
+        The caller makes each one known before it asks for the next, which may be much later.  What was found to
+        depend on nothing unknown is not followed again, by this call or another.
         """
         if not self._unknown:
-            return []
-        found: dict[str, None] = {}
-        remaining = list(self._linked if job_ids is None else job_ids)
-        seen = set(remaining)
-        while remaining:
-            job = self._jobs.get(remaining.pop())
-            for dependency in self.open(job) if job is not None else ():
-                if dependency in self._jobs:
-                    if dependency not in seen:
-                        seen.add(dependency)
-                        remaining.append(dependency)
-                elif dependency not in self._done_us:
-                    found[dependency] = None
-        return list(found)
+            return
+        path = [(job, iter(self.open(job)))]
+        while path:
+            dependent, needs = path[-1]
+            for need in needs:
+                dependency = self._jobs.get(need)
+                if dependency is not None and need not in self._settled:
+                    path.append((dependency, iter(self.open(dependency))))
+                    break
+                if dependency is None and need in self._unknown:
+                    yield need
+            else:
+                path.pop()
+                if dependent.id in self._linked:
+                    self._settled.add(dependent.id)
--- a/ashtray/jobs/states.py
+++ b/ashtray/jobs/states.py
@@ -111,22 +111,23 @@
 
         Returns True if all were known, None if some were read, and False if a read failed.
         """
-        cluster_state = self.base.cluster_state
         known: bool | None = True
-        while unknown := [
-            dependency
-            for dependency in cluster_state.dependencies.unknown([job.id])
-            if dependency not in cluster_state.known_absent
-        ]:
-            known = None
-            ongoing = self._reads.get(unknown[0])
-            if ongoing is not None:
-                if (yield Wait(ongoing, 2 * SECOND_US)) is None:
+        for dependency in self.base.cluster_state.dependencies.unknown_of(job):
+            while self._must_be_read(dependency):
+                known = None
+                ongoing = self._reads.get(dependency)
+                if ongoing is not None:
+                    if (yield Wait(ongoing, 2 * SECOND_US)) is None:
+                        return False
+                elif (yield from self._read_final(dependency, urgency)) not in CONCLUSIVE:
                     return False
-            elif (yield from self._read_final(unknown[0], urgency)) not in CONCLUSIVE:
-                return False
         return known
 
+    def _must_be_read(self, dependency: str) -> bool:
+        """Return whether a dependency's final state is unknown and not known to be absent."""
+        cluster_state = self.base.cluster_state
+        return cluster_state.dependencies.is_unknown(dependency) and dependency not in cluster_state.known_absent
+
     def resolve(self) -> Coroutine[None]:
         """Read the final states of dependencies that ended before the cluster state was first read.
 
--- a/tests/mutants/long_pipelines.py
+++ b/tests/mutants/long_pipelines.py
@@ -14,6 +14,16 @@
         "        self.dependencies.update_urgency()\n",
         "",
     ),
+    "unknown-final-states-not-looked-for": (
+        "ashtray/jobs/dependencies.py",
+        "if dependency is None and need in self._unknown:",
+        "if False:",
+    ),
+    "settled-before-its-dependencies": (
+        "ashtray/jobs/dependencies.py",
+        "                    path.append((dependency,",
+        "                    self._settled.add(need)\n                    path.append((dependency,",
+    ),
     "urgency-never-falls": (
         URGENCY,
         "            self._lower_dependencies(job)\n",
--- a/tests/test_long_pipelines.py
+++ b/tests/test_long_pipelines.py
@@ -12,11 +12,18 @@
 from hypothesis import strategies as st
 
 from ashtray.jobs.model import FINAL_STATE_PREFIX, LIVE_JOB_PREFIX, JobRecord, JobSpec
+from ashtray.kernel import Reply
 from ashtray.placement.cluster_state import ClusterState
+from ashtray.store.transaction import Txn
+from tests.model import Model
 
 SECOND = 1_000_000
 MAX_TURN_S = 2.0
 """Users wait this long for the answer to a question: one record must not occupy a controller for longer."""
+ANSWERED_S = 60
+"""A job about which no question is answered for 75 s counts as forgotten; the start took some of that."""
+POLL_S = 5
+"""How often users ask about each of their jobs."""
 
 
 class Pipeline:
@@ -151,6 +158,54 @@
         assert pipeline.longest_s < MAX_TURN_S
 
 
+class TimedModel(Model):
+    """The model, with a check that no input occupies a controller for longer than a user waits."""
+
+    def _input(self, *args) -> None:
+        began_s = time.process_time()
+        super()._input(*args)
+        assert time.process_time() - began_s < MAX_TURN_S
+
+
+def restart_all_after_first_stage(model: Model, pipeline: Pipeline, width: int) -> list[str]:
+    """Restart all controllers with a pipeline whose first stage is done; returns the ids of its live jobs."""
+    for number, (job_id, spec) in enumerate(pipeline.specs.items()):
+        if number < width:
+            key, value = FINAL_STATE_PREFIX + job_id, {"status": "done", "done": 1, "at_us": SECOND}
+        else:
+            accepting_host = f"berth-{number % len(model.hosts)}"
+            key, value = LIVE_JOB_PREFIX + job_id, msgspec.to_builtins(JobRecord(spec, accepting_host, 0))
+        model.state.handle(model.now, "POST", "/txn", Txn().put(key, value).body())
+    for host in model.hosts:
+        model.crash(host.number, 0.1)
+    model.run(0.5)
+    return list(pipeline.specs)[width:]
+
+
+# Guards against forgotten after a restart: each question about a pipeline whose first stage was done before followed
+# all paths through it, again after each final state that was read.
+def test_questions_while_final_states_are_read_do_not_make_a_controller_stand_still():
+    width = 180
+    model = TimedModel(4)
+    model.cloud.capacity = 0
+    model.run(3)
+    live = restart_all_after_first_stage(model, random_estimates(6, width, 4), width)
+    told: dict[str, str] = {}
+
+    def ask(job_id: str) -> None:
+        def answered(reply: Reply) -> None:
+            if reply.status == 200:
+                told[job_id] = reply.body["status"]
+
+        model._ask("GET", f"/submissions/{job_id}", None, 2, answered)
+
+    for _ in range(ANSWERED_S // POLL_S):
+        for job_id in live:
+            ask(job_id)
+        model.run(POLL_S)
+    assert told == dict.fromkeys(live, "pending")
+
+
 def expected(pipeline: Pipeline, done: set[str] = frozenset()) -> dict[str, tuple[int, int | None, int, bool]]:  # type: ignore[assignment]
     """Return what `Pipeline.values` must return for a pipeline none of whose live jobs is cancelled."""
     live = pipeline.state.jobs
@@ -211,3 +266,51 @@
     for job_id in sorted(pipeline.state.jobs, key=lambda job_id: int(job_id[4:]), reverse=True):
         pipeline.end(job_id, "cancelled")
         assert pipeline.values() == expected(pipeline, done)
+
+
+@given(JOBS, st.randoms(use_true_random=False))
+def test_each_unknown_dependency_is_found_once_below_a_job(jobs, drawn):
+    pipeline = Pipeline()
+    for number, (distances, *_) in enumerate(jobs):
+        pipeline.add(number, sorted({number - distance for distance in distances if distance <= number}))
+    ids = list(pipeline.specs)
+    ended = {job_id for job_id in ids if drawn.random() < 0.3}
+    drawn.shuffle(ids)
+    for job_id in ids:
+        if job_id not in ended:
+            pipeline.put(job_id)
+    dependencies = pipeline.state.dependencies
+    for job_id in ids:
+        assert set(dependencies.unknown()) == unknown_below(pipeline, pipeline.state.jobs)
+        job = pipeline.state.jobs.get(job_id)
+        if job is None:
+            continue
+        wanted, found = unknown_below(pipeline, [job_id]), []
+        # Another question waits for its first final state meanwhile, or gave up because that could not be read.
+        next(dependencies.unknown_of(job), None)
+        for dependency in dependencies.unknown_of(job):
+            assert dependencies.is_unknown(dependency)
+            found.append(dependency)
+            # A read may find the final state of this one, or the follower may have brought some others meanwhile.
+            for known in {dependency, *(other for other in wanted if drawn.random() < 0.2)}:
+                wanted.discard(known)
+                pipeline.end(known, "done")
+        assert not wanted and len(found) == len(set(found))
+        assert not unknown_below(pipeline, [job_id]) and not list(dependencies.unknown_of(job))
+        if drawn.random() < 0.3:
+            pipeline.end(job_id, drawn.choice(["done", "cancelled"]))
+
+
+def unknown_below(pipeline: Pipeline, job_ids: Iterable[str]) -> set[str]:
+    """Return the transitive dependencies of live jobs that are neither live nor over, by a plain search."""
+    state, found, remaining = pipeline.state, set(), list(job_ids)
+    seen = set(remaining)
+    while remaining:
+        for need in pipeline.specs[remaining.pop()].needs:
+            if need in state.jobs:
+                if need not in seen:
+                    seen.add(need)
+                    remaining.append(need)
+            elif need not in state.final_states:
+                found.add(need)
+    return found
